--- /dev/null
+++ b/codegen/tests/generated_code.rs
@@ -0,0 +1,23 @@
+//! The committed message types match the `.proto` files.
+
+use std::{fs, path::Path};
+
+#[test]
+fn is_fresh() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let out = tempfile::tempdir().unwrap();
+    clementine_codegen::generate(&root.join("proto"), out.path()).unwrap();
+    let mut files = 0;
+    for entry in fs::read_dir(out.path()).unwrap() {
+        let path = entry.unwrap().path();
+        let name = path.file_name().unwrap();
+        let committed = fs::read_to_string(root.join("src/wire/generated").join(name)).unwrap_or_default();
+        let fresh = fs::read_to_string(&path).unwrap();
+        assert_eq!(
+            committed, fresh,
+            "{name:?} is stale; run `cargo run -p clementine-codegen`"
+        );
+        files += 1;
+    }
+    assert_eq!(files, 4);
+}
--- /dev/null
+++ b/src/bin/clementine-load.rs
@@ -0,0 +1,7 @@
+//! Sends calls to daemons.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    clementinefold::cli::run_load()
+}
--- /dev/null
+++ b/src/call/call_result.rs
@@ -0,0 +1,84 @@
+use {
+    super::{Outcome, Reason},
+    crate::{
+        clock::Ms,
+        wire::peer::{self as wire, Header},
+    },
+    bytes::Bytes,
+};
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallResult {
+    /// What is known about the call.
+    pub outcome: Outcome,
+    /// HTTP status for the caller.
+    pub status: u16,
+    /// Headers of the server's answer.
+    pub headers: Vec<Header>,
+    /// Body of the server's answer.
+    pub body: Bytes,
+    /// Why there is no answer. `None` when answered.
+    pub reason: Option<Reason>,
+    /// Time after which a resend makes sense. Zero: none is known.
+    pub retry_after: Ms,
+    /// True where a recorded answer is given again.
+    pub replayed: bool,
+}
+
+impl CallResult {
+    /// Returns the result of a call that a server answered.
+    pub fn answered(status: u16, headers: Vec<Header>, body: Bytes) -> Self {
+        Self {
+            outcome: Outcome::Answered,
+            status,
+            headers,
+            body,
+            reason: None,
+            retry_after: Ms::ZERO,
+            replayed: false,
+        }
+    }
+
+    /// Returns the result of a call that ended without an answer.
+    pub fn failed(reason: Reason) -> Self {
+        Self {
+            outcome: reason.outcome(),
+            status: reason.status(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            reason: Some(reason),
+            retry_after: Ms::ZERO,
+            replayed: false,
+        }
+    }
+
+    /// Reads the message form.
+    pub fn from_wire(answer: wire::CallAnswer) -> Self {
+        let outcome = Outcome::from_wire(answer.outcome());
+        let fallback = (outcome != Outcome::Answered).then_some(Reason::PeerLost);
+        Self {
+            outcome,
+            status: u16::try_from(answer.status).unwrap_or(502),
+            headers: answer.headers,
+            body: answer.body,
+            reason: Reason::from_word(&answer.reason).or(fallback),
+            retry_after: answer.retry_after_ms.into(),
+            replayed: answer.replayed,
+        }
+    }
+
+    /// Returns the message form.
+    pub fn into_wire(self, revision: u64) -> wire::CallAnswer {
+        wire::CallAnswer {
+            outcome: self.outcome.to_wire().into(),
+            status: self.status.into(),
+            headers: self.headers,
+            body: self.body,
+            reason: self.reason.map_or("", Reason::word).to_owned(),
+            retry_after_ms: u32::try_from(self.retry_after.0).unwrap_or(u32::MAX),
+            replayed: self.replayed,
+            revision,
+        }
+    }
+}
--- /dev/null
+++ b/src/call/outcome.rs
@@ -0,0 +1,41 @@
+use crate::wire::peer as wire;
+
+/// What is known about a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The server's whole answer was received.
+    Answered,
+    /// The call was certainly not run.
+    NotRun,
+    /// The call may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the word of the `Fold-Outcome` header.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Reads the message form. A value that is not known reads as `Unknown`.
+    pub fn from_wire(outcome: wire::Outcome) -> Self {
+        match outcome {
+            wire::Outcome::Answered => Self::Answered,
+            wire::Outcome::NotRun => Self::NotRun,
+            wire::Outcome::Unknown | wire::Outcome::Unspecified => Self::Unknown,
+        }
+    }
+
+    /// Returns the message form.
+    pub fn to_wire(self) -> wire::Outcome {
+        match self {
+            Self::Answered => wire::Outcome::Answered,
+            Self::NotRun => wire::Outcome::NotRun,
+            Self::Unknown => wire::Outcome::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/src/call/reason.rs
@@ -0,0 +1,93 @@
+use super::Outcome;
+
+/// Declares the reasons with their words, statuses and outcomes.
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident = $word:literal, $status:literal, $outcome:ident;)*) => {
+        /// Why a call has no answer of a server. docs/INTERFACES.md lists the words.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Reason {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Reason {
+            /// All reasons.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the word of the `Fold-Reason` header.
+            pub fn word(self) -> &'static str {
+                match self {
+                    $(Self::$name => $word,)*
+                }
+            }
+
+            /// Returns the HTTP status.
+            pub fn status(self) -> u16 {
+                match self {
+                    $(Self::$name => $status,)*
+                }
+            }
+
+            /// Returns what is known about a call that ends for this reason.
+            pub fn outcome(self) -> Outcome {
+                match self {
+                    $(Self::$name => Outcome::$outcome,)*
+                }
+            }
+
+            /// Returns the reason with this word.
+            pub fn from_word(word: &str) -> Option<Self> {
+                match word {
+                    $($word => Some(Self::$name),)*
+                    _ => None,
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// A header of the request cannot be read.
+    BadHeader = "bad-header", 400, NotRun;
+    /// The service is divided by key and the request has no `Fold-Key`.
+    MissingKey = "missing-key", 400, NotRun;
+    /// The call is non-idempotent and the request has no `Fold-Request-Id`.
+    MissingRequestId = "missing-request-id", 400, NotRun;
+    /// The request was not received whole in time.
+    IncompleteRequest = "incomplete-request", 400, NotRun;
+    /// The schema has no such service.
+    UnknownService = "unknown-service", 404, NotRun;
+    /// No kind of calls of the service matches the request.
+    UnknownKind = "unknown-kind", 404, NotRun;
+    /// The request id was used with another request.
+    RequestIdReused = "request-id-reused", 409, NotRun;
+    /// The body of the request is too large.
+    TooLarge = "too-large", 413, NotRun;
+    /// The servers have no room for the call.
+    Overloaded = "overloaded", 429, NotRun;
+    /// The key has no owner now.
+    NoOwner = "no-owner", 503, NotRun;
+    /// No server of the service can take the call now.
+    NoServer = "no-server", 503, NotRun;
+    /// The daemon that was asked does not own the key.
+    NotOwner = "not-owner", 503, NotRun;
+    /// The lease of the daemon does not hold.
+    NoLease = "no-lease", 503, NotRun;
+    /// The daemon is being drained.
+    Draining = "draining", 503, NotRun;
+    /// The deadline was over before the call was sent to a server.
+    DeadlineTooShort = "deadline-too-short", 503, NotRun;
+    /// No connection to the server could be made.
+    ServerUnreachable = "server-unreachable", 503, NotRun;
+    /// The server refused the call before any work.
+    ServerRefused = "server-refused", 503, NotRun;
+    /// No connection to the owner's daemon could be made.
+    PeerUnreachable = "peer-unreachable", 503, NotRun;
+    /// The server was lost while the call ran.
+    ServerLost = "server-lost", 502, Unknown;
+    /// The server's answer was not its whole answer to this call.
+    BadAnswer = "bad-answer", 502, Unknown;
+    /// The owner's daemon was lost while the call ran.
+    PeerLost = "peer-lost", 502, Unknown;
+    /// The deadline was over while the call ran.
+    ServerLate = "server-late", 504, Unknown;
+}
--- /dev/null
+++ b/src/clock/mod.rs
@@ -0,0 +1,6 @@
+//! Time in milliseconds.
+
+mod clock_source;
+mod ms;
+
+pub use {clock_source::Clock, ms::Ms};
--- /dev/null
+++ b/src/clock/ms.rs
@@ -0,0 +1,60 @@
+use std::{
+    fmt,
+    ops::{Add, AddAssign, Sub},
+    time::Duration,
+};
+
+/// A point in time or a span of time, in ms. Arithmetic saturates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ms(pub u64);
+
+impl Ms {
+    /// The start of the clock, or an empty span.
+    pub const ZERO: Self = Self(0);
+    /// A point in time that is never reached.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Returns the whole seconds, rounded up, as `Retry-After` wants them.
+    pub fn as_secs_ceil(self) -> u64 {
+        self.0.div_ceil(1000)
+    }
+
+    /// Returns the span as a standard duration.
+    pub fn as_duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl Add for Ms {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Ms {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Ms {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl From<u32> for Ms {
+    fn from(ms: u32) -> Self {
+        Self(ms.into())
+    }
+}
+
+impl fmt::Display for Ms {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,20 @@
+//! The replicated state and the control role that agrees on it.
+
+mod control_duty;
+mod control_handle;
+mod log_file;
+mod range_table;
+mod revision;
+mod session;
+mod state;
+mod state_image;
+
+pub use {
+    control_duty::{start_control, ControlConfig},
+    control_handle::{ControlHandle, ControlInput},
+    log_file::{LogError, LogFile},
+    range_table::{Owner, Range, RangeTable, Release},
+    revision::{Revision, RevisionTextError},
+    session::{Server, Session},
+    state::{Applied, State},
+};
--- /dev/null
+++ b/src/control/range_table.rs
@@ -0,0 +1,134 @@
+use crate::{
+    key::{Key, KeyRange},
+    wire::control as wire,
+};
+
+/// Who owns a range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// Session of the daemon in front of the server.
+    pub session: u64,
+    /// Address of the server.
+    pub server: String,
+    /// Log index of the change that gave the range to this owner.
+    pub epoch: u64,
+}
+
+/// Planned move of a range that its owner is giving up.
+pub type Release = wire::ReleaseRange;
+
+/// One range of a service. It ends where the next one starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Range {
+    /// First key of the range.
+    pub start: Key,
+    /// Owner, if there is one now.
+    pub owner: Option<Owner>,
+    /// The planned move that is under way, if any.
+    pub release: Option<Release>,
+}
+
+/// All ranges of one service, sorted, without gap or overlap.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RangeTable {
+    /// Name of the service.
+    pub service: String,
+    ranges: Vec<Range>,
+}
+
+impl RangeTable {
+    /// Returns a table with ranges that start at the lowest key and at `boundaries`, without owners.
+    pub fn new(service: &str, boundaries: &[Key]) -> Self {
+        let starts = std::iter::once(Key::default()).chain(boundaries.iter().cloned());
+        let ranges = starts
+            .map(|start| Range {
+                start,
+                owner: None,
+                release: None,
+            })
+            .collect();
+        Self {
+            service: service.to_owned(),
+            ranges,
+        }
+    }
+
+    /// Returns a table of these ranges, which are sorted and start at the lowest key.
+    pub fn from_ranges(service: &str, ranges: Vec<Range>) -> Self {
+        Self {
+            service: service.to_owned(),
+            ranges,
+        }
+    }
+
+    /// Returns all ranges in the order of their keys.
+    pub fn ranges(&self) -> &[Range] {
+        &self.ranges
+    }
+
+    /// Returns the position of the range that holds `key`.
+    pub fn position(&self, key: &Key) -> usize {
+        match self.ranges.binary_search_by(|range| range.start.cmp(key)) {
+            Ok(i) => i,
+            Err(i) => i - 1,
+        }
+    }
+
+    /// Returns the range that holds `key`.
+    pub fn range_of(&self, key: &Key) -> &Range {
+        &self.ranges[self.position(key)]
+    }
+
+    /// Returns the keys of the range at `position`.
+    pub fn span(&self, position: usize) -> KeyRange {
+        let start = self.ranges[position].start.clone();
+        let end = self.ranges.get(position + 1).map(|next| next.start.clone());
+        KeyRange { start, end }
+    }
+
+    /// Returns the positions of the ranges that make up exactly `span`, after splitting ranges where
+    /// `span` starts and ends. The parts of a split range keep its owner.
+    pub fn carve(&mut self, span: &KeyRange) -> std::ops::Range<usize> {
+        let first = self.split_at(&span.start);
+        let end = match &span.end {
+            Some(end) => self.split_at(end),
+            None => self.ranges.len(),
+        };
+        first..end
+    }
+
+    /// Returns the range at `position` for a change.
+    pub fn range_mut(&mut self, position: usize) -> &mut Range {
+        &mut self.ranges[position]
+    }
+
+    /// Makes one range of the ranges at `positions`.
+    pub fn join(&mut self, positions: std::ops::Range<usize>) {
+        self.ranges.drain(positions.start + 1..positions.end);
+    }
+
+    /// Takes all ranges of `session` from it and returns how many there were.
+    pub fn vacate_session(&mut self, session: u64) -> usize {
+        let mut count = 0;
+        for range in &mut self.ranges {
+            if range.owner.as_ref().is_some_and(|owner| owner.session == session) {
+                range.owner = None;
+                range.release = None;
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Makes sure that a range starts at `key` and returns its position.
+    fn split_at(&mut self, key: &Key) -> usize {
+        let position = self.position(key);
+        if self.ranges[position].start == *key {
+            return position;
+        }
+        let mut upper = self.ranges[position].clone();
+        upper.start = key.clone();
+        self.ranges.insert(position + 1, upper);
+        position + 1
+    }
+}
--- /dev/null
+++ b/src/control/session.rs
@@ -0,0 +1,31 @@
+use crate::wire::control as wire;
+
+/// A backend server, as it announced itself.
+pub type Server = wire::Server;
+
+/// The session of one daemon process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Session {
+    /// Log index of the change that opened the session.
+    pub id: u64,
+    /// Who opened it.
+    pub open: wire::OpenSession,
+    /// Backend servers of the daemon, sorted by service and address.
+    pub servers: Vec<Server>,
+}
+
+impl Session {
+    /// Returns the server with this service and address.
+    pub fn server(&self, service: &str, address: &str) -> Option<&Server> {
+        let key = (service, address);
+        let found = self
+            .servers
+            .binary_search_by(|s| (s.service.as_str(), s.address.as_str()).cmp(&key));
+        found.ok().map(|i| &self.servers[i])
+    }
+
+    /// Returns the servers of one service.
+    pub fn servers_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+        self.servers.iter().filter(move |s| s.service == service)
+    }
+}
--- /dev/null
+++ b/src/control/state_image.rs
@@ -0,0 +1,96 @@
+use {
+    super::{Owner, Range, RangeTable, Revision, Session, State},
+    crate::{
+        key::Key,
+        schema::Schema,
+        wire::control::{OwnerImage, RangeImage, ServiceImage, SessionImage, StateImage},
+    },
+    prost::Message,
+    std::sync::Arc,
+};
+
+impl State {
+    /// Returns the whole state in the form of a snapshot.
+    pub fn to_image(&self) -> Vec<u8> {
+        let sessions = self.sessions.iter().map(|s| SessionImage {
+            id: s.id,
+            open: Some(s.open.clone()),
+            servers: s.servers.clone(),
+        });
+        let services = self.services.iter().map(|t| ServiceImage {
+            name: t.service.clone(),
+            ranges: t.ranges().iter().map(range_image).collect(),
+        });
+        let image = StateImage {
+            applied: self.applied,
+            revision: Some(self.revision.to_wire()),
+            schema: self.schema_json.clone(),
+            sessions: sessions.collect(),
+            services: services.collect(),
+            answered: self.answered.clone(),
+            drains: self.drains.clone(),
+        };
+        image.encode_to_vec()
+    }
+
+    /// Reads a state back from its image. `None`: the bytes are not an image.
+    pub fn from_image(bytes: &[u8]) -> Option<Self> {
+        let image = StateImage::decode(bytes).ok()?;
+        let schema = match image.schema.as_str() {
+            "" => Schema::default(),
+            json => Schema::from_json(json).ok()?,
+        };
+        let mut sessions = Vec::with_capacity(image.sessions.len());
+        for session in image.sessions {
+            sessions.push(Session {
+                id: session.id,
+                open: session.open?,
+                servers: session.servers,
+            });
+        }
+        let tables = image.services.into_iter().map(|service| {
+            let ranges = service.ranges.into_iter().map(range_from_image).collect();
+            RangeTable::from_ranges(&service.name, ranges)
+        });
+        Some(Self {
+            applied: image.applied,
+            revision: image
+                .revision
+                .as_ref()
+                .map(Revision::from_wire)
+                .unwrap_or_default(),
+            schema: Arc::new(schema),
+            schema_json: image.schema,
+            sessions,
+            services: tables.collect(),
+            answered: image.answered,
+            drains: image.drains,
+        })
+    }
+}
+
+fn range_image(range: &Range) -> RangeImage {
+    let owner = range.owner.as_ref().map(|o| OwnerImage {
+        session: o.session,
+        server: o.server.clone(),
+        epoch: o.epoch,
+    });
+    RangeImage {
+        start: range.start.to_bytes(),
+        owner,
+        release: range.release.clone(),
+    }
+}
+
+fn range_from_image(image: RangeImage) -> Range {
+    let owner = image.owner.map(|o| Owner {
+        session: o.session,
+        server: o.server,
+        epoch: o.epoch,
+    });
+    Range {
+        start: Key::new(image.start),
+        owner,
+        release: image.release,
+    }
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,14 @@
+//! One `clementined` process: its duties, and how they carry out the decisions.
+
+mod call_path;
+mod grant_task;
+mod local_server;
+mod node;
+mod operator_handler;
+mod peer_handler;
+mod run;
+mod server_handler;
+mod session_task;
+mod watch_task;
+
+pub use run::run_daemon;
--- /dev/null
+++ b/src/daemon/operator_handler.rs
@@ -0,0 +1,125 @@
+use {
+    super::node::Node,
+    crate::{
+        control::Revision,
+        edge::{self, HttpFault, HttpRequest, HttpResponse},
+        wire::control::{change, command_answer, CommandAnswer},
+    },
+    http::{header, StatusCode},
+    serde_json::{json, Value},
+    std::rc::Rc,
+};
+
+impl Node {
+    /// Serves a request of an operator.
+    pub async fn serve_operator(self: Rc<Self>, request: Result<HttpRequest, HttpFault>) -> HttpResponse {
+        let Ok(request) = request else {
+            return edge::plain_response(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large or incomplete",
+            );
+        };
+        let given = request
+            .headers
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
+        let key = given
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .unwrap_or_default();
+        if !self.operator_keys.holds_hex(key) {
+            return edge::plain_response(StatusCode::UNAUTHORIZED, "the operator's key is not known here");
+        }
+        let name = request.uri.path().trim_start_matches('/');
+        match (request.method.as_str(), name) {
+            ("GET", "show") => edge::json_response(StatusCode::OK, &self.show()),
+            ("GET", "status") => edge::json_response(StatusCode::OK, &self.status()),
+            ("POST", name) => self.command(name, &request.body).await,
+            _ => edge::plain_response(StatusCode::NOT_FOUND, "no such operation"),
+        }
+    }
+
+    async fn command(&self, name: &str, body: &[u8]) -> HttpResponse {
+        let command = match edge::operator_command(name, body) {
+            Ok(command) => command,
+            Err(reason) => {
+                let refused = json!({ "refused": { "reason": reason, "field": "" } });
+                return edge::json_response(StatusCode::BAD_REQUEST, &refused);
+            }
+        };
+        let proposed = self.propose(change::Body::OperatorCommand(command)).await;
+        let answer = proposed.and_then(|answer| answer.command).unwrap_or_default();
+        let (status, json) = command_json(&answer);
+        edge::json_response(status, &json)
+    }
+
+    fn show(&self) -> Value {
+        let state = self.state();
+        let schema: Value = serde_json::from_str(state.schema_json()).unwrap_or(Value::Null);
+        json!({ "revision": state.revision().to_string(), "schema": schema })
+    }
+
+    fn status(&self) -> Value {
+        let state = self.state();
+        let sessions: Vec<Value> = state
+            .sessions()
+            .iter()
+            .map(|session| {
+                let servers: Vec<Value> = session
+                    .servers
+                    .iter()
+                    .map(|s| json!({ "service": s.service, "address": s.address, "slots": s.slots }))
+                    .collect();
+                json!({
+                    "session": session.id,
+                    "host": session.open.host,
+                    "failure_domain": session.open.failure_domain,
+                    "servers": servers,
+                })
+            })
+            .collect();
+        let mut ranges = Vec::new();
+        for table in state.services() {
+            for (position, range) in table.ranges().iter().enumerate() {
+                let owner = range.owner.as_ref();
+                ranges.push(json!({
+                    "service": table.service,
+                    "range": table.span(position).to_string(),
+                    "session": owner.map(|o| o.session),
+                    "server": owner.map(|o| o.server.as_str()),
+                    "epoch": owner.map(|o| o.epoch),
+                }));
+            }
+        }
+        json!({
+            "host": self.settings.host,
+            "session": self.session.get(),
+            "lease_left_ms": self.lease.left(self.clock.now()).0,
+            "revision": state.revision().to_string(),
+            "applied": state.applied(),
+            "sessions": sessions,
+            "ranges": ranges,
+        })
+    }
+}
+
+/// Returns the HTTP status and the JSON form of the answer to a command.
+fn command_json(answer: &CommandAnswer) -> (StatusCode, Value) {
+    let revision = |r| Revision::from_wire(r).to_string();
+    match &answer.body {
+        Some(command_answer::Body::Accepted(r)) => {
+            (StatusCode::OK, json!({ "accepted": { "revision": revision(r) } }))
+        }
+        Some(command_answer::Body::Conflict(r)) => (
+            StatusCode::CONFLICT,
+            json!({ "conflict": { "current": revision(r) } }),
+        ),
+        Some(command_answer::Body::Refused(refused)) => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            json!({ "refused": { "reason": refused.reason, "field": refused.field } }),
+        ),
+        Some(command_answer::Body::Unavailable(_)) | None => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            json!({ "unavailable": "resend with the same command id" }),
+        ),
+    }
+}
--- /dev/null
+++ b/src/daemon/peer_handler.rs
@@ -0,0 +1,50 @@
+use {
+    super::node::Node,
+    crate::{control::ControlInput, wire::peer::frame::Body},
+    std::rc::Rc,
+    tokio::sync::oneshot,
+};
+
+impl Node {
+    /// Answers a request of another daemon. `None`: it gets no answer.
+    pub async fn serve_peer(self: Rc<Self>, body: Body) -> Option<Body> {
+        match body {
+            Body::CallRequest(call) => {
+                self.running.set(self.running.get() + 1);
+                let result = self.run_forwarded(call).await;
+                self.running.set(self.running.get() - 1);
+                Some(Body::CallAnswer(result.into_wire(self.state().applied())))
+            }
+            Body::OpenSession(req) => self
+                .pass_to_control(|tx| ControlInput::OpenSession(req, tx))
+                .await
+                .map(Body::OpenSessionAnswer),
+            Body::Renew(req) => self
+                .pass_to_control(|tx| ControlInput::Renew(req, tx))
+                .await
+                .map(Body::RenewAnswer),
+            Body::Propose(req) => self
+                .pass_to_control(|tx| ControlInput::Propose(req, tx))
+                .await
+                .map(Body::ProposeAnswer),
+            Body::Watch(req) => self
+                .pass_to_control(|tx| ControlInput::Watch(req, tx))
+                .await
+                .map(Body::WatchAnswer),
+            Body::StateRequest(req) => self
+                .pass_to_control(|tx| ControlInput::State(req, tx))
+                .await
+                .map(Body::StateAnswer),
+            _ => None,
+        }
+    }
+
+    /// Passes a request to the control duty of this host, if it has one, and waits for its answer.
+    async fn pass_to_control<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> ControlInput) -> Option<T> {
+        let (tx, rx) = oneshot::channel();
+        if !self.control.as_ref()?.send(input(tx)) {
+            return None;
+        }
+        rx.await.ok()
+    }
+}
--- /dev/null
+++ b/src/edge/caller_edge.rs
@@ -0,0 +1,154 @@
+use {
+    super::{HttpRequest, HttpResponse},
+    crate::{
+        call::{Call, CallResult, Reason},
+        clock::Ms,
+        schema::{CallKind, Schema, Service},
+        wire::peer::Header,
+    },
+    bytes::Bytes,
+    http::{header, HeaderMap, HeaderName, HeaderValue, Response, StatusCode},
+    percent_encoding::percent_decode,
+};
+
+/// Header with the key of a call, percent-encoded.
+const KEY_HEADER: &str = "fold-key";
+/// Header with the caller's id of a request.
+const REQUEST_ID_HEADER: &str = "fold-request-id";
+/// Header with the time that the caller waits.
+const DEADLINE_HEADER: &str = "fold-deadline-ms";
+/// Most characters of a request id.
+const REQUEST_ID_MAX_CHARS: usize = 128;
+/// Start of the names of the system's own headers.
+const OWN_HEADER_PREFIX: &str = "fold-";
+/// Headers that belong to one connection and are not passed on.
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Reads a call from a caller's request.
+///
+/// # Errors
+/// Why the request is no call that the schema knows.
+pub fn read_call(request: HttpRequest, schema: &Schema) -> Result<Call, Reason> {
+    let (service, path) = split_path(request.uri.path());
+    let service = schema.service(service).ok_or(Reason::UnknownService)?;
+    let kind = service
+        .call_kind(request.method.as_str(), path)
+        .ok_or(Reason::UnknownKind)?;
+    let key = read_key(&request.headers, service)?;
+    let request_id = read_request_id(&request.headers, kind)?;
+    let deadline = read_deadline(&request.headers, kind)?;
+    let path = match request.uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    Ok(Call {
+        service: service.name.clone(),
+        method: request.method.as_str().to_owned(),
+        path,
+        headers: passed_on(&request.headers),
+        key,
+        request_id,
+        deadline_ms: u32::try_from(deadline.0).unwrap_or(u32::MAX),
+        kind: kind.name.clone(),
+        body: request.body,
+        revision: 0,
+    })
+}
+
+/// Returns the answer for the caller.
+pub fn caller_response(result: CallResult, request_id: &str) -> HttpResponse {
+    let mut response = Response::new(result.body);
+    *response.status_mut() = StatusCode::from_u16(result.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    for passed in result.headers {
+        let name = HeaderName::from_bytes(passed.name.as_bytes());
+        let value = HeaderValue::from_maybe_shared(passed.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers.insert("fold-outcome", HeaderValue::from_static(result.outcome.word()));
+    if let Some(reason) = result.reason {
+        headers.insert("fold-reason", HeaderValue::from_static(reason.word()));
+        if matches!(reason.status(), 429 | 503) {
+            let seconds = result.retry_after.as_secs_ceil().max(1);
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+    }
+    if let (false, Ok(id)) = (request_id.is_empty(), HeaderValue::from_str(request_id)) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    if result.replayed {
+        headers.insert("fold-replayed", HeaderValue::from_static("true"));
+    }
+    response
+}
+
+/// Returns the headers that are passed on, without those of the connection and the system's own.
+pub(super) fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    let mut list = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        if CONNECTION_HEADERS.contains(name) || name.as_str().starts_with(OWN_HEADER_PREFIX) {
+            continue;
+        }
+        list.push(Header {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        });
+    }
+    list
+}
+
+/// Splits `/SERVICE/REST` into the service and `/REST`.
+fn split_path(path: &str) -> (&str, &str) {
+    let path = path.strip_prefix('/').unwrap_or(path);
+    match path.find('/') {
+        Some(slash) => path.split_at(slash),
+        None => (path, "/"),
+    }
+}
+
+fn read_key(headers: &HeaderMap, service: &Service) -> Result<Bytes, Reason> {
+    match (headers.get(KEY_HEADER), service.divided_by_key) {
+        (Some(coded), _) => Ok(percent_decode(coded.as_bytes()).collect::<Vec<u8>>().into()),
+        (None, true) => Err(Reason::MissingKey),
+        (None, false) => Ok(Bytes::new()),
+    }
+}
+
+fn read_request_id(headers: &HeaderMap, kind: &CallKind) -> Result<String, Reason> {
+    let Some(value) = headers.get(REQUEST_ID_HEADER) else {
+        return if kind.idempotent {
+            Ok(String::new())
+        } else {
+            Err(Reason::MissingRequestId)
+        };
+    };
+    let id = value.to_str().map_err(|_| Reason::BadHeader)?;
+    let visible = id.bytes().all(|b| b.is_ascii_graphic());
+    if id.is_empty() || id.len() > REQUEST_ID_MAX_CHARS || !visible {
+        return Err(Reason::BadHeader);
+    }
+    Ok(id.to_owned())
+}
+
+fn read_deadline(headers: &HeaderMap, kind: &CallKind) -> Result<Ms, Reason> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(kind.deadline);
+    };
+    let ms: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
+    match ms {
+        Some(ms) if ms > 0 => Ok(Ms(ms).min(kind.max_deadline)),
+        Some(_) | None => Err(Reason::BadHeader),
+    }
+}
--- /dev/null
+++ b/src/edge/http_server.rs
@@ -0,0 +1,152 @@
+use {
+    crate::{clock::Ms, event::Event, log_event, settings::CallerLimits},
+    bytes::Bytes,
+    http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri},
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    serde::Serialize,
+    slog::Logger,
+    std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Pause after an accept failed, e.g. for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A whole request.
+#[derive(Debug)]
+pub struct HttpRequest {
+    /// Method of the request line.
+    pub method: Method,
+    /// Target of the request line.
+    pub uri: Uri,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// A request whose body could not be received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HttpFault {
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The body was cut, or not sent in time.
+    BodyIncomplete,
+}
+
+/// An answer with a whole body.
+pub type HttpResponse = Response<Bytes>;
+
+/// Serves HTTP/1.1 until `stop` turns true, then finishes what was begun. Each connection is a task of its
+/// own, so that an idle connection never keeps another one waiting.
+pub async fn serve_http<H, F>(
+    listener: TcpListener,
+    limits: CallerLimits,
+    log: Logger,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Result<HttpRequest, HttpFault>) -> F + Clone + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        let Ok((stream, from)) = accepted else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= limits.connections {
+            log_event!(log, Event::ConnectionRefused; "from" => from.to_string(), "open" => open.get());
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (open, handler, stop) = (open.clone(), handler.clone(), stop.clone());
+        spawn_local(async move {
+            serve_connection(stream, limits, stop, handler).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: CallerLimits,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Result<HttpRequest, HttpFault>) -> F + Clone + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handler = handler.clone();
+        async move {
+            let request = receive(request, limits.body_bytes, limits.read).await;
+            Ok::<_, Infallible>(handler(request).await.map(Full::new))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle.as_duration())
+        .max_buf_size(limits.head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        _ = stop.wait_for(|stop| *stop) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+/// Receives the body of a request within its limits.
+async fn receive(request: Request<Incoming>, body_bytes: usize, read: Ms) -> Result<HttpRequest, HttpFault> {
+    let (parts, body) = request.into_parts();
+    let collected = timeout(read.as_duration(), Limited::new(body, body_bytes).collect()).await;
+    let body = match collected {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(HttpFault::BodyTooLarge),
+        Ok(Err(_)) | Err(_) => return Err(HttpFault::BodyIncomplete),
+    };
+    Ok(HttpRequest {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+    })
+}
+
+/// Returns an answer with a line of text.
+pub fn plain_response(status: StatusCode, text: &str) -> HttpResponse {
+    let mut response = Response::new(Bytes::from(format!("{text}\n")));
+    *response.status_mut() = status;
+    let text_type = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, text_type);
+    response
+}
+
+/// Returns an answer with a JSON body.
+pub fn json_response(status: StatusCode, value: &impl Serialize) -> HttpResponse {
+    match serde_json::to_vec(value) {
+        Ok(json) => {
+            let mut response = Response::new(Bytes::from(json));
+            *response.status_mut() = status;
+            let json_type = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, json_type);
+            response
+        }
+        Err(e) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+    }
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,18 @@
+//! HTTP to callers, backend servers and operators.
+
+mod caller_edge;
+mod http_server;
+mod operator_edge;
+mod server_client;
+mod server_edge;
+mod server_orders;
+
+pub use {
+    caller_edge::caller_response,
+    caller_edge::read_call,
+    http_server::{json_response, plain_response, serve_http, HttpFault, HttpRequest, HttpResponse},
+    operator_edge::{operator_command, CommandRequest},
+    server_client::{ServerClient, ServerReply},
+    server_edge::{read_announce, read_leave, LeaveRequest},
+    server_orders::{Order, OrderError, ServerOrders},
+};
--- /dev/null
+++ b/src/edge/operator_edge.rs
@@ -0,0 +1,58 @@
+use {
+    crate::{
+        control::Revision,
+        wire::control::{operator_command, Drain, OperatorCommand},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Most characters of a command id.
+const COMMAND_ID_MAX_CHARS: usize = 128;
+
+/// Body of a changing call of an operator.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CommandRequest {
+    /// Chosen by the operator's side and kept for a resend.
+    pub command_id: String,
+    /// Revision that the command was made against.
+    pub base: String,
+    /// The schema file, for `apply`.
+    pub schema: Option<serde_json::Value>,
+    /// Name of the host, for `drain` and `undrain`.
+    pub host: String,
+    /// Address of one server of the host; empty for all.
+    pub server: String,
+}
+
+/// Reads the changing call `name` of an operator.
+///
+/// # Errors
+/// The field at fault and what is wrong with it.
+pub fn operator_command(name: &str, body: &[u8]) -> Result<OperatorCommand, String> {
+    let request: CommandRequest = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    if request.command_id.is_empty() || request.command_id.len() > COMMAND_ID_MAX_CHARS {
+        return Err(format!(
+            "command_id: 1 to {COMMAND_ID_MAX_CHARS} characters are needed"
+        ));
+    }
+    let base: Revision = request.base.parse().map_err(|e| format!("base: {e}"))?;
+    let drain = Drain {
+        host: request.host,
+        server: request.server,
+    };
+    let body = match name {
+        "apply" => {
+            let schema = request.schema.ok_or("schema: the schema file is needed")?;
+            operator_command::Body::ApplySchema(schema.to_string())
+        }
+        "drain" => operator_command::Body::Drain(drain),
+        "undrain" => operator_command::Body::Undrain(drain),
+        other => return Err(format!("{other:?} is not a command")),
+    };
+    Ok(OperatorCommand {
+        command_id: request.command_id,
+        base: Some(base.to_wire()),
+        body: Some(body),
+    })
+}
--- /dev/null
+++ b/src/edge/server_edge.rs
@@ -0,0 +1,59 @@
+use {crate::control::Server, serde::Deserialize, std::net::SocketAddr};
+
+/// Body of `POST /announce`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AnnounceRequest {
+    service: String,
+    address: SocketAddr,
+    incarnation: String,
+    slots: u32,
+    connections: u32,
+    checks_fencing: bool,
+}
+
+/// Body of `POST /leave`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaveRequest {
+    /// Name of the service.
+    pub service: String,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Incarnation of the server process.
+    pub incarnation: String,
+}
+
+/// Reads an announcement of a backend server.
+///
+/// # Errors
+/// What is wrong with the body, for the server's log.
+pub fn read_announce(body: &[u8], services: &[String]) -> Result<Server, String> {
+    let request: AnnounceRequest = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    if services.binary_search(&request.service).is_err() {
+        return Err(format!(
+            "service: {:?} is not in the settings of this host",
+            request.service
+        ));
+    }
+    if request.slots == 0 || request.connections < 2 {
+        return Err("slots: at least 1, and connections: at least 2, are needed".into());
+    }
+    Ok(Server {
+        service: request.service,
+        address: request.address.to_string(),
+        incarnation: request.incarnation,
+        slots: request.slots,
+        connections: request.connections,
+        checks_fencing: request.checks_fencing,
+        leaving: false,
+    })
+}
+
+/// Reads the wish of a backend server to leave.
+///
+/// # Errors
+/// What is wrong with the body, for the server's log.
+pub fn read_leave(body: &[u8]) -> Result<LeaveRequest, String> {
+    serde_json::from_slice(body).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/src/event/event_code.rs
@@ -0,0 +1,99 @@
+use slog::Level;
+
+/// Declares the events as an enum with their codes, levels and messages.
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $message:literal;)*) => {
+        /// A numbered event. docs/EVENTS.md gives the fields of each and what to do.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Event {
+            /// All events, in the order of their codes.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the code, e.g. `CF` and four digits.
+            pub fn code(self) -> &'static str {
+                match self {
+                    $(Self::$name => $code,)*
+                }
+            }
+
+            /// Returns the level that the event is logged at.
+            pub fn level(self) -> Level {
+                match self {
+                    $(Self::$name => Level::$level,)*
+                }
+            }
+
+            /// Returns the fixed message of the event.
+            pub fn message(self) -> &'static str {
+                match self {
+                    $(Self::$name => $message,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process has started.
+    DaemonStarted = "CF1001", Info, "daemon started";
+    /// The process ends after a graceful shutdown.
+    DaemonStopped = "CF1002", Info, "daemon stopped";
+    /// A listening address could not be opened.
+    ListenFailed = "CF1003", Error, "cannot listen";
+    /// A connection was closed because too many are open.
+    ConnectionRefused = "CF1004", Warning, "too many connections";
+
+    /// A call was sent to a server behind this daemon.
+    CallRoutedLocally = "CF2001", Info, "call routed to a local server";
+    /// A call was forwarded to another daemon.
+    CallForwarded = "CF2002", Info, "call forwarded";
+    /// A call was certainly not run.
+    CallNotRun = "CF2003", Info, "call not run";
+    /// A call may have run, but its answer is lost.
+    CallUnknown = "CF2004", Warning, "call outcome unknown";
+    /// A call was answered by its server.
+    CallAnswered = "CF2005", Debug, "call answered";
+
+    /// A link to another daemon was opened.
+    LinkOpened = "CF3001", Info, "link opened";
+    /// A link to another daemon was closed.
+    LinkClosed = "CF3002", Info, "link closed";
+    /// A peer was refused at the hello.
+    PeerRefused = "CF3003", Warning, "peer refused";
+    /// A link to another daemon could not be opened.
+    LinkFailed = "CF3004", Warning, "link could not be opened";
+
+    /// A session of this daemon was opened.
+    SessionOpened = "CF4001", Info, "session opened";
+    /// The session of this daemon has ended.
+    SessionEnded = "CF4002", Warning, "session ended";
+    /// The lease of this daemon ran out before it was renewed.
+    LeaseExpired = "CF4003", Warning, "lease expired";
+    /// A backend server announced itself.
+    ServerAnnounced = "CF4004", Info, "server announced";
+    /// A backend server is no longer there.
+    ServerLost = "CF4005", Warning, "server lost";
+    /// A span of keys was granted to a local server.
+    RangeGranted = "CF4006", Info, "range granted";
+    /// A local server refused a grant or could not be reached for it.
+    GrantFailed = "CF4007", Warning, "grant failed";
+    /// A span of keys was taken back from a local server.
+    RangeRevoked = "CF4008", Info, "range revoked";
+
+    /// The control role has opened its log.
+    ControlStarted = "CF5001", Info, "control role started";
+    /// The control role has stopped after an error.
+    ControlFailed = "CF5002", Error, "control role failed";
+    /// A session was opened in the replicated state.
+    ControlSessionOpened = "CF5003", Info, "session opened by control";
+    /// A session was ended in the replicated state.
+    ControlSessionEnded = "CF5004", Info, "session ended by control";
+    /// A range was given to a server.
+    RangeAssigned = "CF5005", Info, "range assigned";
+    /// An operator's command was decided.
+    CommandDecided = "CF5006", Info, "operator command decided";
+}
--- /dev/null
+++ b/src/event/logger.rs
@@ -0,0 +1,64 @@
+use {
+    slog::{o, Drain, Level, Logger},
+    slog_async::{Async, OverflowStrategy},
+    std::io,
+};
+
+/// Records that wait for the log thread before further ones are dropped and counted.
+const LOG_RING_RECORDS: usize = 4096;
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One readable line an event.
+    #[default]
+    Terminal,
+    /// One JSON object an event.
+    Json,
+}
+
+/// What is logged, and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Lowest level that is logged.
+    pub level: Level,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::default(),
+            level: Level::Info,
+        }
+    }
+}
+
+/// Starts a logger to standard error. A thread of its own writes the lines.
+pub fn start_logger(settings: LogSettings) -> Logger {
+    let drain = match settings.format {
+        LogFormat::Terminal => {
+            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let drain = slog_term::FullFormat::new(decorator)
+                .use_original_order()
+                .build()
+                .fuse();
+            asynchronous(drain)
+        }
+        LogFormat::Json => asynchronous(slog_json::Json::default(io::stderr()).fuse()),
+    };
+    Logger::root(drain.filter_level(settings.level).fuse(), o!())
+}
+
+/// Puts a bounded ring and a thread in front of `drain`.
+fn asynchronous<D>(drain: D) -> slog::Fuse<Async>
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    Async::new(drain)
+        .chan_size(LOG_RING_RECORDS)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build()
+        .fuse()
+}
--- /dev/null
+++ b/src/event/mod.rs
@@ -0,0 +1,31 @@
+//! Numbered log events and the logger.
+
+mod event_code;
+mod logger;
+
+pub use {
+    event_code::Event,
+    logger::{start_logger, LogFormat, LogSettings},
+};
+
+/// Logs an [`Event`] with its code, level and message, and the given fields.
+#[macro_export]
+macro_rules! log_event {
+    ($log:expr, $event:expr $(; $($fields:tt)*)?) => {{
+        let event: $crate::event::Event = $event;
+        match event.level() {
+            slog::Level::Critical | slog::Level::Error => {
+                slog::error!($log, "{}", event.message(); "event" => event.code() $(, $($fields)*)?)
+            }
+            slog::Level::Warning => {
+                slog::warn!($log, "{}", event.message(); "event" => event.code() $(, $($fields)*)?)
+            }
+            slog::Level::Info => {
+                slog::info!($log, "{}", event.message(); "event" => event.code() $(, $($fields)*)?)
+            }
+            slog::Level::Debug | slog::Level::Trace => {
+                slog::debug!($log, "{}", event.message(); "event" => event.code() $(, $($fields)*)?)
+            }
+        }
+    }};
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,27 @@
+//! Router for servers that own keys exclusively.
+//!
+//! The folders from `clock` to `call` hold decisions without I/O. `link`, `edge` and
+//! `daemon` carry the decisions out, and `cli` holds the command lines of the programs. `standin` is an
+//! example backend server and `load` sends calls, both for demonstrations, tests and benches.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod call;
+pub mod cli;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod edge;
+pub mod event;
+pub mod key;
+pub mod lease;
+pub mod link;
+pub mod load;
+pub mod metrics;
+pub mod placement;
+pub mod route;
+pub mod schema;
+pub mod settings;
+pub mod standin;
+pub mod wire;
--- /dev/null
+++ b/src/link/frame_codec.rs
@@ -0,0 +1,61 @@
+use {
+    crate::wire::peer::Frame,
+    bytes::{Bytes, BytesMut},
+    prost::Message,
+    std::io,
+    tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec},
+};
+
+/// Most bytes of a frame between daemons that know each other.
+const FRAME_MAX_BYTES: usize = 80 * 1024 * 1024;
+/// Most bytes of a frame of the hello.
+const HELLO_FRAME_MAX_BYTES: usize = 4096;
+
+/// Frames on a byte stream: a length of four bytes and the message.
+#[derive(Debug)]
+pub struct FrameCodec {
+    lengths: LengthDelimitedCodec,
+}
+
+impl FrameCodec {
+    /// Returns the codec for the hello, which takes small frames only.
+    pub fn for_hello() -> Self {
+        Self {
+            lengths: with_limit(HELLO_FRAME_MAX_BYTES),
+        }
+    }
+
+    /// Takes frames of full size from here on.
+    pub fn end_hello(&mut self) {
+        self.lengths.set_max_frame_length(FRAME_MAX_BYTES);
+    }
+}
+
+fn with_limit(bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(bytes)
+        .new_codec()
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = io::Error;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>, io::Error> {
+        let Some(bytes) = self.lengths.decode(buf)? else {
+            return Ok(None);
+        };
+        let frame = Frame::decode(bytes.freeze());
+        frame
+            .map(Some)
+            .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: Frame, buf: &mut BytesMut) -> Result<(), io::Error> {
+        self.lengths.encode(Bytes::from(frame.encode_to_vec()), buf)
+    }
+}
--- /dev/null
+++ b/src/link/key_ring.rs
@@ -0,0 +1,105 @@
+use {
+    crate::settings::SettingsError,
+    hmac::{Hmac, Mac},
+    sha2::Sha256,
+    std::{fmt, fs, path::Path},
+    subtle::{Choice, ConstantTimeEq},
+};
+
+/// Fewest bytes of a key.
+const KEY_MIN_BYTES: usize = 32;
+
+/// Secret keys: the first one signs, every one verifies.
+#[derive(Clone)]
+pub struct KeyRing {
+    keys: Vec<Vec<u8>>,
+}
+
+impl KeyRing {
+    /// Reads a key file: one key a line in hexadecimal. Empty lines and lines that start with `#` are skipped.
+    ///
+    /// # Errors
+    /// The file cannot be read, holds no key, or one of its keys is too short or not hexadecimal.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let unreadable = |reason: String| SettingsError::Unreadable {
+            file: file.clone(),
+            reason,
+        };
+        let text = fs::read_to_string(path).map_err(|e| unreadable(e.to_string()))?;
+        let mut keys = Vec::new();
+        for (i, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let key = from_hex(line).filter(|key| key.len() >= KEY_MIN_BYTES);
+            let reason = format!(
+                "line {}: a key is at least {KEY_MIN_BYTES} bytes in hexadecimal",
+                i + 1
+            );
+            keys.push(key.ok_or_else(|| unreadable(reason))?);
+        }
+        if keys.is_empty() {
+            return Err(unreadable("there is no key in it".into()));
+        }
+        Ok(Self { keys })
+    }
+
+    /// Returns a ring of one key.
+    pub fn single(key: Vec<u8>) -> Self {
+        Self { keys: vec![key] }
+    }
+
+    /// Signs `parts` with the first key.
+    pub fn sign(&self, parts: &[&[u8]]) -> Vec<u8> {
+        mac(&self.keys[0], parts).finalize().into_bytes().to_vec()
+    }
+
+    /// Tells if any key made `proof` for `parts`.
+    pub fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
+        self.keys
+            .iter()
+            .any(|key| mac(key, parts).verify_slice(proof).is_ok())
+    }
+
+    /// Tells if `text` is one of the keys in hexadecimal, in a time that does not depend on which.
+    pub fn holds_hex(&self, text: &str) -> bool {
+        let given = from_hex(text.trim()).unwrap_or_default();
+        let found = self
+            .keys
+            .iter()
+            .fold(Choice::from(0), |found, key| found | key.ct_eq(&given));
+        found.into()
+    }
+
+    /// Returns the first key in hexadecimal.
+    pub fn first_hex(&self) -> String {
+        self.keys[0].iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
+impl fmt::Debug for KeyRing {
+    /// Keys are never printed.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyRing({} keys)", self.keys.len())
+    }
+}
+
+/// Starts a MAC over `parts`, each with its length in front so that no two lists read alike.
+fn mac(key: &[u8], parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(key).expect("HMAC takes keys of any length");
+    for part in parts {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    if text.len() % 2 != 0 || !text.is_ascii() {
+        return None;
+    }
+    let byte = |i: usize| u8::from_str_radix(&text[i..i + 2], 16).ok();
+    (0..text.len()).step_by(2).map(byte).collect()
+}
--- /dev/null
+++ b/src/link/link_client.rs
@@ -0,0 +1,203 @@
+use {
+    super::{
+        handshake::{self, FrameStream},
+        LinkError, LinkIdentity,
+    },
+    crate::{
+        event::Event,
+        log_event,
+        wire::peer::{frame::Body, Frame},
+    },
+    futures_util::{
+        stream::{SplitSink, SplitStream},
+        SinkExt, StreamExt,
+    },
+    slog::Logger,
+    std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
+    tokio::{
+        net::TcpStream,
+        sync::{mpsc, oneshot, Mutex},
+        task::spawn_local,
+        time::timeout,
+    },
+};
+
+/// Frames that wait for the socket of a link before a sender has to wait.
+const RING_FRAMES: usize = 1024;
+/// Longest time to connect to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A link without requests for this long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Requests of one link that wait for their answers, by correlation id.
+type Pending = Rc<RefCell<HashMap<u64, oneshot::Sender<Body>>>>;
+
+/// The near end of an open link.
+#[derive(Clone)]
+struct LinkHandle {
+    tx: mpsc::Sender<Frame>,
+    pending: Pending,
+    next_correlation: Rc<RefCell<u64>>,
+}
+
+/// The links that this daemon opened, one for each peer. They belong to one thread.
+pub struct Links {
+    identity: LinkIdentity,
+    log: Logger,
+    open: RefCell<HashMap<String, Rc<Mutex<Option<LinkHandle>>>>>,
+}
+
+impl Links {
+    /// Returns an empty set of links.
+    pub fn new(identity: LinkIdentity, log: Logger) -> Self {
+        Self {
+            identity,
+            log,
+            open: RefCell::default(),
+        }
+    }
+
+    /// Sends a request to the peer at `address` and waits for its answer. A link is opened on demand.
+    ///
+    /// # Errors
+    /// No link could be opened (`NotSent`), or the link was lost before the answer came (`Lost`).
+    pub async fn request(&self, address: &str, body: Body) -> Result<Body, LinkError> {
+        let link = self.link(address).await?;
+        let correlation = {
+            let mut next = link.next_correlation.borrow_mut();
+            *next += 1;
+            *next
+        };
+        let (tx, rx) = oneshot::channel();
+        link.pending.borrow_mut().insert(correlation, tx);
+        let _cleanup = RemoveOnDrop {
+            pending: link.pending.clone(),
+            correlation,
+        };
+        if link
+            .tx
+            .send(Frame {
+                correlation,
+                body: Some(body),
+            })
+            .await
+            .is_err()
+        {
+            return Err(LinkError::NotSent("the link was closed".into()));
+        }
+        rx.await
+            .map_err(|_| LinkError::Lost("the link was closed".into()))
+    }
+
+    /// Sends a message that has no answer. It may be lost.
+    pub async fn send(&self, address: &str, body: Body) {
+        if let Ok(link) = self.link(address).await {
+            let _ = link
+                .tx
+                .send(Frame {
+                    correlation: 0,
+                    body: Some(body),
+                })
+                .await;
+        }
+    }
+
+    async fn link(&self, address: &str) -> Result<LinkHandle, LinkError> {
+        let slot = self
+            .open
+            .borrow_mut()
+            .entry(address.to_owned())
+            .or_default()
+            .clone();
+        let mut slot = slot.lock().await;
+        if let Some(link) = slot.as_ref().filter(|link| !link.tx.is_closed()) {
+            return Ok(link.clone());
+        }
+        let stream = self.open(address).await.map_err(|e| {
+            log_event!(self.log, Event::LinkFailed; "peer" => address, "error" => e.to_string());
+            LinkError::NotSent(e.to_string())
+        })?;
+        log_event!(self.log, Event::LinkOpened; "peer" => address);
+        let link = self.start(address, stream);
+        *slot = Some(link.clone());
+        Ok(link)
+    }
+
+    async fn open(&self, address: &str) -> std::io::Result<FrameStream> {
+        let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = connect.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
+        stream.set_nodelay(true)?;
+        handshake::connect(stream, &self.identity).await
+    }
+
+    fn start(&self, address: &str, stream: FrameStream) -> LinkHandle {
+        let (tx, rx) = mpsc::channel(RING_FRAMES);
+        let pending = Pending::default();
+        let (sink, source) = stream.split();
+        let log = self.log.clone();
+        let peer = address.to_owned();
+        let answers = pending.clone();
+        spawn_local(async move {
+            tokio::select! {
+                () = write_frames(sink, rx, &answers) => {}
+                () = read_answers(source, &answers) => {}
+            }
+            // Dropping the senders tells everyone who still waits that the link is lost.
+            answers.borrow_mut().clear();
+            log_event!(log, Event::LinkClosed; "peer" => peer);
+        });
+        LinkHandle {
+            tx,
+            pending,
+            next_correlation: Rc::default(),
+        }
+    }
+}
+
+/// Forgets a request whose sender stopped waiting.
+struct RemoveOnDrop {
+    pending: Pending,
+    correlation: u64,
+}
+
+impl Drop for RemoveOnDrop {
+    fn drop(&mut self) {
+        self.pending.borrow_mut().remove(&self.correlation);
+    }
+}
+
+/// Writes frames until the link fails or has been idle for long. Frames that wait are flushed together.
+async fn write_frames(
+    mut sink: SplitSink<FrameStream, Frame>,
+    mut rx: mpsc::Receiver<Frame>,
+    pending: &Pending,
+) {
+    loop {
+        let frame = match timeout(IDLE_TIMEOUT, rx.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return,
+            Err(_) if pending.borrow().is_empty() => return,
+            Err(_) => continue,
+        };
+        if sink.feed(frame).await.is_err() {
+            return;
+        }
+        while let Ok(frame) = rx.try_recv() {
+            if sink.feed(frame).await.is_err() {
+                return;
+            }
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_answers(mut source: SplitStream<FrameStream>, pending: &Pending) {
+    while let Some(Ok(frame)) = source.next().await {
+        let waiting = pending.borrow_mut().remove(&frame.correlation);
+        if let (Some(tx), Some(body)) = (waiting, frame.body) {
+            let _ = tx.send(body);
+        }
+    }
+}
--- /dev/null
+++ b/src/link/link_server.rs
@@ -0,0 +1,97 @@
+use {
+    super::{
+        handshake::{self, FrameStream},
+        LinkIdentity,
+    },
+    crate::{
+        event::Event,
+        log_event,
+        wire::peer::{frame::Body, Frame},
+    },
+    futures_util::{stream::SplitSink, SinkExt, StreamExt},
+    slog::Logger,
+    std::{future::Future, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+        task::spawn_local,
+        time::sleep,
+    },
+};
+
+/// Answers that wait for the socket of a link before a handler has to wait.
+const RING_FRAMES: usize = 1024;
+/// Pause after an accept failed, e.g. for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts links from other daemons and answers their requests with `handler`. A handler that returns
+/// `None` gives no answer.
+pub async fn serve_links<H, F>(listener: TcpListener, identity: LinkIdentity, log: Logger, handler: H)
+where
+    H: Fn(Body) -> F + Clone + 'static,
+    F: Future<Output = Option<Body>> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_link(stream, identity.clone(), log.clone(), handler.clone()));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_link<H, F>(stream: TcpStream, identity: LinkIdentity, log: Logger, handler: H)
+where
+    H: Fn(Body) -> F + Clone + 'static,
+    F: Future<Output = Option<Body>> + 'static,
+{
+    let from = stream
+        .peer_addr()
+        .map_or_else(|e| e.to_string(), |a| a.to_string());
+    let _ = stream.set_nodelay(true);
+    let stream = match handshake::accept(stream, &identity).await {
+        Ok((stream, _)) => stream,
+        Err(e) => {
+            log_event!(log, Event::PeerRefused; "from" => from, "reason" => e.to_string());
+            return;
+        }
+    };
+    let (sink, mut source) = stream.split();
+    let (tx, rx) = mpsc::channel(RING_FRAMES);
+    spawn_local(write_answers(sink, rx));
+    while let Some(Ok(frame)) = source.next().await {
+        let Some(body) = frame.body else {
+            continue;
+        };
+        let answer = handler(body);
+        let tx = tx.clone();
+        spawn_local(async move {
+            if let Some(body) = answer.await {
+                let _ = tx
+                    .send(Frame {
+                        correlation: frame.correlation,
+                        body: Some(body),
+                    })
+                    .await;
+            }
+        });
+    }
+}
+
+/// Writes answers until the link fails. Answers that wait are flushed together.
+async fn write_answers(mut sink: SplitSink<FrameStream, Frame>, mut rx: mpsc::Receiver<Frame>) {
+    while let Some(frame) = rx.recv().await {
+        if sink.feed(frame).await.is_err() {
+            return;
+        }
+        while let Ok(frame) = rx.try_recv() {
+            if sink.feed(frame).await.is_err() {
+                return;
+            }
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,13 @@
+//! Links between daemons: frames, the hello, and requests with answers.
+
+mod frame_codec;
+mod handshake;
+mod key_ring;
+mod link_client;
+mod link_error;
+mod link_server;
+
+pub use {
+    frame_codec::FrameCodec, handshake::LinkIdentity, key_ring::KeyRing, link_client::Links,
+    link_error::LinkError, link_server::serve_links,
+};
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,5 @@
+//! Metrics to a statsd listener.
+
+mod statsd;
+
+pub use statsd::Metrics;
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,5 @@
+//! Which server owns which range.
+
+mod assign;
+
+pub use assign::assign_unowned;
--- /dev/null
+++ b/src/settings/settings_checks.rs
@@ -0,0 +1,267 @@
+use {
+    super::{CallerLimits, ControlSettings, LeaseSettings, Settings, SettingsError},
+    crate::{
+        clock::Ms,
+        event::{LogFormat, LogSettings},
+        wire::settings as wire,
+    },
+    slog::Level,
+    std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf},
+};
+
+/// Most characters of a name of a host, a service or a failure domain.
+const NAME_MAX_CHARS: usize = 64;
+
+/// Checks every field of a file of settings.
+pub(super) fn check(file: &wire::SettingsFile) -> Result<Settings, SettingsError> {
+    let control_hosts = address_list("control_hosts", &file.control_hosts)?;
+    if control_hosts.is_empty() {
+        return Err(SettingsError::field(
+            "control_hosts",
+            "at least one IP:PORT is needed",
+        ));
+    }
+    let settings = Settings {
+        cluster: checked_name("cluster", &file.cluster)?,
+        host: checked_name("host", &file.host)?,
+        failure_domain: checked_name("failure_domain", &file.failure_domain)?,
+        region: checked_name("region", &file.region)?,
+        caller_address: address("caller_address", &file.caller_address)?,
+        server_address: address("server_address", &file.server_address)?,
+        operator_address: address("operator_address", &file.operator_address)?,
+        peer_address: address("peer_address", &file.peer_address)?,
+        control: control(file.control.as_ref())?,
+        services: services(&file.services)?,
+        peer_key_file: file_path("peer_key_file", &file.peer_key_file)?,
+        operator_key_file: file_path("operator_key_file", &file.operator_key_file)?,
+        statsd_address: file
+            .statsd_address
+            .as_deref()
+            .map(|a| address("statsd_address", a))
+            .transpose()?,
+        log: log(file.log.as_ref())?,
+        caller_limits: caller_limits(file.caller_limits.as_ref())?,
+        lease: lease(file.lease.as_ref())?,
+        control_hosts,
+    };
+    check_distinct_addresses(&settings)?;
+    check_control_role(&settings)?;
+    Ok(settings)
+}
+
+/// Checks a name of a host, a service, a region, a failure domain or a cluster.
+pub(crate) fn checked_name(path: &str, value: &str) -> Result<String, SettingsError> {
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.';
+    if value.is_empty() {
+        return Err(SettingsError::field(path, "a name is needed"));
+    }
+    if value.len() > NAME_MAX_CHARS || !value.chars().all(allowed) {
+        let reason = format!("{value:?} is not 1 to {NAME_MAX_CHARS} characters of a-z, 0-9, '-' and '.'");
+        return Err(SettingsError::field(path, reason));
+    }
+    Ok(value.to_owned())
+}
+
+/// Checks an address of the form IP:PORT.
+pub(crate) fn address(path: &str, value: &str) -> Result<SocketAddr, SettingsError> {
+    if value.is_empty() {
+        return Err(SettingsError::field(path, "an address IP:PORT is needed"));
+    }
+    let address: SocketAddr = value
+        .parse()
+        .map_err(|_| SettingsError::field(path, format!("{value:?} is not an address IP:PORT")))?;
+    if address.port() == 0 {
+        return Err(SettingsError::field(path, "the port must be 1 to 65535"));
+    }
+    Ok(address)
+}
+
+/// Checks a list of addresses without repeats.
+pub(crate) fn address_list(path: &str, values: &[String]) -> Result<Vec<SocketAddr>, SettingsError> {
+    let mut list = Vec::with_capacity(values.len());
+    for (i, value) in values.iter().enumerate() {
+        let field = format!("{path}[{i}]");
+        let address = address(&field, value)?;
+        if list.contains(&address) {
+            return Err(SettingsError::field(
+                field,
+                format!("{address} stands twice in the list"),
+            ));
+        }
+        list.push(address);
+    }
+    Ok(list)
+}
+
+/// Returns the value of a number, or its default, if it lies within `range`.
+pub(crate) fn checked_number(
+    path: &str,
+    value: Option<u32>,
+    default: u64,
+    range: RangeInclusive<u64>,
+) -> Result<u64, SettingsError> {
+    let value = value.map_or(default, u64::from);
+    if range.contains(&value) {
+        return Ok(value);
+    }
+    let reason = format!("{value} is not within {} to {}", range.start(), range.end());
+    Err(SettingsError::field(path, reason))
+}
+
+fn services(values: &[String]) -> Result<Vec<String>, SettingsError> {
+    let mut list = Vec::with_capacity(values.len());
+    for (i, value) in values.iter().enumerate() {
+        let field = format!("services[{i}]");
+        let service = checked_name(&field, value)?;
+        if list.contains(&service) {
+            return Err(SettingsError::field(
+                field,
+                format!("{service:?} stands twice in the list"),
+            ));
+        }
+        list.push(service);
+    }
+    list.sort();
+    Ok(list)
+}
+
+fn file_path(path: &str, value: &str) -> Result<PathBuf, SettingsError> {
+    if value.is_empty() {
+        return Err(SettingsError::field(path, "the path of a file is needed"));
+    }
+    Ok(PathBuf::from(value))
+}
+
+fn control(part: Option<&wire::ControlPart>) -> Result<Option<ControlSettings>, SettingsError> {
+    let Some(part) = part else {
+        return Ok(None);
+    };
+    Ok(Some(ControlSettings {
+        data_dir: file_path("control.data_dir", &part.data_dir)?,
+        first_voters: address_list("control.first_voters", &part.first_voters)?,
+    }))
+}
+
+fn log(part: Option<&wire::LogPart>) -> Result<LogSettings, SettingsError> {
+    let Some(part) = part else {
+        return Ok(LogSettings::default());
+    };
+    let format = match part.format.as_str() {
+        "" | "terminal" => LogFormat::Terminal,
+        "json" => LogFormat::Json,
+        other => {
+            let reason = format!("{other:?} is not \"terminal\" or \"json\"");
+            return Err(SettingsError::field("log.format", reason));
+        }
+    };
+    let level = match part.level.as_str() {
+        "" | "info" => Level::Info,
+        "debug" => Level::Debug,
+        "warning" => Level::Warning,
+        "error" => Level::Error,
+        other => {
+            let reason = format!("{other:?} is not \"debug\", \"info\", \"warning\" or \"error\"");
+            return Err(SettingsError::field("log.level", reason));
+        }
+    };
+    Ok(LogSettings { format, level })
+}
+
+fn caller_limits(part: Option<&wire::CallerLimits>) -> Result<CallerLimits, SettingsError> {
+    let part = part.copied().unwrap_or_default();
+    let default = CallerLimits::default();
+    let bytes = |field: &str, value, default: usize, range| {
+        checked_number(&format!("caller_limits.{field}"), value, default as u64, range).map(|n| n as usize)
+    };
+    let span = |field: &str, value, default: Ms| {
+        checked_number(
+            &format!("caller_limits.{field}"),
+            value,
+            default.0,
+            100..=3_600_000,
+        )
+        .map(Ms)
+    };
+    Ok(CallerLimits {
+        connections: bytes("connections", part.connections, default.connections, 1..=100_000)?,
+        head_bytes: bytes(
+            "head_bytes",
+            part.head_bytes,
+            default.head_bytes,
+            8192..=1_048_576,
+        )?,
+        body_bytes: bytes("body_bytes", part.body_bytes, default.body_bytes, 1..=67_108_864)?,
+        answer_bytes: bytes(
+            "answer_bytes",
+            part.answer_bytes,
+            default.answer_bytes,
+            1..=67_108_864,
+        )?,
+        read: span("read_ms", part.read_ms, default.read)?,
+        idle: span("idle_ms", part.idle_ms, default.idle)?,
+    })
+}
+
+fn lease(part: Option<&wire::LeasePart>) -> Result<LeaseSettings, SettingsError> {
+    let part = part.copied().unwrap_or_default();
+    let default = LeaseSettings::default();
+    let span = |field: &str, value, default: Ms, range| {
+        checked_number(&format!("lease.{field}"), value, default.0, range).map(Ms)
+    };
+    let ttl = span("ttl_ms", part.ttl_ms, default.ttl, 100..=60_000)?;
+    let settings = LeaseSettings {
+        ttl,
+        renew: span("renew_ms", part.renew_ms, default.renew, 10..=ttl.0 / 2)?,
+        drift: span("drift_ms", part.drift_ms, default.drift, 1..=ttl.0 / 4)?,
+        election: span("election_ms", part.election_ms, default.election, 50..=60_000)?,
+        config_lag: span(
+            "config_lag_ms",
+            part.config_lag_ms,
+            default.config_lag,
+            ttl.0..=8000,
+        )?,
+    };
+    Ok(settings)
+}
+
+/// The four listening addresses must differ.
+fn check_distinct_addresses(settings: &Settings) -> Result<(), SettingsError> {
+    let listed = [
+        ("caller_address", settings.caller_address),
+        ("server_address", settings.server_address),
+        ("operator_address", settings.operator_address),
+        ("peer_address", settings.peer_address),
+    ];
+    for (i, (path, address)) in listed.iter().enumerate() {
+        if let Some((other, _)) = listed[..i].iter().find(|(_, earlier)| earlier == address) {
+            return Err(SettingsError::field(
+                *path,
+                format!("{address} is already the {other}"),
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// A host with the control role must be listed among the control hosts.
+fn check_control_role(settings: &Settings) -> Result<(), SettingsError> {
+    let Some(control) = &settings.control else {
+        return Ok(());
+    };
+    if !settings.control_hosts.contains(&settings.peer_address) {
+        let reason = format!(
+            "{}, the peer_address of this control host, is missing",
+            settings.peer_address
+        );
+        return Err(SettingsError::field("control_hosts", reason));
+    }
+    let voters = &control.first_voters;
+    if !voters.is_empty() && !voters.contains(&settings.peer_address) {
+        let reason = format!(
+            "{}, the peer_address of this host, is missing",
+            settings.peer_address
+        );
+        return Err(SettingsError::field("control.first_voters", reason));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/settings/settings_types.rs
@@ -0,0 +1,162 @@
+use {
+    super::{settings_checks, SettingsError},
+    crate::{clock::Ms, event::LogSettings},
+    std::{
+        fs,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        path::{Path, PathBuf},
+    },
+};
+
+/// Checked settings of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the cluster.
+    pub cluster: String,
+    /// Name of this host, unique in the cluster.
+    pub host: String,
+    /// Failure domain of this host.
+    pub failure_domain: String,
+    /// Region of the failure domain.
+    pub region: String,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for the local backend servers.
+    pub server_address: SocketAddr,
+    /// Address for operators.
+    pub operator_address: SocketAddr,
+    /// Address for other daemons.
+    pub peer_address: SocketAddr,
+    /// Peer addresses of the control hosts.
+    pub control_hosts: Vec<SocketAddr>,
+    /// Services that local backend servers may announce, sorted.
+    pub services: Vec<String>,
+    /// Control role of this host.
+    pub control: Option<ControlSettings>,
+    /// File with the keys that peers share.
+    pub peer_key_file: PathBuf,
+    /// File with the operators' keys.
+    pub operator_key_file: PathBuf,
+    /// Address that metrics are sent to.
+    pub statsd_address: Option<SocketAddr>,
+    /// What is logged, and how.
+    pub log: LogSettings,
+    /// Limits of the callers' side.
+    pub caller_limits: CallerLimits,
+    /// Timing of sessions and leases.
+    pub lease: LeaseSettings,
+}
+
+/// Settings of the control role.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlSettings {
+    /// Folder of the log, the votes and the snapshots.
+    pub data_dir: PathBuf,
+    /// Peer addresses of the first voters, read while the folder is empty.
+    pub first_voters: Vec<SocketAddr>,
+}
+
+/// Limits of the callers' side of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Most open connections.
+    pub connections: usize,
+    /// Most bytes of a request's head.
+    pub head_bytes: usize,
+    /// Most bytes of a request's body.
+    pub body_bytes: usize,
+    /// Most bytes of an answer's body.
+    pub answer_bytes: usize,
+    /// Longest time for a caller to send a whole request.
+    pub read: Ms,
+    /// Longest time that a connection may be idle.
+    pub idle: Ms,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 2000,
+            head_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            answer_bytes: 8 * 1024 * 1024,
+            read: Ms(10_000),
+            idle: Ms(60_000),
+        }
+    }
+}
+
+/// Timing of sessions and leases, the same on every host of a cluster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// Time that a renewal is good for.
+    pub ttl: Ms,
+    /// Time between two renewals.
+    pub renew: Ms,
+    /// Allowance for clock drift over one `ttl`.
+    pub drift: Ms,
+    /// Shortest election timeout of control hosts.
+    pub election: Ms,
+    /// A daemon whose configuration lags for longer than this is not renewed.
+    pub config_lag: Ms,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            ttl: Ms(600),
+            renew: Ms(150),
+            drift: Ms(30),
+            election: Ms(300),
+            config_lag: Ms(4000),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a file of settings.
+    ///
+    /// # Errors
+    /// The file cannot be read, or one of its fields is refused.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let json = fs::read_to_string(path).map_err(|e| SettingsError::Unreadable {
+            file: path.display().to_string(),
+            reason: e.to_string(),
+        })?;
+        Self::from_json(&json)
+    }
+
+    /// Reads and checks settings from their JSON text.
+    ///
+    /// # Errors
+    /// One of the fields is refused.
+    pub fn from_json(json: &str) -> Result<Self, SettingsError> {
+        settings_checks::check(&SettingsError::read_json(json)?)
+    }
+}
+
+impl Default for Settings {
+    /// Settings of a single host on loopback with free ports, as tests use them.
+    fn default() -> Self {
+        let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        Self {
+            cluster: "test".into(),
+            host: "host-1".into(),
+            failure_domain: "domain-1".into(),
+            region: "region-1".into(),
+            caller_address: any,
+            server_address: any,
+            operator_address: any,
+            peer_address: any,
+            control_hosts: Vec::new(),
+            services: Vec::new(),
+            control: None,
+            peer_key_file: PathBuf::new(),
+            operator_key_file: PathBuf::new(),
+            statsd_address: None,
+            log: LogSettings::default(),
+            caller_limits: CallerLimits::default(),
+            lease: LeaseSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,11 @@
+//! An example backend server for demonstrations, tests and benches.
+
+mod announcer;
+mod ownership;
+mod report;
+mod standin_server;
+
+pub use {
+    ownership::{Ownership, Refusal},
+    standin_server::{run_standin, StandinSettings},
+};
