Refuse bad settings and schema files in tables through the programs

Cause: the checks had no tests. Writing them as tables (32 files of settings, 40 schema files, each with one bad field, through `clementined check`, `clementined`, `clementinectl check` and `apply`) showed seven bad files that passed: an unspecified IP on a port already in use, a server address open to every host, nine control hosts, a first voter that is no control host, a path with a query, a kind of calls that no call can reach, weights that are all 0. `apply` also wanted its key file before it looked at the schema. Ruled out: unit tests of the check functions alone; they do not show the exit code nor the single line. Change: the seven checks; `apply` reads its file first; `--log-format` and `--log-level` go before the settings. Seen failing: with src/settings and src/schema of before, both tables fail at the first of these rows.

--- a/src/cli/ctl_cli.rs
+++ b/src/cli/ctl_cli.rs
@@ -16,6 +16,7 @@
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("check", sub)) => check(sub),
+        Some(("apply", sub)) if read_schema(sub).is_err() => check(sub),
         Some((name, sub)) => match operate(&matches, name, sub) {
             Ok(code) => code,
             Err(e) => exit::fail(exit::FAILED, &e),
@@ -78,19 +79,23 @@
 }
 
 fn check(matches: &ArgMatches) -> ExitCode {
-    let path = text(matches, "file");
-    let checked = fs::read_to_string(path)
-        .map_err(|e| e.to_string())
-        .and_then(|json| Schema::from_json(&json).map_err(|e| e.to_string()));
-    match checked {
-        Ok(schema) => {
+    match read_schema(matches) {
+        Ok((schema, _)) => {
             println!("the schema of cluster {} is good", schema.cluster);
             ExitCode::from(exit::OK)
         }
-        Err(e) => exit::fail(exit::BAD_INPUT, &format!("{path}: {e}")),
+        Err(e) => exit::fail(exit::BAD_INPUT, &e),
     }
 }
 
+/// Reads and checks the schema file of the command line. Returns its text too.
+fn read_schema(matches: &ArgMatches) -> Result<(Schema, String)> {
+    let path = text(matches, "file");
+    let json = fs::read_to_string(path).with_context(|| path.to_owned())?;
+    let schema = Schema::from_json(&json).map_err(|e| anyhow!("{path}: {e}"))?;
+    Ok((schema, json))
+}
+
 /// A daemon and the key to talk to it.
 struct Target {
     agent: Agent,
@@ -114,9 +119,7 @@
         ..CommandRequest::default()
     };
     if name == "apply" {
-        let path = text(sub, "file");
-        let json = fs::read_to_string(path).with_context(|| path.to_owned())?;
-        Schema::from_json(&json).map_err(|e| anyhow!("{path}: {e}"))?;
+        let (_, json) = read_schema(sub)?;
         request.schema = Some(serde_json::from_str(&json)?);
     } else {
         request.host = text(sub, "host").to_owned();
--- a/src/cli/daemon_cli.rs
+++ b/src/cli/daemon_cli.rs
@@ -1,6 +1,10 @@
 use {
     super::exit,
-    crate::{daemon::run_daemon, event::start_logger, settings::Settings},
+    crate::{
+        daemon::run_daemon,
+        event::{level_from_word, start_logger, LogFormat, LogSettings, LEVEL_WORDS},
+        settings::Settings,
+    },
     clap::{Arg, ArgMatches, Command},
     std::{path::Path, process::ExitCode},
 };
@@ -26,6 +30,20 @@
         .about("Routes calls to the servers that own their keys")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(settings_arg().global(true))
+        .arg(
+            Arg::new("log-format")
+                .long("log-format")
+                .value_name("FORMAT")
+                .value_parser(LogFormat::WORDS)
+                .help("Form of the log lines; goes before log.format of the settings"),
+        )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .value_name("LEVEL")
+                .value_parser(LEVEL_WORDS)
+                .help("Lowest level that is logged; goes before log.level of the settings"),
+        )
         .subcommand(Command::new("check").about("Checks a file of settings and starts nothing"))
         .subcommand(Command::new("example-settings").about("Prints example settings"))
 }
@@ -60,12 +78,25 @@
     }
 }
 
+/// Returns the log settings of the file with those of the command line in their place.
+fn log_settings(settings: &Settings, matches: &ArgMatches) -> LogSettings {
+    let word = |name: &str| matches.get_one::<String>(name).map(String::as_str);
+    LogSettings {
+        format: word("log-format")
+            .and_then(LogFormat::from_word)
+            .unwrap_or(settings.log.format),
+        level: word("log-level")
+            .and_then(level_from_word)
+            .unwrap_or(settings.log.level),
+    }
+}
+
 fn serve(matches: &ArgMatches) -> ExitCode {
     let settings = match load(matches) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    let log = start_logger(settings.log);
+    let log = start_logger(log_settings(&settings, matches));
     match run_daemon(settings, log) {
         Ok(()) => ExitCode::from(exit::OK),
         Err(e) => exit::fail(exit::FAILED, &e),
--- a/src/event/logger.rs
+++ b/src/event/logger.rs
@@ -17,6 +17,34 @@
     Json,
 }
 
+impl LogFormat {
+    /// The words for the forms.
+    pub const WORDS: [&'static str; 2] = ["terminal", "json"];
+
+    /// Returns the form with this word.
+    pub fn from_word(word: &str) -> Option<Self> {
+        match word {
+            "terminal" => Some(Self::Terminal),
+            "json" => Some(Self::Json),
+            _ => None,
+        }
+    }
+}
+
+/// The words for the levels that a daemon can log at.
+pub const LEVEL_WORDS: [&str; 4] = ["debug", "info", "warning", "error"];
+
+/// Returns the log level with this word.
+pub fn level_from_word(word: &str) -> Option<Level> {
+    match word {
+        "debug" => Some(Level::Debug),
+        "info" => Some(Level::Info),
+        "warning" => Some(Level::Warning),
+        "error" => Some(Level::Error),
+        _ => None,
+    }
+}
+
 /// What is logged, and how.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LogSettings {
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -5,7 +5,7 @@
 
 pub use {
     event_code::Event,
-    logger::{start_logger, LogFormat, LogSettings},
+    logger::{level_from_word, start_logger, LogFormat, LogSettings, LEVEL_WORDS},
 };
 
 /// Logs an [`Event`] with its code, level and message, and the given fields.
--- a/src/schema/call_kind.rs
+++ b/src/schema/call_kind.rs
@@ -45,6 +45,12 @@
         let method_matches = self.method.as_deref().is_none_or(|m| m == method);
         method_matches && path_matches(&self.path, path)
     }
+
+    /// Tells if every call that `other` matches is also matched by this kind.
+    pub fn covers(&self, other: &Self) -> bool {
+        let method_covers = self.method.is_none() || self.method == other.method;
+        method_covers && path_matches(&self.path, &other.path)
+    }
 }
 
 /// Tells if `prefix` is all of `path` or ends at one of its slashes.
--- a/src/schema/schema_checks.rs
+++ b/src/schema/schema_checks.rs
@@ -67,6 +67,10 @@
             let reason = format!("{:?} is declared twice", kind.name);
             return Err(SettingsError::field(format!("{kind_path}.name"), reason));
         }
+        if let Some(earlier) = calls.iter().find(|earlier| earlier.covers(&kind)) {
+            let reason = format!("every call of it is already of kind {:?}", earlier.name);
+            return Err(SettingsError::field(format!("{kind_path}.path"), reason));
+        }
         calls.push(kind);
     }
     let number = |field: &str, value, default, range| {
@@ -111,10 +115,10 @@
         1..=DEADLINE_MAX_MS,
     )?;
     let deadline_default = default.deadline.0.min(max_deadline);
-    if !decl.path.starts_with('/') {
+    if !decl.path.starts_with('/') || decl.path.contains(['?', '#', ' ']) {
         return Err(SettingsError::field(
             format!("{path}.path"),
-            "a path that starts with '/' is needed",
+            "a path that starts with '/', without a query, is needed",
         ));
     }
     Ok(CallKind {
@@ -175,6 +179,10 @@
             return Err(SettingsError::field(format!("{path}.weights.{field}"), reason));
         }
     }
+    if listed.iter().all(|(_, value)| *value == 0) {
+        let reason = "at least one weight must be above 0";
+        return Err(SettingsError::field(format!("{path}.weights"), reason));
+    }
     Ok(Weights {
         imbalance: decl.imbalance,
         churn: decl.churn,
--- a/src/settings/settings_checks.rs
+++ b/src/settings/settings_checks.rs
@@ -2,16 +2,18 @@
     super::{CallerLimits, ControlSettings, LeaseSettings, Settings, SettingsError},
     crate::{
         clock::Ms,
-        event::{LogFormat, LogSettings},
+        event::{level_from_word, LogFormat, LogSettings, LEVEL_WORDS},
         wire::settings as wire,
     },
-    slog::Level,
     std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf},
 };
 
 /// Most characters of a name of a host, a service or a failure domain.
 const NAME_MAX_CHARS: usize = 64;
 
+/// Most control hosts of a cluster.
+const CONTROL_HOSTS_MAX: usize = 8;
+
 /// Checks every field of a file of settings.
 pub(super) fn check(file: &wire::SettingsFile) -> Result<Settings, SettingsError> {
     let control_hosts = address_list("control_hosts", &file.control_hosts)?;
@@ -21,6 +23,13 @@
             "at least one IP:PORT is needed",
         ));
     }
+    if control_hosts.len() > CONTROL_HOSTS_MAX {
+        let reason = format!(
+            "{} are listed, {CONTROL_HOSTS_MAX} are allowed",
+            control_hosts.len()
+        );
+        return Err(SettingsError::field("control_hosts", reason));
+    }
     let settings = Settings {
         cluster: checked_name("cluster", &file.cluster)?,
         host: checked_name("host", &file.host)?,
@@ -45,6 +54,7 @@
         control_hosts,
     };
     check_distinct_addresses(&settings)?;
+    check_server_address(&settings)?;
     check_control_role(&settings)?;
     Ok(settings)
 }
@@ -146,23 +156,17 @@
     let Some(part) = part else {
         return Ok(LogSettings::default());
     };
+    let default = LogSettings::default();
+    let unknown = |field: &str, word: &str, allowed: &[&str]| {
+        SettingsError::field(field, format!("{word:?} is not one of {allowed:?}"))
+    };
     let format = match part.format.as_str() {
-        "" | "terminal" => LogFormat::Terminal,
-        "json" => LogFormat::Json,
-        other => {
-            let reason = format!("{other:?} is not \"terminal\" or \"json\"");
-            return Err(SettingsError::field("log.format", reason));
-        }
+        "" => default.format,
+        word => LogFormat::from_word(word).ok_or_else(|| unknown("log.format", word, &LogFormat::WORDS))?,
     };
     let level = match part.level.as_str() {
-        "" | "info" => Level::Info,
-        "debug" => Level::Debug,
-        "warning" => Level::Warning,
-        "error" => Level::Error,
-        other => {
-            let reason = format!("{other:?} is not \"debug\", \"info\", \"warning\" or \"error\"");
-            return Err(SettingsError::field("log.level", reason));
-        }
+        "" => default.level,
+        word => level_from_word(word).ok_or_else(|| unknown("log.level", word, &LEVEL_WORDS))?,
     };
     Ok(LogSettings { format, level })
 }
@@ -233,7 +237,7 @@
         ("peer_address", settings.peer_address),
     ];
     for (i, (path, address)) in listed.iter().enumerate() {
-        if let Some((other, _)) = listed[..i].iter().find(|(_, earlier)| earlier == address) {
+        if let Some((other, _)) = listed[..i].iter().find(|(_, earlier)| collide(earlier, address)) {
             return Err(SettingsError::field(
                 *path,
                 format!("{address} is already the {other}"),
@@ -243,6 +247,21 @@
     Ok(())
 }
 
+/// Tells if two listening addresses exclude each other. An unspecified IP takes its port on every IP.
+fn collide(a: &SocketAddr, b: &SocketAddr) -> bool {
+    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() == b.port() && (any || a.ip() == b.ip())
+}
+
+/// Whoever reaches the server address may announce a server, so it must not listen on every IP.
+fn check_server_address(settings: &Settings) -> Result<(), SettingsError> {
+    if settings.server_address.ip().is_unspecified() {
+        let reason = "an IP of this host is needed, best a loopback one, and not the unspecified one";
+        return Err(SettingsError::field("server_address", reason));
+    }
+    Ok(())
+}
+
 /// A host with the control role must be listed among the control hosts.
 fn check_control_role(settings: &Settings) -> Result<(), SettingsError> {
     let Some(control) = &settings.control else {
@@ -263,5 +282,10 @@
         );
         return Err(SettingsError::field("control.first_voters", reason));
     }
+    let stranger = |address: &&SocketAddr| !settings.control_hosts.contains(address);
+    if let Some((i, address)) = voters.iter().enumerate().find(|(_, a)| stranger(a)) {
+        let reason = format!("{address} is not in control_hosts");
+        return Err(SettingsError::field(format!("control.first_voters[{i}]"), reason));
+    }
     Ok(())
 }
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! What several test files share.
+
+pub mod bad_file;
