--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -43,11 +43,13 @@
 callers=()
 operator=
 daemon_pids=()
+daemon_logs=()
 for settings in "$example"/settings/*.json; do
   host=$(basename "$settings" .json)
   "$bin/clementined" --settings "$settings" 2> "$host.log" &
   pids+=($!)
   daemon_pids+=($!)
+  daemon_logs+=("$host.log")
   callers+=(--address "$(sed -n 's/.*"caller_address": "\(.*\)".*/\1/p' "$settings")")
   operator=$(sed -n 's/.*"operator_address": "\(.*\)".*/\1/p' "$settings")
 done
@@ -58,9 +60,21 @@
   pids+=($!)
 done < "$example/servers.txt"
 
+# A daemon that cannot start, e.g. since another run holds its addresses, is told from a slow one.
+check_daemons() {
+  for i in "${!daemon_pids[@]}"; do
+    if ! kill -0 "${daemon_pids[$i]}" 2> kill.err; then
+      echo "a daemon ended; its log says:" >&2
+      tail -n 3 "${daemon_logs[$i]}" >&2
+      exit 1
+    fi
+  done
+}
+
 ctl() { "$bin/clementinectl" --address "$operator" --key-file operator.keys "$@"; }
 for attempt in $(seq 100); do
   if ctl apply "$example/schema.json" > apply.txt 2> apply.err; then break; fi
+  check_daemons
   if [ "$attempt" = 100 ]; then cat apply.txt apply.err >&2; exit 1; fi
   sleep 0.1
 done
@@ -72,6 +86,11 @@
   unowned=$(grep -c '"server": null' <<< "$status" || true)
   announced=$(grep -c '"slots"' <<< "$status" || true)
   if [ "$unowned" = 0 ] && [ "$announced" = "$servers" ]; then break; fi
+  check_daemons
+  if [ "$attempt" = 100 ]; then
+    echo "after 10 s $unowned ranges have no owner and $announced of $servers servers are announced" >&2
+    exit 1
+  fi
   sleep 0.1
 done
 sleep 0.3
@@ -82,8 +101,9 @@
   sleep 0.8
   # The last daemon has no control role.
   killed=${daemon_pids[-1]}
+  disown "$killed"
   kill -9 "$killed"
-  echo "killed daemon $killed"
+  echo "killed daemon $killed; calls to its own address cannot be sent from here on"
   wait "$load"
 else
   "$bin/clementine-load" "${callers[@]}" --schema "$example/schema.json" --calls 6000 --all-answered
--- /dev/null
+++ b/src/metrics/metric.rs
@@ -0,0 +1,47 @@
+/// Declares the metrics with their names, kinds and tags.
+macro_rules! metrics {
+    ($($(#[$doc:meta])* $name:ident = $text:literal, $kind:literal, $tags:expr;)*) => {
+        /// A metric. docs/METRICS.md gives the meaning of each.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Metric {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Metric {
+            /// All metrics.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the name after the prefix.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+
+            /// Returns `counter`, `timer` or `gauge`.
+            pub fn kind(self) -> &'static str {
+                match self {
+                    $(Self::$name => $kind,)*
+                }
+            }
+
+            /// Returns the names of the tags.
+            pub fn tags(self) -> &'static [&'static str] {
+                match self {
+                    $(Self::$name => &$tags,)*
+                }
+            }
+        }
+    };
+}
+
+metrics! {
+    /// Calls of callers that ended at this daemon.
+    Calls = "calls", "counter", ["outcome"];
+    /// Time from a caller's whole request to its answer, in ms.
+    CallMs = "call_ms", "timer", [];
+    /// 1 while the lease of this daemon holds, else 0.
+    Lease = "lease", "gauge", [];
+    /// Ranges granted to local servers.
+    Ranges = "ranges", "gauge", [];
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Metrics to a statsd listener.
 
+mod metric;
 mod statsd;
 
-pub use statsd::Metrics;
+pub use {metric::Metric, statsd::Metrics};
--- a/src/metrics/statsd.rs
+++ b/src/metrics/statsd.rs
@@ -1,4 +1,5 @@
 use {
+    super::Metric,
     crate::clock::Ms,
     anyhow::{Context, Result},
     cadence::{prelude::*, BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient},
@@ -39,19 +40,19 @@
     pub fn call(&self, outcome: &str, took: Ms) {
         let _ = self
             .client
-            .count_with_tags("calls", 1)
+            .count_with_tags(Metric::Calls.name(), 1)
             .with_tag("outcome", outcome)
             .try_send();
-        let _ = self.client.time("call_ms", took.0);
+        let _ = self.client.time(Metric::CallMs.name(), took.0);
     }
 
     /// Records whether the lease of this daemon holds.
     pub fn lease(&self, holds: bool) {
-        let _ = self.client.gauge("lease", u64::from(holds));
+        let _ = self.client.gauge(Metric::Lease.name(), u64::from(holds));
     }
 
     /// Records the number of ranges that this daemon serves.
     pub fn ranges(&self, count: u64) {
-        let _ = self.client.gauge("ranges", count);
+        let _ = self.client.gauge(Metric::Ranges.name(), count);
     }
 }
