--- a/src/load/load_report.rs
+++ b/src/load/load_report.rs
@@ -73,6 +73,17 @@
         self.kinds.values().all(|k| k.not_run + k.unknown + k.wrong == 0)
     }
 
+    /// Returns the number of calls that were sent.
+    pub fn calls(&self) -> u64 {
+        let kinds = self.kinds.values();
+        kinds.map(|k| k.answered + k.not_run + k.unknown + k.wrong).sum()
+    }
+
+    /// Returns the number of calls that were answered.
+    pub fn answered(&self) -> u64 {
+        self.kinds.values().map(|k| k.answered).sum()
+    }
+
     /// Returns the number of answers that were not the ones to their calls.
     pub fn wrong(&self) -> u64 {
         self.kinds.values().map(|k| k.wrong).sum()
--- a/tests/bad_schema.rs
+++ b/tests/bad_schema.rs
@@ -1,11 +1,12 @@
 //! A bad schema file is refused in one line with the path of the field.
 
-mod support;
+#[path = "support/bad_file.rs"]
+mod bad_file;
 
 use {
+    bad_file::{check_table, BadFile},
     serde_json::{json, Value},
     std::process::Command,
-    support::bad_file::{check_table, BadFile},
 };
 
 fn good() -> Value {
--- a/tests/bad_settings.rs
+++ b/tests/bad_settings.rs
@@ -1,11 +1,12 @@
 //! A bad file of settings is refused in one line with the path of the field, and nothing starts.
 
-mod support;
+#[path = "support/bad_file.rs"]
+mod bad_file;
 
 use {
+    bad_file::{check_table, BadFile},
     serde_json::{json, Value},
     std::process::Command,
-    support::bad_file::{check_table, BadFile},
 };
 
 fn good() -> Value {
@@ -189,7 +190,7 @@
     let path = dir.path().join("settings.json");
     for text in ["", "{", "[]", r#"{"cluster": "a", "cluster": "b"}"#, "{} {}"] {
         std::fs::write(&path, text).unwrap();
-        support::bad_file::refused_line(&mut check_command(path.to_str().unwrap()));
+        bad_file::refused_line(&mut check_command(path.to_str().unwrap()));
     }
 }
 
--- a/tests/support/mod.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! What several test files share.
-
-pub mod bad_file;
