Process starter for tests, and takeover with real processes

Cause: tests with real processes need daemons and servers on free ports, signals, and a check of who held what when. Change: tests/support starts control hosts, daemons and stand-in servers on loopback addresses of their own (127.x.y.z by process id, so that no outgoing connection takes a port between choice and use). The report of the stand-in now has its lease periods; ownership_check pairs tenures of one key that share time. The stand-in drops grants whose lease has ended instead of reviving them, answers 409 to an extension without grants, and takes lease_until_ms, a point of the boot clock that it shares with its daemon.

--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,6 +6,6 @@
 mod standin_server;
 
 pub use {
-    ownership::{Ownership, Refusal},
+    ownership::{LeasePeriod, Ownership, OwnershipRecord, Refusal},
     standin_server::{run_standin, StandinSettings},
 };
--- a/src/standin/ownership.rs
+++ b/src/standin/ownership.rs
@@ -50,20 +50,32 @@
     pub at_ms: u64,
 }
 
+/// A time without a gap in which the grants were good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct LeasePeriod {
+    /// Start by the clock of the host.
+    pub from_ms: u64,
+    /// End by the clock of the host.
+    pub until_ms: u64,
+}
+
 /// What a server owns, and how it got there.
 #[derive(Clone, Debug, Default)]
 pub struct Ownership {
     granted: Vec<Granted>,
     /// Highest epoch that was granted for any span, with the span.
     seen: Vec<Granted>,
-    lease_ends_at: Ms,
+    leases: Vec<LeasePeriod>,
     draining: bool,
     records: Vec<OwnershipRecord>,
 }
 
 impl Ownership {
     /// Takes a grant. False: a higher epoch was granted for a part of the span before.
-    pub fn grant(&mut self, span: KeyRange, epoch: u64, lease: Ms, now: Ms) -> bool {
+    ///
+    /// Grants whose lease has ended are dropped first, so that no later lease brings them back.
+    pub fn grant(&mut self, span: KeyRange, epoch: u64, lease_ends_at: Ms, now: Ms) -> bool {
+        self.drop_ended(now);
         if self
             .seen
             .iter()
@@ -79,13 +91,18 @@
         });
         self.record("grant", &span, epoch, now);
         self.granted.push(Granted { span, epoch });
-        self.lease_ends_at = self.lease_ends_at.max(now + lease);
+        self.prolong(lease_ends_at, now);
         true
     }
 
-    /// Extends all grants.
-    pub fn extend(&mut self, lease: Ms, now: Ms) {
-        self.lease_ends_at = self.lease_ends_at.max(now + lease);
+    /// Extends all grants. False: nothing is granted, or the lease has ended; it is not revived.
+    pub fn extend(&mut self, lease_ends_at: Ms, now: Ms) -> bool {
+        self.drop_ended(now);
+        if self.granted.is_empty() {
+            return false;
+        }
+        self.prolong(lease_ends_at, now);
+        true
     }
 
     /// Stops owning a span that was granted at `epoch`.
@@ -122,7 +139,7 @@
         if granted.epoch != epoch {
             return Err(Refusal::StaleEpoch);
         }
-        if now >= self.lease_ends_at {
+        if !self.lease_holds(now) {
             return Err(Refusal::NotOwner);
         }
         Ok(())
@@ -133,6 +150,34 @@
         &self.records
     }
 
+    /// Returns the times in which the grants were good.
+    pub fn leases(&self) -> &[LeasePeriod] {
+        &self.leases
+    }
+
+    fn lease_holds(&self, now: Ms) -> bool {
+        self.leases.last().is_some_and(|lease| now.0 < lease.until_ms)
+    }
+
+    fn drop_ended(&mut self, now: Ms) {
+        if !self.lease_holds(now) {
+            self.granted.clear();
+        }
+    }
+
+    fn prolong(&mut self, ends_at: Ms, now: Ms) {
+        if ends_at <= now {
+            return;
+        }
+        match self.leases.last_mut() {
+            Some(lease) if now.0 < lease.until_ms => lease.until_ms = lease.until_ms.max(ends_at.0),
+            _ => self.leases.push(LeasePeriod {
+                from_ms: now.0,
+                until_ms: ends_at.0,
+            }),
+        }
+    }
+
     /// Removes `span` from everything that was granted.
     fn cut(&mut self, span: &KeyRange) {
         let granted = std::mem::take(&mut self.granted);
--- a/src/standin/standin_server.rs
+++ b/src/standin/standin_server.rs
@@ -1,5 +1,5 @@
 use {
-    super::{announcer, ownership::OwnershipRecord, report, Ownership},
+    super::{announcer, report, LeasePeriod, Ownership, OwnershipRecord},
     crate::{
         clock::{Clock, Ms},
         edge::{plain_response, serve_http, HttpFault, HttpRequest, HttpResponse},
@@ -69,6 +69,7 @@
     address: String,
     calls: u64,
     ownership: Vec<OwnershipRecord>,
+    leases: Vec<LeasePeriod>,
     runs: BTreeMap<String, u32>,
 }
 
@@ -80,6 +81,17 @@
     end: Option<String>,
     epoch: u64,
     lease_ms: u64,
+    /// End of the lease by the boot clock that the host shares with its daemon.
+    lease_until_ms: Option<u64>,
+}
+
+impl OrderRequest {
+    /// Returns the end of the lease. An order that arrives late does not make the lease longer.
+    fn lease_ends_at(&self, now: Ms) -> Ms {
+        let by_span = now + Ms(self.lease_ms);
+        self.lease_until_ms
+            .map_or(by_span, |until| by_span.min(Ms(until)))
+    }
 }
 
 impl Shared {
@@ -90,6 +102,7 @@
             address: self.settings.address.to_string(),
             calls: inner.calls,
             ownership: inner.ownership.records().to_vec(),
+            leases: inner.ownership.leases().to_vec(),
             runs: inner.runs.clone(),
         }
     }
@@ -166,14 +179,19 @@
         return plain_response(StatusCode::BAD_REQUEST, "the span cannot be read");
     };
     let now = shared.clock.now();
-    let lease = Ms(order.lease_ms);
+    let lease_ends_at = order.lease_ends_at(now);
     match path {
         "/fold/grant" => {
-            if !shared.inner().ownership.grant(span, order.epoch, lease, now) {
+            let mut inner = shared.inner();
+            if !inner.ownership.grant(span, order.epoch, lease_ends_at, now) {
                 return plain_response(StatusCode::CONFLICT, "a higher epoch was granted");
             }
         }
-        "/fold/lease" => shared.inner().ownership.extend(lease, now),
+        "/fold/lease" => {
+            if !shared.inner().ownership.extend(lease_ends_at, now) {
+                return plain_response(StatusCode::CONFLICT, "nothing is granted");
+            }
+        }
         "/fold/drain" => shared.inner().ownership.drain(),
         _ => {
             shared.inner().ownership.revoke(&span, order.epoch, now);
--- /dev/null
+++ b/tests/support/cluster.rs
@@ -0,0 +1,323 @@
+use {
+    super::processes::{free_address, wait_until, Process},
+    rustix::process::Signal,
+    serde_json::{json, Value},
+    std::{fs, net::SocketAddr, path::PathBuf, time::Duration},
+    tempfile::TempDir,
+    ureq::Agent,
+};
+
+/// Key of operators and peers in clusters of tests.
+const TEST_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+/// Time for what must happen at some point.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a cluster is made of.
+pub struct ClusterPlan {
+    pub hosts: usize,
+    /// The first hosts have the control role.
+    pub control_hosts: usize,
+    pub services: Vec<String>,
+    /// The `lease` part of the settings.
+    pub lease: Value,
+}
+
+impl Default for ClusterPlan {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            control_hosts: 1,
+            services: vec!["ledger".into()],
+            lease: json!({}),
+        }
+    }
+}
+
+/// One daemon with its addresses.
+pub struct Host {
+    pub name: String,
+    pub caller: SocketAddr,
+    pub server: SocketAddr,
+    pub operator: SocketAddr,
+    pub peer: SocketAddr,
+    pub data_dir: PathBuf,
+    process: Option<Process>,
+}
+
+/// What a stand-in server is started with.
+#[derive(Clone)]
+pub struct StandinPlan {
+    /// Position of its host.
+    pub host: usize,
+    pub service: String,
+    pub checks_fencing: bool,
+    pub slots: u32,
+    pub work_ms: u32,
+}
+
+impl Default for StandinPlan {
+    fn default() -> Self {
+        Self {
+            host: 0,
+            service: "ledger".into(),
+            checks_fencing: true,
+            slots: 4,
+            work_ms: 1,
+        }
+    }
+}
+
+/// One stand-in server with its addresses.
+pub struct Standin {
+    pub plan: StandinPlan,
+    pub address: SocketAddr,
+    pub report: SocketAddr,
+    process: Option<Process>,
+}
+
+/// Answer to a call of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub outcome: String,
+    pub reason: String,
+    pub body: String,
+}
+
+/// Daemons and stand-in servers on loopback. All of them end with the value.
+pub struct Cluster {
+    pub dir: TempDir,
+    pub hosts: Vec<Host>,
+    pub servers: Vec<Standin>,
+    agent: Agent,
+}
+
+impl Cluster {
+    /// Writes the settings and starts the daemons.
+    pub fn start(plan: &ClusterPlan) -> Self {
+        let dir = TempDir::new().unwrap();
+        fs::write(dir.path().join("test.keys"), TEST_KEY).unwrap();
+        let hosts = (1..=plan.hosts).map(|number| Host {
+            name: format!("host-{number}"),
+            caller: free_address(),
+            server: free_address(),
+            operator: free_address(),
+            peer: free_address(),
+            data_dir: dir.path().join(format!("data-{number}")),
+            process: None,
+        });
+        let hosts: Vec<Host> = hosts.collect();
+        let voters: Vec<String> = hosts[..plan.control_hosts]
+            .iter()
+            .map(|host| host.peer.to_string())
+            .collect();
+        for (position, host) in hosts.iter().enumerate() {
+            let mut settings = json!({
+                "cluster": "test",
+                "host": host.name,
+                "failure_domain": format!("domain-{}", 1 + position % 3),
+                "region": "region-1",
+                "caller_address": host.caller.to_string(),
+                "server_address": host.server.to_string(),
+                "operator_address": host.operator.to_string(),
+                "peer_address": host.peer.to_string(),
+                "control_hosts": voters,
+                "services": plan.services,
+                "peer_key_file": "test.keys",
+                "operator_key_file": "test.keys",
+                "lease": plan.lease,
+            });
+            if position < plan.control_hosts {
+                settings["control"] = json!({ "data_dir": host.data_dir, "first_voters": voters });
+            }
+            let file = dir.path().join(format!("{}.json", host.name));
+            fs::write(file, settings.to_string()).unwrap();
+        }
+        let config = Agent::config_builder().http_status_as_error(false).proxy(None);
+        let mut cluster = Self {
+            dir,
+            hosts,
+            servers: Vec::new(),
+            agent: config
+                .timeout_global(Some(Duration::from_secs(10)))
+                .build()
+                .into(),
+        };
+        for position in 0..plan.hosts {
+            cluster.start_host(position);
+        }
+        cluster
+    }
+
+    /// Starts a daemon, also after its end.
+    pub fn start_host(&mut self, position: usize) {
+        let host = &mut self.hosts[position];
+        host.process = None;
+        let settings = format!("{}.json", host.name);
+        let log = format!("{}.log", host.name);
+        let args = ["--settings".into(), settings];
+        host.process = Some(Process::start(
+            env!("CARGO_BIN_EXE_clementined"),
+            &args,
+            self.dir.path(),
+            &log,
+        ));
+    }
+
+    /// Kills a daemon.
+    pub fn kill_host(&mut self, position: usize) {
+        self.hosts[position].process = None;
+    }
+
+    /// Asks a daemon to stop and waits for its end. True: it ended well.
+    pub fn stop_host(&mut self, position: usize) -> bool {
+        self.signal_host(position, Signal::TERM);
+        let process = self.hosts[position].process.take();
+        process.is_some_and(|mut p| p.wait())
+    }
+
+    /// Sends a signal to a daemon, e.g. `STOP` and `CONT`.
+    pub fn signal_host(&self, position: usize, signal: Signal) {
+        let process = self.hosts[position].process.as_ref();
+        process.unwrap().signal(signal);
+    }
+
+    /// Starts a stand-in server and returns its position.
+    pub fn start_server(&mut self, plan: StandinPlan) -> usize {
+        self.servers.push(Standin {
+            plan,
+            address: free_address(),
+            report: free_address(),
+            process: None,
+        });
+        self.restart_server(self.servers.len() - 1);
+        self.servers.len() - 1
+    }
+
+    /// Starts a stand-in server again at its address.
+    pub fn restart_server(&mut self, position: usize) {
+        let server = &mut self.servers[position];
+        server.process = None;
+        let plan = &server.plan;
+        let mut args: Vec<String> = vec![
+            "--service".into(),
+            plan.service.clone(),
+            "--address".into(),
+            server.address.to_string(),
+            "--daemon".into(),
+            self.hosts[plan.host].server.to_string(),
+            "--report".into(),
+            server.report.to_string(),
+            "--slots".into(),
+            plan.slots.to_string(),
+            "--work-ms".into(),
+            plan.work_ms.to_string(),
+        ];
+        if plan.checks_fencing {
+            args.push("--checks-fencing".into());
+        }
+        let program = env!("CARGO_BIN_EXE_clementine-standin");
+        let log = format!("server-{position}.log");
+        server.process = Some(Process::start(program, &args, self.dir.path(), &log));
+    }
+
+    /// Kills a stand-in server.
+    pub fn kill_server(&mut self, position: usize) {
+        self.servers[position].process = None;
+    }
+
+    /// Sends a signal to a stand-in server.
+    pub fn signal_server(&self, position: usize, signal: Signal) {
+        let process = self.servers[position].process.as_ref();
+        process.unwrap().signal(signal);
+    }
+
+    /// Returns what an operator's question is answered with. `None`: no answer.
+    pub fn ask(&self, host: usize, question: &str) -> Option<Value> {
+        let url = format!("http://{}/{question}", self.hosts[host].operator);
+        let request = self
+            .agent
+            .get(url)
+            .header("authorization", format!("Bearer {TEST_KEY}"));
+        read_json(request.call().ok()?)
+    }
+
+    /// Sends an operator's command. `None`: no answer.
+    pub fn command(&self, host: usize, name: &str, body: &Value) -> Option<Value> {
+        let url = format!("http://{}/{name}", self.hosts[host].operator);
+        let request = self
+            .agent
+            .post(url)
+            .header("authorization", format!("Bearer {TEST_KEY}"));
+        read_json(request.send(body.to_string()).ok()?)
+    }
+
+    /// Puts a schema in force, with tries until a control host has decided.
+    pub fn apply(&self, host: usize, schema: &Value) {
+        wait_until("the schema is accepted", PATIENCE, || {
+            let base = self.ask(host, "show").map(|shown| shown["revision"].clone());
+            let body = json!({ "command_id": self.command_id(), "base": base, "schema": schema });
+            let answer = self.command(host, "apply", &body).unwrap_or_default();
+            assert!(answer.get("refused").is_none(), "{answer}");
+            answer.get("accepted").is_some()
+        });
+    }
+
+    /// Returns a fresh id for an operator's command.
+    pub fn command_id(&self) -> String {
+        format!("{:016x}", getrandom::u64().unwrap())
+    }
+
+    /// Returns the address of the server that owns `range` by the state of `host`. `None`: none does.
+    pub fn owner(&self, host: usize, range: &str) -> Option<String> {
+        let status = self.ask(host, "status")?;
+        let ranges = status["ranges"].as_array()?;
+        let found = ranges.iter().find(|r| r["range"] == range)?;
+        found["server"].as_str().map(str::to_owned)
+    }
+
+    /// Sends a call through the caller address of `host`. `None`: no answer.
+    pub fn call(&self, host: usize, method: &str, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.hosts[host].caller));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let mut response = self.agent.run(request.body("").unwrap()).ok()?;
+        let header = |name: &str| {
+            let value = response.headers().get(name);
+            value.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+        };
+        Some(Answer {
+            status: response.status().as_u16(),
+            outcome: header("fold-outcome"),
+            reason: header("fold-reason"),
+            body: response.body_mut().read_to_string().ok()?,
+        })
+    }
+
+    /// Returns the report of a stand-in server. `None`: no answer.
+    pub fn report(&self, server: usize) -> Option<Value> {
+        let url = format!("http://{}/report", self.servers[server].report);
+        read_json(self.agent.get(url).call().ok()?)
+    }
+
+    /// Returns what the log of a host or server says so far, e.g. of `host-1` or `server-0`.
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap_or_default()
+    }
+}
+
+fn read_json(mut response: http::Response<ureq::Body>) -> Option<Value> {
+    serde_json::from_str(&response.body_mut().read_to_string().ok()?).ok()
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.dir.disable_cleanup(true);
+            eprintln!("logs are kept in {}", self.dir.path().display());
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,14 @@
+//! Starts the programs of the project on loopback and checks what they did, for tests and benches.
+
+// Each test and bench uses a part of it.
+#![allow(dead_code, unused_imports)]
+
+mod cluster;
+mod ownership_check;
+mod processes;
+
+pub use {
+    cluster::{Answer, Cluster, ClusterPlan, Host, Standin, StandinPlan},
+    ownership_check::{overlaps, Tenure},
+    processes::wait_until,
+};
