Operators: proofs in place of keys on the wire, explain, plan, diff, wait; keys change without a stop

Cause: clementinectl knew few commands, sent its key in the clear, stopped at the first address that did not answer, and printed raw JSON. Refusals of peers filled the log without limit, key files were read once, and any process that reached the server address could announce a server of another host. Ruled out: TLS between operators and daemons (certificates to roll on 4,400 hosts for a channel that carries no secret but the key); a store of used nonces (a changing request is already told apart by its command id, and a copied question tells no more than its answer did). Change: an operator's request carries a MAC over time, method, target and body; the bearer key is still taken for scripts on the host itself. SIGHUP reads both key files again, and keeps the old keys if one is bad. Refusals of peers, operators and announcements are logged at most ten times in 10 s. A server is only taken at an address of its own host. clementinectl: several addresses in turn, text and JSON, explain, plan, diff, wait, move, completions, exit codes, a line for the resend of a command whose answer was lost.

--- /dev/null
+++ b/src/cli/ctl/text_output.rs
@@ -0,0 +1,108 @@
+use {
+    super::schema_diff::Difference,
+    serde_json::Value,
+    std::fmt::{self, Write as _},
+};
+
+/// Returns the text form of an answer to `status`.
+pub(super) fn status_text(status: &Value) -> String {
+    let mut out = String::new();
+    let field = |name: &str| plain(&status[name]);
+    let _ = writeln!(
+        out,
+        "host {}  session {}  lease left {} ms\nrevision {}  applied {}  leader {}",
+        field("host"),
+        field("session"),
+        field("lease_left_ms"),
+        field("revision"),
+        field("applied"),
+        field("leader"),
+    );
+    section(&mut out, "sessions", &status["sessions"], session_line);
+    section(&mut out, "ranges", &status["ranges"], range_line);
+    section(&mut out, "drains", &status["drains"], |d| {
+        format!("{} {}", plain(&d["host"]), plain(&d["server"]))
+    });
+    section(&mut out, "last decisions", &status["decisions"], decision_line);
+    out
+}
+
+/// Returns the text form of an answer to `explain`.
+pub(super) fn explain_text(answer: &Value) -> String {
+    let mut out = String::new();
+    if let Value::Object(fields) = answer {
+        for (name, value) in fields {
+            let _ = writeln!(out, "{:<16} {}", name.replace('_', " "), plain(value));
+        }
+    }
+    out
+}
+
+/// Returns the text form of the differences of two schema files.
+pub(super) fn diff_text(differences: &[Difference]) -> String {
+    let mut out = String::new();
+    for difference in differences {
+        let _ = writeln!(out, "{difference}");
+    }
+    out
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.old, &self.new) {
+            (Some(old), Some(new)) => write!(f, "~ {}: {old} -> {new}", self.path),
+            (Some(old), None) => write!(f, "- {}: {old}", self.path),
+            (None, Some(new)) => write!(f, "+ {}: {new}", self.path),
+            (None, None) => Ok(()),
+        }
+    }
+}
+
+fn section(out: &mut String, title: &str, list: &Value, line: impl Fn(&Value) -> String) {
+    let Some(list) = list.as_array().filter(|list| !list.is_empty()) else {
+        return;
+    };
+    let _ = writeln!(out, "\n{title}");
+    for entry in list {
+        let _ = writeln!(out, "  {}", line(entry).trim_end());
+    }
+}
+
+fn session_line(session: &Value) -> String {
+    let servers = session["servers"].as_array().map_or(&[][..], Vec::as_slice);
+    let servers: Vec<String> = servers
+        .iter()
+        .map(|s| format!("{} {}", plain(&s["service"]), plain(&s["address"])))
+        .collect();
+    format!(
+        "{:<6} {:<16} {:<12} {}",
+        plain(&session["session"]),
+        plain(&session["host"]),
+        plain(&session["failure_domain"]),
+        servers.join(", ")
+    )
+}
+
+fn range_line(range: &Value) -> String {
+    format!(
+        "{:<16} {:<24} {:<22} epoch {}{}",
+        plain(&range["service"]),
+        plain(&range["range"]),
+        plain(&range["server"]),
+        plain(&range["epoch"]),
+        if range["moving"] == true { "  moving" } else { "" }
+    )
+}
+
+fn decision_line(decision: &Value) -> String {
+    format!("{:<8} {}", plain(&decision["index"]), plain(&decision["text"]))
+}
+
+/// Returns a value without quotes; null as a dash.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => "-".into(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,9 +1,9 @@
 //! The command lines of the programs. They only parse, and report errors.
 
-mod ctl_cli;
+mod ctl;
 mod daemon_cli;
 mod exit;
 mod load_cli;
 mod standin_cli;
 
-pub use {ctl_cli::run_ctl, daemon_cli::run_daemon_cli, load_cli::run_load, standin_cli::run_standin};
+pub use {ctl::run_ctl, daemon_cli::run_daemon_cli, load_cli::run_load, standin_cli::run_standin};
--- /dev/null
+++ b/src/daemon/key_reload.rs
@@ -0,0 +1,32 @@
+use {
+    super::node::Node,
+    crate::{event::Event, link::KeyRing, log_event, settings::SettingsError},
+    std::rc::Rc,
+    tokio::sync::watch,
+};
+
+impl Node {
+    /// Reads the key files again whenever `reload` changes. Open links stay as they are.
+    pub async fn reload_keys(self: Rc<Self>, peer_keys: Rc<KeyRing>, mut reload: watch::Receiver<u64>) {
+        while reload.changed().await.is_ok() {
+            match self.read_keys() {
+                Ok((peers, operators)) => {
+                    peer_keys.replace(peers);
+                    self.operator_keys.replace(operators);
+                    log_event!(
+                        self.log, Event::KeysReloaded;
+                        "peer_keys" => peer_keys.count(), "operator_keys" => self.operator_keys.count()
+                    );
+                }
+                Err(e) => log_event!(self.log, Event::KeysNotReloaded; "error" => e.to_string()),
+            }
+        }
+    }
+
+    /// Both files are read before any key is replaced.
+    fn read_keys(&self) -> Result<(KeyRing, KeyRing), SettingsError> {
+        let peers = KeyRing::load(&self.settings.peer_key_file)?;
+        let operators = KeyRing::load(&self.settings.operator_key_file)?;
+        Ok((peers, operators))
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,7 +1,10 @@
 //! One `clementined` process: its duties, and how they carry out the decisions.
 
 mod call_path;
+mod decisions;
+mod explain;
 mod grant_task;
+mod key_reload;
 mod local_server;
 mod node;
 mod operator_handler;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,8 +1,9 @@
 use {
-    super::local_server::LocalServer,
+    super::{decisions::Decisions, local_server::LocalServer},
     crate::{
         clock::Clock,
         control::{ControlHandle, Server, State},
+        event::RateLimit,
         lease::DaemonLease,
         link::{KeyRing, LinkError, Links},
         metrics::Metrics,
@@ -33,6 +34,10 @@
     pub metrics: Metrics,
     pub links: Links,
     pub operator_keys: KeyRing,
+    /// Limit of the log lines on refused requests of operators and servers.
+    pub refusals: RefCell<RateLimit>,
+    /// The last decisions that this daemon saw committed.
+    pub decisions: RefCell<Decisions>,
     /// The near end of the control duty on a control host.
     pub control: Option<ControlHandle>,
     /// Random number of this process.
@@ -81,6 +86,8 @@
             metrics: parts.metrics,
             links: parts.links,
             operator_keys: parts.operator_keys,
+            refusals: RefCell::default(),
+            decisions: RefCell::default(),
             control: parts.control,
             process: rng.next_u64(),
             lease: DaemonLease::default(),
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -2,7 +2,9 @@
     super::node::Node,
     crate::{
         control::Revision,
-        edge::{self, HttpFault, HttpRequest, HttpResponse},
+        edge::{self, HttpFault, HttpRequest, HttpResponse, ProofError, RequestProof},
+        event::Event,
+        log_event,
         wire::control::{change, command_answer, CommandAnswer},
     },
     http::{header, StatusCode},
@@ -10,6 +12,9 @@
     std::rc::Rc,
 };
 
+/// Decisions that `status` shows.
+const DECISIONS_SHOWN: usize = 20;
+
 impl Node {
     /// Serves a request of an operator.
     pub async fn serve_operator(self: Rc<Self>, request: Result<HttpRequest, HttpFault>) -> HttpResponse {
@@ -19,25 +24,62 @@
                 "the body is too large or incomplete",
             );
         };
-        let given = request
-            .headers
-            .get(header::AUTHORIZATION)
-            .and_then(|value| value.to_str().ok());
-        let key = given
-            .and_then(|value| value.strip_prefix("Bearer "))
-            .unwrap_or_default();
-        if !self.operator_keys.holds_hex(key) {
-            return edge::plain_response(StatusCode::UNAUTHORIZED, "the operator's key is not known here");
+        if let Err(reason) = self.authenticate(&request) {
+            self.log_refusal(&request, &reason);
+            return edge::plain_response(StatusCode::UNAUTHORIZED, &reason);
         }
         let name = request.uri.path().trim_start_matches('/');
         match (request.method.as_str(), name) {
             ("GET", "show") => edge::json_response(StatusCode::OK, &self.show()),
             ("GET", "status") => edge::json_response(StatusCode::OK, &self.status()),
+            ("GET", "explain") => self.explain_answer(request.uri.query().unwrap_or_default()),
             ("POST", name) => self.command(name, &request.body).await,
             _ => edge::plain_response(StatusCode::NOT_FOUND, "no such operation"),
         }
     }
 
+    /// A request has to prove that its sender holds an operator's key. A script on the same host may send
+    /// the key itself.
+    fn authenticate(&self, request: &HttpRequest) -> Result<(), String> {
+        let given = request
+            .headers
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
+        if let Some(key) = given.strip_prefix("Bearer ") {
+            let known = self.operator_keys.holds_hex(key);
+            return known
+                .then_some(())
+                .ok_or_else(|| ProofError::UnknownKey.to_string());
+        }
+        let target = request.uri.path_and_query().map_or("/", |target| target.as_str());
+        let parts = (request.method.as_str(), target, request.body.as_ref());
+        let proof: Result<RequestProof, ProofError> = given.parse();
+        proof
+            .and_then(|proof| proof.check(&self.operator_keys, parts, self.clock.wall()))
+            .map_err(|e| e.to_string())
+    }
+
+    fn log_refusal(&self, request: &HttpRequest, reason: &str) {
+        if let Some(suppressed) = self.refusals.borrow_mut().pass(self.clock.now()) {
+            log_event!(
+                self.log, Event::OperatorRefused;
+                "from" => request.from.to_string(), "request" => request.uri.path(), "reason" => reason,
+                "suppressed" => suppressed
+            );
+        }
+    }
+
+    fn explain_answer(&self, query: &str) -> HttpResponse {
+        match self.explain(query) {
+            Ok(answer) => edge::json_response(StatusCode::OK, &answer),
+            Err((field, reason)) => {
+                let refused = json!({ "refused": { "reason": reason, "field": field } });
+                edge::json_response(StatusCode::BAD_REQUEST, &refused)
+            }
+        }
+    }
+
     async fn command(&self, name: &str, body: &[u8]) -> HttpResponse {
         let command = match edge::operator_command(name, body) {
             Ok(command) => command,
@@ -46,9 +88,16 @@
                 return edge::json_response(StatusCode::BAD_REQUEST, &refused);
             }
         };
+        let (command_id, base) = (command.command_id.clone(), command.base.clone());
         let proposed = self.propose(change::Body::OperatorCommand(command)).await;
         let answer = proposed.and_then(|answer| answer.command).unwrap_or_default();
         let (status, json) = command_json(&answer);
+        let base = base.as_ref().map(Revision::from_wire).unwrap_or_default();
+        log_event!(
+            self.log, Event::CommandAnswered;
+            "command" => name, "command_id" => command_id, "base" => base.to_string(),
+            "answer" => answer_word(status)
+        );
         edge::json_response(status, &json)
     }
 
@@ -77,6 +126,11 @@
                 })
             })
             .collect();
+        let drains: Vec<Value> = state
+            .drains()
+            .iter()
+            .map(|d| json!({ "host": d.host, "server": d.server }))
+            .collect();
         let mut ranges = Vec::new();
         for table in state.services() {
             for (position, range) in table.ranges().iter().enumerate() {
@@ -87,6 +141,7 @@
                     "session": owner.map(|o| o.session),
                     "server": owner.map(|o| o.server.as_str()),
                     "epoch": owner.map(|o| o.epoch),
+                    "moving": range.release.is_some(),
                 }));
             }
         }
@@ -96,12 +151,24 @@
             "lease_left_ms": self.lease.left(self.clock.now()).0,
             "revision": state.revision().to_string(),
             "applied": state.applied(),
+            "leader": *self.leader.borrow(),
+            "drains": drains,
+            "decisions": self.decisions.borrow().last(DECISIONS_SHOWN),
             "sessions": sessions,
             "ranges": ranges,
         })
     }
 }
 
+fn answer_word(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::OK => "accepted",
+        StatusCode::CONFLICT => "conflict",
+        StatusCode::UNPROCESSABLE_ENTITY => "refused",
+        _ => "unavailable",
+    }
+}
+
 /// Returns the HTTP status and the JSON form of the answer to a command.
 fn command_json(answer: &CommandAnswer) -> (StatusCode, Value) {
     let revision = |r| Revision::from_wire(r).to_string();
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -13,7 +13,7 @@
     },
     anyhow::{Context, Result},
     signal_hook::{
-        consts::{SIGINT, SIGTERM},
+        consts::{SIGHUP, SIGINT, SIGTERM},
         iterator::Signals,
     },
     slog::Logger,
@@ -36,10 +36,15 @@
 /// A key file, an address or the data folder cannot be used.
 pub fn run_daemon(settings: Settings, log: Logger) -> Result<()> {
     let (stop_tx, stop_rx) = watch::channel(false);
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context("handling signals")?;
+    let (reload_tx, reload_rx) = watch::channel(0_u64);
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("handling signals")?;
     thread::Builder::new().name("signals".into()).spawn(move || {
-        for _ in signals.forever() {
-            let _ = stop_tx.send(true);
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                reload_tx.send_modify(|count| *count += 1);
+            } else {
+                let _ = stop_tx.send(true);
+            }
         }
     })?;
     let control = match &settings.control {
@@ -56,7 +61,7 @@
         .enable_all()
         .build()
         .context("starting the I/O duty")?;
-    let result = LocalSet::new().block_on(&runtime, serve(settings, log, handle.clone(), stop_rx));
+    let result = LocalSet::new().block_on(&runtime, serve(settings, log, handle.clone(), stop_rx, reload_rx));
     if let (Some(handle), Some(thread)) = (handle, thread) {
         handle.send(ControlInput::Stop);
         let _ = thread.join();
@@ -70,6 +75,7 @@
     log: Logger,
     control: Option<ControlHandle>,
     stop: watch::Receiver<bool>,
+    reload: watch::Receiver<u64>,
 ) -> Result<()> {
     let identity = LinkIdentity {
         cluster: settings.cluster.clone(),
@@ -92,6 +98,7 @@
     let servers = listen(node.settings.server_address, &log).await?;
     let operators = listen(node.settings.operator_address, &log).await?;
 
+    spawn_local(node.clone().reload_keys(identity.keys.clone(), reload));
     let for_peers = node.clone();
     spawn_local(serve_links(peers, identity, log.clone(), move |body| {
         for_peers.clone().serve_peer(body)
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -32,7 +32,7 @@
         };
         let handled = match (request.method.as_str(), request.uri.path()) {
             ("POST", "/announce") => {
-                edge::read_announce(&request.body, &self.settings.services).and_then(|s| self.announce(s))
+                edge::read_announce(&request.body, &self.settings).and_then(|s| self.announce(s))
             }
             ("POST", "/leave") => edge::read_leave(&request.body)
                 .map(|l| self.leave(&l.service, &l.address.to_string(), &l.incarnation)),
@@ -45,7 +45,15 @@
         };
         match handled {
             Ok(()) => edge::json_response(StatusCode::OK, &serde_json::json!({ "host": self.settings.host })),
-            Err(reason) => edge::plain_response(StatusCode::BAD_REQUEST, &reason),
+            Err(reason) => {
+                if let Some(suppressed) = self.refusals.borrow_mut().pass(self.clock.now()) {
+                    log_event!(
+                        self.log, Event::AnnounceRefused;
+                        "from" => request.from.to_string(), "reason" => &reason, "suppressed" => suppressed
+                    );
+                }
+                edge::plain_response(StatusCode::BAD_REQUEST, &reason)
+            }
         }
     }
 
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -27,7 +27,8 @@
                     for committed in answer.changes {
                         let follows = committed.index == state.applied() + 1;
                         if let (true, Some(change)) = (follows, &committed.change) {
-                            state.apply(committed.index, change);
+                            let applied = state.apply(committed.index, change);
+                            self.decisions.borrow_mut().note(&committed, &applied);
                         }
                     }
                     if state.applied() != applied {
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -7,7 +7,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     serde::Serialize,
     slog::Logger,
-    std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
@@ -22,6 +22,8 @@
 /// A whole request.
 #[derive(Debug)]
 pub struct HttpRequest {
+    /// Address of the sender.
+    pub from: SocketAddr,
     /// Method of the request line.
     pub method: Method,
     /// Target of the request line.
@@ -73,7 +75,7 @@
         open.set(open.get() + 1);
         let (open, handler, stop) = (open.clone(), handler.clone(), stop.clone());
         spawn_local(async move {
-            serve_connection(stream, limits, stop, handler).await;
+            serve_connection(stream, from, limits, stop, handler).await;
             open.set(open.get() - 1);
         });
     }
@@ -81,6 +83,7 @@
 
 async fn serve_connection<H, F>(
     stream: TcpStream,
+    from: SocketAddr,
     limits: CallerLimits,
     mut stop: watch::Receiver<bool>,
     handler: H,
@@ -92,7 +95,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let handler = handler.clone();
         async move {
-            let request = receive(request, limits.body_bytes, limits.read).await;
+            let request = receive(request, from, limits.body_bytes, limits.read).await;
             Ok::<_, Infallible>(handler(request).await.map(Full::new))
         }
     });
@@ -112,7 +115,12 @@
 }
 
 /// Receives the body of a request within its limits.
-async fn receive(request: Request<Incoming>, body_bytes: usize, read: Ms) -> Result<HttpRequest, HttpFault> {
+async fn receive(
+    request: Request<Incoming>,
+    from: SocketAddr,
+    body_bytes: usize,
+    read: Ms,
+) -> Result<HttpRequest, HttpFault> {
     let (parts, body) = request.into_parts();
     let collected = timeout(read.as_duration(), Limited::new(body, body_bytes).collect()).await;
     let body = match collected {
@@ -121,6 +129,7 @@
         Ok(Err(_)) | Err(_) => return Err(HttpFault::BodyIncomplete),
     };
     Ok(HttpRequest {
+        from,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 mod caller_edge;
 mod http_server;
 mod operator_edge;
+mod request_proof;
 mod server_client;
 mod server_edge;
 mod server_orders;
@@ -12,6 +13,7 @@
     caller_edge::read_call,
     http_server::{json_response, plain_response, serve_http, HttpFault, HttpRequest, HttpResponse},
     operator_edge::{operator_command, CommandRequest},
+    request_proof::{ProofError, RequestProof},
     server_client::{ServerClient, ServerReply},
     server_edge::{read_announce, read_leave, LeaveRequest},
     server_orders::{Order, OrderError, ServerOrders},
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -1,7 +1,8 @@
 use {
     crate::{
         control::Revision,
-        wire::control::{operator_command, Drain, OperatorCommand},
+        key::Key,
+        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand},
     },
     serde::{Deserialize, Serialize},
 };
@@ -19,10 +20,16 @@
     pub base: String,
     /// The schema file, for `apply`.
     pub schema: Option<serde_json::Value>,
-    /// Name of the host, for `drain` and `undrain`.
+    /// Name of the host, for `drain`, `undrain` and `move`.
     pub host: String,
-    /// Address of one server of the host; empty for all.
+    /// Address of one server of the host; empty for all, or for any with `move`.
     pub server: String,
+    /// Name of the service, for `move`.
+    pub service: String,
+    /// First key of the span in its text form, for `move`; empty for the lowest key.
+    pub start: String,
+    /// First key after the span, for `move`; absent for no upper bound.
+    pub end: Option<String>,
 }
 
 /// Reads the changing call `name` of an operator.
@@ -37,17 +44,21 @@
         ));
     }
     let base: Revision = request.base.parse().map_err(|e| format!("base: {e}"))?;
-    let drain = Drain {
-        host: request.host,
-        server: request.server,
+    let drain = || Drain {
+        host: request.host.clone(),
+        server: request.server.clone(),
     };
     let body = match name {
         "apply" => {
-            let schema = request.schema.ok_or("schema: the schema file is needed")?;
+            let schema = request
+                .schema
+                .as_ref()
+                .ok_or("schema: the schema file is needed")?;
             operator_command::Body::ApplySchema(schema.to_string())
         }
-        "drain" => operator_command::Body::Drain(drain),
-        "undrain" => operator_command::Body::Undrain(drain),
+        "drain" => operator_command::Body::Drain(drain()),
+        "undrain" => operator_command::Body::Undrain(drain()),
+        "move" => operator_command::Body::Move(move_span(&request)?),
         other => return Err(format!("{other:?} is not a command")),
     };
     Ok(OperatorCommand {
@@ -56,3 +67,19 @@
         body: Some(body),
     })
 }
+
+fn move_span(request: &CommandRequest) -> Result<MoveSpan, String> {
+    let key = |field: &str, text: &str| Key::from_text(text).map_err(|e| format!("{field}: {e}"));
+    let end = request.end.as_deref().map(|end| key("end", end)).transpose()?;
+    let start = key("start", &request.start)?;
+    if end.as_ref().is_some_and(|end| *end <= start) {
+        return Err("end: it must be above the start".into());
+    }
+    Ok(MoveSpan {
+        service: request.service.clone(),
+        start: start.to_bytes(),
+        end: end.map(|end| end.to_bytes()),
+        to_host: request.host.clone(),
+        to_server: request.server.clone(),
+    })
+}
--- /dev/null
+++ b/src/edge/request_proof.rs
@@ -0,0 +1,99 @@
+use {
+    crate::{
+        clock::{Clock, Ms},
+        link::KeyRing,
+    },
+    std::{fmt, str::FromStr},
+    thiserror::Error,
+};
+
+/// Scheme of the `Authorization` header.
+const SCHEME: &str = "Fold-Mac";
+/// Marks the MAC of an operator's request.
+const ROLE: &[u8] = b"clementinefold operator request";
+/// Most difference between the wall clocks of an operator's host and a daemon.
+const CLOCK_DIFFERENCE_MAX: Ms = Ms(300_000);
+
+/// Proof in the `Authorization` header that the sender of a request holds an operator's key. The key itself
+/// is not sent. A copy of the request is good for [`CLOCK_DIFFERENCE_MAX`]; a changing request that is sent
+/// again has the same command id and changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestProof {
+    /// Wall clock of the sender.
+    time: Ms,
+    mac: Vec<u8>,
+}
+
+/// Why a request is not taken for an operator's.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum ProofError {
+    /// The header is missing or cannot be read.
+    #[error("the request has no proof of a key")]
+    Missing,
+    /// No key of this daemon made the proof.
+    #[error("the operator's key is not known here, or the request was changed")]
+    UnknownKey,
+    /// The request is too old or from the future.
+    #[error("the clocks of the two hosts differ too much, or the request is an old copy")]
+    BadTime,
+}
+
+impl RequestProof {
+    /// Returns the proof for a request that is sent now.
+    pub fn new(keys: &KeyRing, method: &str, target: &str, body: &[u8]) -> Self {
+        let time = Clock::System.wall();
+        Self {
+            time,
+            mac: keys.sign(&parts(&time_bytes(time), method, target, body)),
+        }
+    }
+
+    /// Checks the proof of a request that arrived at `now` by the wall clock.
+    ///
+    /// # Errors
+    /// The proof is not good for this request.
+    pub fn check(
+        &self,
+        keys: &KeyRing,
+        (method, target, body): (&str, &str, &[u8]),
+        now: Ms,
+    ) -> Result<(), ProofError> {
+        let time = time_bytes(self.time);
+        if !keys.verify(&parts(&time, method, target, body), &self.mac) {
+            return Err(ProofError::UnknownKey);
+        }
+        let difference = Ms(self.time.0.abs_diff(now.0));
+        if difference > CLOCK_DIFFERENCE_MAX {
+            return Err(ProofError::BadTime);
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for RequestProof {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{SCHEME} {}-", self.time.0)?;
+        self.mac.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for RequestProof {
+    type Err = ProofError;
+
+    fn from_str(text: &str) -> Result<Self, ProofError> {
+        let rest = text.strip_prefix(SCHEME).ok_or(ProofError::Missing)?;
+        let (time, mac) = rest.trim().split_once('-').ok_or(ProofError::Missing)?;
+        Ok(Self {
+            time: Ms(time.parse().map_err(|_| ProofError::Missing)?),
+            mac: crate::link::from_hex(mac).ok_or(ProofError::Missing)?,
+        })
+    }
+}
+
+fn time_bytes(time: Ms) -> [u8; 8] {
+    time.0.to_be_bytes()
+}
+
+fn parts<'a>(time: &'a [u8], method: &'a str, target: &'a str, body: &'a [u8]) -> [&'a [u8]; 5] {
+    [ROLE, time, method.as_bytes(), target.as_bytes(), body]
+}
--- a/src/edge/server_edge.rs
+++ b/src/edge/server_edge.rs
@@ -1,4 +1,8 @@
-use {crate::control::Server, serde::Deserialize, std::net::SocketAddr};
+use {
+    crate::{control::Server, settings::Settings},
+    serde::Deserialize,
+    std::net::SocketAddr,
+};
 
 /// Body of `POST /announce`.
 #[derive(Debug, Deserialize)]
@@ -24,13 +28,17 @@
     pub incarnation: String,
 }
 
-/// Reads an announcement of a backend server.
+/// Reads an announcement of a backend server. Only a server of this host is taken, since only the daemon of
+/// its own host gives orders to a server.
 ///
 /// # Errors
 /// What is wrong with the body, for the server's log.
-pub fn read_announce(body: &[u8], services: &[String]) -> Result<Server, String> {
+pub fn read_announce(body: &[u8], settings: &Settings) -> Result<Server, String> {
     let request: AnnounceRequest = serde_json::from_slice(body).map_err(|e| e.to_string())?;
-    if services.binary_search(&request.service).is_err() {
+    if !is_local(request.address, settings) {
+        return Err(format!("address: {} is not on this host", request.address));
+    }
+    if settings.services.binary_search(&request.service).is_err() {
         return Err(format!(
             "service: {:?} is not in the settings of this host",
             request.service
@@ -57,3 +65,13 @@
 pub fn read_leave(body: &[u8]) -> Result<LeaveRequest, String> {
     serde_json::from_slice(body).map_err(|e| e.to_string())
 }
+
+/// Tells if `address` belongs to this host: loopback, or an IP that this daemon listens on.
+fn is_local(address: SocketAddr, settings: &Settings) -> bool {
+    let own = [
+        settings.caller_address,
+        settings.server_address,
+        settings.peer_address,
+    ];
+    address.ip().is_loopback() || own.iter().any(|listening| listening.ip() == address.ip())
+}
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -67,6 +67,15 @@
     /// A link to another daemon could not be opened.
     LinkFailed = "CF3004", Warning, "link could not be opened";
 
+    /// An operator's request was refused.
+    OperatorRefused = "CF3101", Warning, "operator refused";
+    /// An announcement of a backend server was refused.
+    AnnounceRefused = "CF3102", Warning, "announcement refused";
+    /// The key files were read again.
+    KeysReloaded = "CF3103", Info, "keys reloaded";
+    /// A key file could not be read again; the keys of before stay valid.
+    KeysNotReloaded = "CF3104", Error, "keys not reloaded";
+
     /// A session of this daemon was opened.
     SessionOpened = "CF4001", Info, "session opened";
     /// The session of this daemon has ended.
@@ -96,4 +105,7 @@
     RangeAssigned = "CF5005", Info, "range assigned";
     /// An operator's command was decided.
     CommandDecided = "CF5006", Info, "operator command decided";
+
+    /// An operator's command was answered by this daemon.
+    CommandAnswered = "CF7101", Info, "operator command answered";
 }
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -2,10 +2,12 @@
 
 mod event_code;
 mod logger;
+mod rate_limit;
 
 pub use {
     event_code::Event,
     logger::{level_from_word, start_logger, LogFormat, LogSettings, LEVEL_WORDS},
+    rate_limit::RateLimit,
 };
 
 /// Logs an [`Event`] with its code, level and message, and the given fields.
--- a/src/link/key_ring.rs
+++ b/src/link/key_ring.rs
@@ -2,17 +2,20 @@
     crate::settings::SettingsError,
     hmac::{Hmac, Mac},
     sha2::Sha256,
-    std::{fmt, fs, path::Path},
+    std::{
+        fmt, fs,
+        path::Path,
+        sync::{PoisonError, RwLock, RwLockReadGuard},
+    },
     subtle::{Choice, ConstantTimeEq},
 };
 
 /// Fewest bytes of a key.
 const KEY_MIN_BYTES: usize = 32;
 
-/// Secret keys: the first one signs, every one verifies.
-#[derive(Clone)]
+/// Secret keys: the first one signs, every one verifies. They can be replaced while others use them.
 pub struct KeyRing {
-    keys: Vec<Vec<u8>>,
+    keys: RwLock<Vec<Vec<u8>>>,
 }
 
 impl KeyRing {
@@ -43,22 +46,41 @@
         if keys.is_empty() {
             return Err(unreadable("there is no key in it".into()));
         }
-        Ok(Self { keys })
+        Ok(Self {
+            keys: RwLock::new(keys),
+        })
     }
 
     /// Returns a ring of one key.
     pub fn single(key: Vec<u8>) -> Self {
-        Self { keys: vec![key] }
+        Self {
+            keys: RwLock::new(vec![key]),
+        }
+    }
+
+    /// Takes the keys of `other` in place of its own.
+    pub fn replace(&self, other: Self) {
+        let keys = other.keys.into_inner().unwrap_or_else(PoisonError::into_inner);
+        *self.keys.write().unwrap_or_else(PoisonError::into_inner) = keys;
+    }
+
+    fn keys(&self) -> RwLockReadGuard<'_, Vec<Vec<u8>>> {
+        self.keys.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the number of keys.
+    pub fn count(&self) -> usize {
+        self.keys().len()
     }
 
     /// Signs `parts` with the first key.
     pub fn sign(&self, parts: &[&[u8]]) -> Vec<u8> {
-        mac(&self.keys[0], parts).finalize().into_bytes().to_vec()
+        mac(&self.keys()[0], parts).finalize().into_bytes().to_vec()
     }
 
     /// Tells if any key made `proof` for `parts`.
     pub fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
-        self.keys
+        self.keys()
             .iter()
             .any(|key| mac(key, parts).verify_slice(proof).is_ok())
     }
@@ -67,22 +89,17 @@
     pub fn holds_hex(&self, text: &str) -> bool {
         let given = from_hex(text.trim()).unwrap_or_default();
         let found = self
-            .keys
+            .keys()
             .iter()
             .fold(Choice::from(0), |found, key| found | key.ct_eq(&given));
         found.into()
     }
-
-    /// Returns the first key in hexadecimal.
-    pub fn first_hex(&self) -> String {
-        self.keys[0].iter().map(|byte| format!("{byte:02x}")).collect()
-    }
 }
 
 impl fmt::Debug for KeyRing {
     /// Keys are never printed.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "KeyRing({} keys)", self.keys.len())
+        write!(f, "KeyRing({} keys)", self.count())
     }
 }
 
@@ -96,8 +113,9 @@
     mac
 }
 
-fn from_hex(text: &str) -> Option<Vec<u8>> {
-    if text.len() % 2 != 0 || !text.is_ascii() {
+/// Reads bytes in hexadecimal. `None`: the text is none.
+pub(crate) fn from_hex(text: &str) -> Option<Vec<u8>> {
+    if text.len() % 2 != 0 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
         return None;
     }
     let byte = |i: usize| u8::from_str_radix(&text[i..i + 2], 16).ok();
--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -4,13 +4,14 @@
         LinkIdentity,
     },
     crate::{
-        event::Event,
+        clock::Clock,
+        event::{Event, RateLimit},
         log_event,
         wire::peer::{frame::Body, Frame},
     },
     futures_util::{stream::SplitSink, SinkExt, StreamExt},
     slog::Logger,
-    std::{future::Future, time::Duration},
+    std::{cell::RefCell, future::Future, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
@@ -31,18 +32,25 @@
     H: Fn(Body) -> F + Clone + 'static,
     F: Future<Output = Option<Body>> + 'static,
 {
+    let refusals = Rc::new(RefCell::new(RateLimit::default()));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(serve_link(stream, identity.clone(), log.clone(), handler.clone()));
+                let (identity, log, refusals) = (identity.clone(), log.clone(), refusals.clone());
+                spawn_local(serve_link(stream, identity, log, refusals, handler.clone()));
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve_link<H, F>(stream: TcpStream, identity: LinkIdentity, log: Logger, handler: H)
-where
+async fn serve_link<H, F>(
+    stream: TcpStream,
+    identity: LinkIdentity,
+    log: Logger,
+    refusals: Rc<RefCell<RateLimit>>,
+    handler: H,
+) where
     H: Fn(Body) -> F + Clone + 'static,
     F: Future<Output = Option<Body>> + 'static,
 {
@@ -53,7 +61,12 @@
     let stream = match handshake::accept(stream, &identity).await {
         Ok((stream, _)) => stream,
         Err(e) => {
-            log_event!(log, Event::PeerRefused; "from" => from, "reason" => e.to_string());
+            if let Some(suppressed) = refusals.borrow_mut().pass(Clock::System.now()) {
+                log_event!(
+                    log, Event::PeerRefused;
+                    "from" => from, "reason" => e.to_string(), "suppressed" => suppressed
+                );
+            }
             return;
         }
     };
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,6 +7,7 @@
 mod link_error;
 mod link_server;
 
+pub(crate) use key_ring::from_hex;
 pub use {
     frame_codec::FrameCodec, handshake::LinkIdentity, key_ring::KeyRing, link_client::Links,
     link_error::LinkError, link_server::serve_links,
--- /dev/null
+++ b/tests/operator_commands.rs
@@ -0,0 +1,229 @@
+//! `clementinectl` against running daemons: answers, exit codes, resends and the change of keys.
+
+mod support;
+
+use {
+    rustix::process::Signal,
+    serde_json::{json, Value},
+    std::{
+        fs,
+        process::{Command, Output},
+        time::Duration,
+    },
+    support::{wait_until, Cluster, ClusterPlan, StandinPlan},
+};
+
+/// Time for what must happen at some point.
+const PATIENCE: Duration = Duration::from_secs(30);
+const NEW_KEY: &str = "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100";
+
+fn schema(park_ms: u32) -> Value {
+    json!({ "cluster": "test", "services": [{
+        "name": "ledger", "divided_by_key": true, "boundaries": ["m"], "checks_fencing": true, "park_ms": park_ms,
+        "calls": [{ "name": "read", "method": "GET", "path": "/read", "idempotent": true }]
+    }] })
+}
+
+fn cluster(hosts: usize) -> Cluster {
+    let mut cluster = Cluster::start(&ClusterPlan {
+        hosts,
+        ..ClusterPlan::default()
+    });
+    for host in 0..hosts {
+        cluster.start_server(StandinPlan {
+            host,
+            ..StandinPlan::default()
+        });
+    }
+    wait_until("the daemon answers", PATIENCE, || cluster.ask(0, "show").is_some());
+    cluster.apply(0, &schema(1000));
+    wait_until("the ranges are owned", PATIENCE, || {
+        let status = cluster.ask(0, "status").unwrap_or_default();
+        let ranges = status["ranges"].as_array().cloned().unwrap_or_default();
+        let sessions = status["sessions"].as_array().map_or(0, Vec::len);
+        sessions == hosts && !ranges.is_empty() && ranges.iter().all(|r| !r["server"].is_null())
+    });
+    write(&cluster, "schema.json", &schema(1000).to_string());
+    cluster
+}
+
+fn write(cluster: &Cluster, file: &str, text: &str) {
+    fs::write(cluster.dir.path().join(file), text).unwrap();
+}
+
+fn run(cluster: &Cluster, addresses: &[String], args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_clementinectl"));
+    for address in addresses {
+        command.args(["--address", address]);
+    }
+    command.args(["--key-file", "test.keys"]).args(args);
+    command.current_dir(cluster.dir.path()).output().unwrap()
+}
+
+fn ctl(cluster: &Cluster, args: &[&str]) -> Output {
+    run(cluster, &[cluster.hosts[0].operator.to_string()], args)
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+#[test]
+fn answers_and_exit_codes() {
+    let cluster = cluster(1);
+    let shown = stdout(&ctl(&cluster, &["--output", "json", "show"]));
+    let old: Value = serde_json::from_str(&shown).unwrap();
+    let old = old["revision"].as_str().unwrap();
+    write(&cluster, "new.json", &schema(500).to_string());
+    write(
+        &cluster,
+        "foreign.json",
+        &schema(1).to_string().replace("\"test\"", "\"other\""),
+    );
+    let first = ["--command-id", "c1", "apply", "new.json"];
+    let cases: [(&str, Vec<&str>, i32, &str); 12] = [
+        (
+            "plan",
+            vec!["plan", "new.json"],
+            0,
+            "~ services[ledger].park_ms: 1000 -> 500",
+        ),
+        (
+            "diff of equal files",
+            vec!["diff", "schema.json", "schema.json"],
+            0,
+            "no difference",
+        ),
+        (
+            "diff with what is in force",
+            vec!["diff", "schema.json"],
+            0,
+            "no difference",
+        ),
+        ("apply", first.to_vec(), 0, "accepted"),
+        ("the same again", first.to_vec(), 0, "accepted"),
+        (
+            "conflict",
+            vec!["apply", "schema.json", "--base", old],
+            3,
+            "conflict",
+        ),
+        ("foreign schema", vec!["apply", "foreign.json"], 4, "cluster"),
+        ("drain of nobody", vec!["drain", "host-9"], 4, "host"),
+        ("drain", vec!["drain", "host-1"], 0, "accepted"),
+        ("undrain", vec!["undrain", "host-1"], 0, "accepted"),
+        ("undrain twice", vec!["undrain", "host-1"], 4, "refused"),
+        ("status", vec!["status"], 0, "ledger"),
+    ];
+    let mut applied = Vec::new();
+    for (name, args, expected, text) in cases {
+        let output = ctl(&cluster, &args);
+        let said = stdout(&output);
+        assert_eq!(code(&output), expected, "{name}: {said}{}", stderr(&output));
+        assert!(said.contains(text), "{name}: {said}");
+        if args.contains(&"c1") {
+            applied.push(said);
+        }
+    }
+    assert_eq!(applied[0], applied[1], "a resend gets the first answer");
+}
+
+#[test]
+fn addresses_in_turn() {
+    let cluster = cluster(2);
+    let good = cluster.hosts[1].operator.to_string();
+    // Port 9 of this address has no listener.
+    let dead = "127.0.0.1:9".to_owned();
+    let output = run(&cluster, &[dead.clone(), good], &["status"]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let output = run(&cluster, &[dead], &["drain", "host-1"]);
+    assert_eq!(code(&output), 1);
+    assert!(stderr(&output).contains("127.0.0.1:9"));
+}
+
+/// A daemon that is frozen takes the command but gives no answer: it is sent again with the same id.
+#[test]
+fn lost_answer_can_be_resent() {
+    let cluster = cluster(1);
+    cluster.signal_host(0, Signal::STOP);
+    let args = [
+        "--command-id",
+        "c2",
+        "apply",
+        "schema.json",
+        "--base",
+        "1-0000000000000000",
+    ];
+    let output = ctl(&cluster, &args);
+    cluster.signal_host(0, Signal::CONT);
+    assert_eq!(code(&output), 5, "{}", stderr(&output));
+    assert!(stderr(&output).contains("--command-id c2"), "{}", stderr(&output));
+}
+
+#[test]
+fn explain_tells_owner_and_call() {
+    let cluster = cluster(1);
+    let ask = |args: &[&str]| {
+        let mut all = vec![
+            "--output",
+            "json",
+            "explain",
+            "--service",
+            "ledger",
+            "--path",
+            "/read",
+        ];
+        all.extend(args);
+        ctl(&cluster, &all)
+    };
+    let output = ask(&["--key", "alpha"]);
+    let answer: Value = serde_json::from_str(&stdout(&output)).unwrap();
+    assert_eq!(answer["range"], "[, m)");
+    assert_eq!(answer["host"], "host-1");
+    assert_eq!(answer["kind"], "read");
+    assert_eq!(answer["owner"].as_str(), cluster.owner(0, "[, m)").as_deref());
+    let why = answer["why"].as_str().unwrap();
+    assert!(why.contains("assigned to"), "{why}");
+    let call = answer["a_call_now"].as_str().unwrap();
+    assert!(call.contains("behind this daemon"), "{call}");
+    let output = ask(&["--key", "base64:%"]);
+    assert_eq!(code(&output), 1);
+    assert!(stderr(&output).contains("key"), "{}", stderr(&output));
+}
+
+#[test]
+fn keys_change_without_a_stop() {
+    let cluster = cluster(1);
+    let old_key = fs::read_to_string(cluster.dir.path().join("test.keys")).unwrap();
+    write(&cluster, "new.keys", NEW_KEY);
+    let with_new = || {
+        let key_file = ["--key-file", "new.keys", "status"];
+        let mut command = Command::new(env!("CARGO_BIN_EXE_clementinectl"));
+        command.args(["--address", &cluster.hosts[0].operator.to_string()]);
+        command.args(key_file).current_dir(cluster.dir.path());
+        command.output().unwrap()
+    };
+    let refused = with_new();
+    assert_eq!(code(&refused), 1);
+    assert!(stderr(&refused).contains("401"), "{}", stderr(&refused));
+    assert!(cluster.log("host-1").contains("CF3101"));
+
+    write(&cluster, "test.keys", "no key at all");
+    cluster.signal_host(0, Signal::HUP);
+    wait_until("the bad file is noticed", PATIENCE, || {
+        cluster.log("host-1").contains("CF3104")
+    });
+    write(&cluster, "test.keys", &format!("{NEW_KEY}\n{old_key}\n"));
+    cluster.signal_host(0, Signal::HUP);
+    wait_until("both keys are good", PATIENCE, || {
+        code(&with_new()) == 0 && cluster.ask(0, "status").is_some_and(|s| s["host"] == "host-1")
+    });
+}
