--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -82,7 +82,7 @@
 # Every range has an owner, and every server has announced itself.
 servers=$(grep -vc '^#' "$example/servers.txt")
 for attempt in $(seq 100); do
-  status=$(ctl status)
+  status=$(ctl --output json status)
   unowned=$(grep -c '"server": null' <<< "$status" || true)
   announced=$(grep -c '"slots"' <<< "$status" || true)
   if [ "$unowned" = 0 ] && [ "$announced" = "$servers" ]; then break; fi
--- a/tests/daemon_kill.rs
+++ b/tests/daemon_kill.rs
@@ -48,7 +48,9 @@
             });
         }
     }
-    wait_until("the daemon answers", PATIENCE, || cluster.ask(0, "show").is_some());
+    wait_until("the daemon answers", PATIENCE, || {
+        cluster.ask(0, "show").is_some()
+    });
     cluster.apply(0, &schema());
     for host in 0..hosts {
         wait_until("everything is owned", PATIENCE, || is_owned(&cluster, host));
--- a/tests/link_hello.rs
+++ b/tests/link_hello.rs
@@ -235,7 +235,8 @@
         KeyRing::load(&path).unwrap()
     };
     with_server(|address, server_keys| async move {
-        let steps: [(&[[u8; 32]], &[[u8; 32]], bool); 5] = [
+        type Keys<'a> = &'a [[u8; 32]];
+        let steps: [(Keys, Keys, bool); 5] = [
             (&[KEY], &[KEY], true),
             (&[KEY, OTHER_KEY], &[KEY], true),
             (&[KEY, OTHER_KEY], &[OTHER_KEY, KEY], true),
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -35,7 +35,9 @@
             ..StandinPlan::default()
         });
     }
-    wait_until("the daemon answers", PATIENCE, || cluster.ask(0, "show").is_some());
+    wait_until("the daemon answers", PATIENCE, || {
+        cluster.ask(0, "show").is_some()
+    });
     cluster.apply(0, &schema(1000));
     wait_until("the ranges are owned", PATIENCE, || {
         let status = cluster.ask(0, "status").unwrap_or_default();
