--- a/codegen/src/lib.rs
+++ b/codegen/src/lib.rs
@@ -1,5 +1,8 @@
 //! Generates the message types of clementinefold from its `.proto` files.
 
+mod reference_page;
+
+pub use reference_page::reference_page;
 use {
     anyhow::{Context, Result},
     std::{fs, path::Path},
@@ -27,3 +30,32 @@
         .context("generating the Rust code")?;
     Ok(())
 }
+
+/// Reference pages: the `.proto` file, the page, its title and what stands above the tables.
+const PAGES: [(&str, &str, &str, &str); 2] = [
+    (
+        "settings.proto",
+        "SETTINGS.md",
+        "Settings",
+        "The fields of the settings of one daemon, a JSON file. `clementined example-settings` prints an example and\n\
+         `clementined check --settings FILE` checks a file. Absent numbers take the default; unknown fields are refused.\n\
+         This page is made from `proto/settings.proto` by `cargo run -p clementine-codegen`.",
+    ),
+    (
+        "schema.proto",
+        "SCHEMA.md",
+        "Schema file",
+        "The fields of the operators' schema file, in JSON. `clementinectl example-schema` prints an example and\n\
+         `clementinectl check FILE` checks a file. Absent numbers take the default; unknown fields are refused.\n\
+         This page is made from `proto/schema.proto` by `cargo run -p clementine-codegen`.",
+    ),
+];
+
+/// Writes the reference pages of `proto_dir` into `docs_dir`.
+pub fn generate_pages(proto_dir: &Path, docs_dir: &Path) -> Result<()> {
+    for (file, page, title, intro) in PAGES {
+        let proto = fs::read_to_string(proto_dir.join(file)).context(file)?;
+        fs::write(docs_dir.join(page), reference_page(title, intro, &proto)).context(page)?;
+    }
+    Ok(())
+}
--- a/codegen/tests/generated_code.rs
+++ b/codegen/tests/generated_code.rs
@@ -21,3 +21,19 @@
     }
     assert_eq!(files, 4);
 }
+
+#[test]
+fn pages_are_fresh() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let out = tempfile::tempdir().unwrap();
+    clementine_codegen::generate_pages(&root.join("proto"), out.path()).unwrap();
+    for page in ["SETTINGS.md", "SCHEMA.md"] {
+        let committed = fs::read_to_string(root.join("docs").join(page)).unwrap_or_default();
+        let fresh = fs::read_to_string(out.path().join(page)).unwrap();
+        assert_eq!(
+            committed, fresh,
+            "{page} is stale; run `cargo run -p clementine-codegen`"
+        );
+        assert!(!fresh.contains("|  |"), "{page}: a field has no comment");
+    }
+}
--- a/src/cli/ctl/command_line.rs
+++ b/src/cli/ctl/command_line.rs
@@ -27,6 +27,11 @@
         .subcommands(file_commands())
         .subcommands(questions())
         .subcommands(changes())
+        .subcommand(
+            Command::new("example-schema")
+                .about("Prints an example schema file; docs/SCHEMA.md lists the fields")
+                .after_help("Example:\n  clementinectl example-schema > schema.json"),
+        )
         .subcommand(
             Command::new("completions")
                 .about("Prints the completions for a shell")
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -14,6 +14,9 @@
     std::{fs, io, process::ExitCode, time::Duration},
 };
 
+/// The example schema file.
+const EXAMPLE_SCHEMA: &str = include_str!("../../../examples/schema.json");
+
 /// Runs `clementinectl`.
 pub fn run_ctl() -> ExitCode {
     let matches = command_line().get_matches();
@@ -35,6 +38,10 @@
         "diff" => diff(sub),
         "plan" => plan(sub),
         "completions" => completions(sub),
+        "example-schema" => {
+            print!("{EXAMPLE_SCHEMA}");
+            Ok(exit::OK)
+        }
         "show" => question(sub, "show", |shown| pretty(&shown["schema"])),
         "status" => question(sub, "status", status_text),
         "explain" => question(sub, &explain_question(sub), explain_text),
--- a/tests/bad_settings.rs
+++ b/tests/bad_settings.rs
@@ -201,3 +201,16 @@
     std::fs::write(&path, good().to_string()).unwrap();
     assert!(check_command(path.to_str().unwrap()).status().unwrap().success());
 }
+
+/// What is printed as an example passes its own check.
+#[test]
+fn example_is_good() {
+    let output = Command::new(env!("CARGO_BIN_EXE_clementined"))
+        .arg("example-settings")
+        .output()
+        .unwrap();
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("example.json");
+    std::fs::write(&path, output.stdout).unwrap();
+    assert!(check_command(path.to_str().unwrap()).status().unwrap().success());
+}
