--- /dev/null
+++ b/benches/capacity/links.rs
@@ -0,0 +1,88 @@
+use {
+    super::measure::{cpu_us, resident},
+    clementinefold::{
+        link::{serve_links, KeyRing, LinkIdentity, Links},
+        wire::peer::{frame::Body, Renew, RenewAnswer},
+    },
+    std::{rc::Rc, time::Instant},
+    tokio::{
+        net::TcpListener,
+        runtime::Builder,
+        task::{spawn_local, LocalSet},
+    },
+};
+
+/// Links that are opened for the memory of one.
+const LINKS: usize = 500;
+/// Requests that are timed.
+const REQUESTS: u32 = 50_000;
+/// Requests that are on their way at the same time.
+const IN_FLIGHT: u32 = 64;
+
+/// Processor time of a request with its answer, of a hello, and memory of an open link, both ends of each in
+/// this process.
+pub fn cost() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let identity = LinkIdentity {
+            cluster: "bench".into(),
+            host: "host".into(),
+            peer_address: "127.0.0.1:1".into(),
+            keys: Rc::new(KeyRing::single(vec![1; 32])),
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        spawn_local(serve_links(listener, identity.clone(), log.clone(), |body| async move {
+            match body {
+                Body::Renew(renew) => Some(Body::RenewAnswer(RenewAnswer {
+                    session: renew.session,
+                    sent_at_ms: renew.sent_at_ms,
+                    renewed: true,
+                    ..RenewAnswer::default()
+                })),
+                _ => None,
+            }
+        }));
+        let renew = || Body::Renew(Renew { session: 1_000_000, sent_at_ms: 1_000_000_000, ..Renew::default() });
+
+        let (memory, cpu, started) = (resident("self"), cpu_us(), Instant::now());
+        let mut open = Vec::new();
+        for _ in 0..LINKS {
+            let links = Links::new(identity.clone(), log.clone());
+            links.request(&address, renew()).await.unwrap();
+            open.push(links);
+        }
+        println!(
+            "{LINKS} links: {:.0} us of processor and {:.0} us of wall time a hello, {:.1} KiB a link, both ends each",
+            (cpu_us() - cpu) / LINKS as f64,
+            started.elapsed().as_secs_f64() * 1e6 / LINKS as f64,
+            (resident("self") - memory) as f64 / 1024.0 / LINKS as f64
+        );
+        drop(open);
+
+        let links = Rc::new(Links::new(identity, log));
+        links.request(&address, renew()).await.unwrap();
+        for in_flight in [1, IN_FLIGHT] {
+            let (cpu, started) = (cpu_us(), Instant::now());
+            let senders: Vec<_> = (0..in_flight)
+                .map(|_| {
+                    let (links, address) = (links.clone(), address.clone());
+                    spawn_local(async move {
+                        for _ in 0..REQUESTS / in_flight {
+                            links.request(&address, renew()).await.unwrap();
+                        }
+                    })
+                })
+                .collect();
+            for sender in senders {
+                sender.await.unwrap();
+            }
+            println!(
+                "{in_flight} in flight: {:.1} us of processor and {:.1} us of wall time a request, both ends",
+                (cpu_us() - cpu) / f64::from(REQUESTS),
+                started.elapsed().as_secs_f64() * 1e6 / f64::from(REQUESTS)
+            );
+        }
+    });
+}
--- /dev/null
+++ b/benches/capacity/table.rs
@@ -0,0 +1,144 @@
+use {
+    super::measure::{resident, timed},
+    clementinefold::{
+        control::State,
+        key::Key,
+        route,
+        wire::control::{
+            change, operator_command, AssignRange, Change, OpenSession, OperatorCommand, Server, SetServers,
+        },
+    },
+    rand::{rngs::SmallRng, SeedableRng},
+    serde_json::json,
+};
+
+/// Hosts at full size.
+const HOSTS: u64 = 4400;
+
+/// Builds the state of a cluster: a server of each service on each host, and the ranges of the divided service
+/// spread over them.
+pub fn state(hosts: u64, ranges: u64) -> State {
+    let calls = json!([{ "name": "any", "method": "*", "path": "/" }]);
+    let schema = json!({ "cluster": "bench", "services": [
+        { "name": "divided", "divided_by_key": true, "calls": calls },
+        { "name": "undivided", "calls": calls },
+    ] });
+    let mut state = State::default();
+    let mut index = 0;
+    let mut apply = |state: &mut State, body| {
+        index += 1;
+        let change = Change {
+            proposed_at_ms: 0,
+            body: Some(body),
+        };
+        state.apply(index, &change);
+        index
+    };
+    let command = OperatorCommand {
+        command_id: "bench".into(),
+        base: Some(state.revision().to_wire()),
+        body: Some(operator_command::Body::ApplySchema(schema.to_string())),
+    };
+    apply(&mut state, change::Body::OperatorCommand(command));
+    let mut sessions = Vec::new();
+    for host in 0..hosts {
+        let open = OpenSession {
+            host: format!("host-{host}"),
+            peer_address: format!("10.0.{}.{}:7113", host / 250, host % 250),
+            failure_domain: format!("domain-{}", host % 14),
+            region: format!("region-{}", host % 5),
+            ..OpenSession::default()
+        };
+        let session = apply(&mut state, change::Body::OpenSession(open));
+        let servers = ["divided", "undivided"]
+            .map(|service| server(service, host))
+            .to_vec();
+        apply(
+            &mut state,
+            change::Body::SetServers(SetServers { session, servers }),
+        );
+        sessions.push((session, host));
+    }
+    for range in 0..ranges {
+        let (session, host) = sessions[(range % hosts) as usize];
+        let assign = AssignRange {
+            service: "divided".into(),
+            start: if range == 0 {
+                Vec::new().into()
+            } else {
+                key(range).into()
+            },
+            end: (range + 1 < ranges).then(|| key(range + 1).into()),
+            session,
+            server: server("divided", host).address,
+            reason: "bench".into(),
+        };
+        apply(&mut state, change::Body::AssignRange(assign));
+    }
+    state
+}
+
+fn server(service: &str, host: u64) -> Server {
+    Server {
+        service: service.into(),
+        address: format!(
+            "10.0.{}.{}:{}",
+            host / 250,
+            host % 250,
+            if service == "divided" { 7150 } else { 7151 }
+        ),
+        incarnation: format!("{host:016x}"),
+        slots: 12,
+        connections: 130,
+        checks_fencing: true,
+        leaving: false,
+    }
+}
+
+/// Keys like the account numbers of the first deployment.
+fn key(range: u64) -> Vec<u8> {
+    format!("SK31{:020}", range * 1_000_000).into_bytes()
+}
+
+/// Memory of the table, and the cost of the copy that a daemon makes for each batch of changes.
+pub fn memory_and_copies() {
+    println!("hosts ranges  bytes-in-all  copy-us  image-bytes  image-us  read-us");
+    for (hosts, ranges) in [(10, 10), (HOSTS, 10), (HOSTS, 44_000), (HOSTS, 440_000)] {
+        let before = resident("self");
+        let state = state(hosts, ranges);
+        let bytes = resident("self") - before;
+        let (copy_us, copy) = timed(|| state.clone());
+        drop(copy);
+        let (image_us, image) = timed(|| state.to_image());
+        let (read_us, read) = timed(|| State::from_image(&image));
+        assert!(read.is_some());
+        println!(
+            "{hosts} {ranges}  {bytes}  {copy_us:.0}  {}  {image_us:.0}  {read_us:.0}",
+            image.len()
+        );
+    }
+}
+
+/// Time to route one call.
+pub fn routes() {
+    println!("hosts ranges  divided-us  undivided-us");
+    for (hosts, ranges) in [(3, 10), (440, 4400), (HOSTS, 44_000)] {
+        let state = state(hosts, ranges);
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut time = |service: &str, count: u64| {
+            let service = state.schema().service(service).unwrap();
+            let (us, ()) = timed(|| {
+                for i in 0..count {
+                    let key = Key::new(key(i * 7919 % ranges));
+                    std::hint::black_box(route::route(&state, None, service, &key, &mut rng));
+                }
+            });
+            us / count as f64
+        };
+        println!(
+            "{hosts} {ranges}  {:.2}  {:.2}",
+            time("divided", 100_000),
+            time("undivided", 500)
+        );
+    }
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -20,6 +20,8 @@
     pub services: Vec<String>,
     /// The `lease` part of the settings.
     pub lease: Value,
+    /// More arguments of each daemon.
+    pub daemon_args: Vec<String>,
 }
 
 impl Default for ClusterPlan {
@@ -29,6 +31,7 @@
             control_hosts: 1,
             services: vec!["ledger".into()],
             lease: json!({}),
+            daemon_args: Vec::new(),
         }
     }
 }
@@ -89,6 +92,7 @@
     pub dir: TempDir,
     pub hosts: Vec<Host>,
     pub servers: Vec<Standin>,
+    daemon_args: Vec<String>,
     agent: Agent,
 }
 
@@ -138,6 +142,7 @@
             dir,
             hosts,
             servers: Vec::new(),
+            daemon_args: plan.daemon_args.clone(),
             agent: config
                 .timeout_global(Some(Duration::from_secs(10)))
                 .build()
@@ -155,7 +160,8 @@
         host.process = None;
         let settings = format!("{}.json", host.name);
         let log = format!("{}.log", host.name);
-        let args = ["--settings".into(), settings];
+        let mut args = vec!["--settings".into(), settings];
+        args.extend(self.daemon_args.iter().cloned());
         host.process = Some(Process::start(
             env!("CARGO_BIN_EXE_clementined"),
             &args,
@@ -164,6 +170,12 @@
         ));
     }
 
+    /// Returns the process id of a daemon.
+    pub fn pid(&self, position: usize) -> u32 {
+        let process = self.hosts[position].process.as_ref();
+        process.unwrap().id()
+    }
+
     /// Kills a daemon.
     pub fn kill_host(&mut self, position: usize) {
         self.hosts[position].process = None;
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -39,6 +39,11 @@
         Self(child.unwrap())
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.0), signal).unwrap();
