--- a/src/cli/ctl_cli.rs
+++ b/src/cli/ctl_cli.rs
@@ -1,6 +1,6 @@
 use {
     super::exit,
-    crate::{edge::CommandRequest, link::KeyRing, schema::Schema},
+    crate::{clock::Clock, control::CommandId, edge::CommandRequest, link::KeyRing, schema::Schema},
     anyhow::{anyhow, Context, Result},
     clap::{Arg, ArgMatches, Command},
     serde_json::Value,
@@ -198,5 +198,5 @@
 
 fn new_command_id() -> Result<String> {
     let number = getrandom::u64().map_err(|e| anyhow!("random numbers: {e}"))?;
-    Ok(format!("{number:016x}"))
+    Ok(CommandId::new(Clock::System.wall(), number).to_string())
 }
--- a/src/clock/clock_source.rs
+++ b/src/clock/clock_source.rs
@@ -37,6 +37,17 @@
         }
     }
 
+    /// Returns the time of `CLOCK_MONOTONIC`, which stands still while the host is suspended.
+    pub fn monotonic(&self) -> Ms {
+        match self {
+            Self::System => {
+                let t = clock_gettime(ClockId::Monotonic);
+                Ms(t.tv_sec as u64 * 1000 + t.tv_nsec as u64 / 1_000_000)
+            }
+            Self::Manual(_) => self.now(),
+        }
+    }
+
     /// Moves a manual clock on by `span`. The system clock is not changed.
     pub fn advance(&self, span: Ms) {
         if let Self::Manual(now) = self {
--- /dev/null
+++ b/src/control/command_changes.rs
@@ -0,0 +1,178 @@
+use {
+    super::{answers::Known, ownership_changes::key_range, CommandId, Release, Revision, Session, State},
+    crate::{
+        clock::Ms,
+        control::RangeTable,
+        schema::Schema,
+        wire::control::{
+            command_answer, operator_command, CommandAnswer, Drain, MoveSpan, OperatorCommand, Refused,
+        },
+    },
+    prost::Message,
+    std::sync::Arc,
+};
+
+/// What an accepted command did to the configuration.
+enum Effect {
+    /// The configuration has changed.
+    Revised,
+    /// Only owners change.
+    Owners,
+}
+
+impl State {
+    /// Decides a command once: a resend gets the recorded answer.
+    pub(super) fn operator_command(
+        &mut self,
+        index: u64,
+        now_ms: u64,
+        command: &OperatorCommand,
+    ) -> CommandAnswer {
+        let id: CommandId = match command.command_id.parse() {
+            Ok(id) => id,
+            Err(e) => return refused_answer(&format!("{e}"), "command_id"),
+        };
+        match self.answers.look_up(&id) {
+            Known::Answered(answer) => return answer,
+            Known::TooOld => return refused_answer("the command is too old to be decided", "command_id"),
+            Known::New => {}
+        }
+        let answer = self.decide_command(index, command);
+        self.answers.record(id, answer.clone(), Ms(now_ms));
+        answer
+    }
+
+    fn decide_command(&mut self, index: u64, command: &OperatorCommand) -> CommandAnswer {
+        let base = command.base.as_ref().map(Revision::from_wire).unwrap_or_default();
+        if base != self.revision {
+            return answer(command_answer::Body::Conflict(self.revision.to_wire()));
+        }
+        let result = match &command.body {
+            Some(operator_command::Body::ApplySchema(json)) => self.apply_schema(json),
+            Some(operator_command::Body::Drain(drain)) => self.add_drain(drain),
+            Some(operator_command::Body::Undrain(drain)) => self.remove_drain(drain),
+            Some(operator_command::Body::Move(span)) => self.move_span(index, span),
+            None => Err(refused("the command is not known", "")),
+        };
+        match result {
+            Ok(effect) => {
+                if matches!(effect, Effect::Revised) {
+                    self.revision = self.revision.next(index, &command.encode_to_vec());
+                }
+                answer(command_answer::Body::Accepted(self.revision.to_wire()))
+            }
+            Err(refused) => answer(command_answer::Body::Refused(refused)),
+        }
+    }
+
+    /// Ranges of services that stay divided by key keep their owners; boundaries count for new ones only.
+    fn apply_schema(&mut self, json: &str) -> Result<Effect, Refused> {
+        let schema = Schema::from_json(json).map_err(|e| refused(&e.to_string(), ""))?;
+        if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
+            return Err(refused("the schema is for another cluster", "cluster"));
+        }
+        self.services
+            .retain(|t| schema.service(&t.service).is_some_and(|s| s.divided_by_key));
+        for service in schema.services.iter().filter(|s| s.divided_by_key) {
+            if self.table(&service.name).is_none() {
+                self.services
+                    .push(RangeTable::new(&service.name, &service.boundaries));
+                self.services.sort_by(|a, b| a.service.cmp(&b.service));
+            }
+            if let Some(table) = self.table_mut(&service.name) {
+                table.longest_deadline = table.longest_deadline.max(service.longest_deadline());
+            }
+        }
+        self.schema = Arc::new(schema);
+        self.schema_json = json.to_owned();
+        Ok(Effect::Revised)
+    }
+
+    fn add_drain(&mut self, drain: &Drain) -> Result<Effect, Refused> {
+        if self.session_of_host(&drain.host).is_none() {
+            return Err(refused("no such host has a session", "host"));
+        }
+        if !self.drains.contains(drain) {
+            self.drains.push(drain.clone());
+        }
+        Ok(Effect::Revised)
+    }
+
+    fn remove_drain(&mut self, drain: &Drain) -> Result<Effect, Refused> {
+        let count = self.drains.len();
+        self.drains.retain(|d| d != drain);
+        if self.drains.len() == count {
+            return Err(refused("this host or server is not being drained", "host"));
+        }
+        Ok(Effect::Revised)
+    }
+
+    /// Starts the planned moves of all keys of a span to one server.
+    fn move_span(&mut self, index: u64, wish: &MoveSpan) -> Result<Effect, Refused> {
+        let Some(table) = self.table(&wish.service) else {
+            return Err(refused("no such service is divided by key", "service"));
+        };
+        let span = key_range(&wish.start, wish.end.as_ref());
+        if span.is_empty() {
+            return Err(refused("the span holds no key", "end"));
+        }
+        if table.within(&span).any(|(_, range)| range.release.is_some()) {
+            return Err(refused("a part of the span is moving already", "start"));
+        }
+        let session = self
+            .session_of_host(&wish.to_host)
+            .ok_or_else(|| refused("no such host has a session", "to_host"))?;
+        let to_session = session.id;
+        let to_server = self
+            .move_target(session, table, wish)
+            .ok_or_else(|| refused("the host has no such server that takes ranges", "to_server"))?;
+        let Some(table) = self.table_mut(&wish.service) else {
+            return Err(refused("no such service is divided by key", "service"));
+        };
+        for position in table.carve(&span) {
+            let range = table.range_mut(position);
+            let is_there = |o: &super::Owner| o.session == to_session && o.server == to_server;
+            if !range.owner.as_ref().is_some_and(is_there) {
+                range.release = Some(Box::new(Release {
+                    index,
+                    to_session,
+                    to_server: to_server.clone(),
+                    reason: "an operator moves it".into(),
+                }));
+            }
+        }
+        Ok(Effect::Owners)
+    }
+
+    /// Returns the address of the named server, or of the one of the host with the fewest ranges.
+    fn move_target(&self, session: &Session, table: &RangeTable, wish: &MoveSpan) -> Option<String> {
+        let usable = session.servers.iter().filter(|server| {
+            let is_named = wish.to_server.is_empty() || wish.to_server == server.address;
+            server.service == wish.service && is_named && !self.is_drained(session, server)
+        });
+        let ranges = |address: &str| {
+            let owned = table.ranges().iter().filter(|range| {
+                let is_owner = |o: &super::Owner| o.session == session.id && o.server == address;
+                range.owner.as_ref().is_some_and(is_owner)
+            });
+            owned.count()
+        };
+        let target = usable.min_by_key(|server| ranges(&server.address))?;
+        Some(target.address.clone())
+    }
+}
+
+fn answer(body: command_answer::Body) -> CommandAnswer {
+    CommandAnswer { body: Some(body) }
+}
+
+fn refused_answer(reason: &str, field: &str) -> CommandAnswer {
+    answer(command_answer::Body::Refused(refused(reason, field)))
+}
+
+fn refused(reason: &str, field: &str) -> Refused {
+    Refused {
+        reason: reason.to_owned(),
+        field: field.to_owned(),
+    }
+}
--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -3,11 +3,11 @@
     crate::{
         clock::{Clock, Ms},
         event::Event,
-        lease::SessionViews,
+        lease::LeaderView,
         log_event, placement,
         settings::LeaseSettings,
         wire::{
-            control::{change, command_answer, Change, CommandAnswer, Committed, EndSession},
+            control::{change, command_answer, Change, CommandAnswer, Committed},
             peer::{
                 OpenSessionAnswer, OpenSessionRequest, Propose, ProposeAnswer, Renew, RenewAnswer,
                 StateAnswer, StateRequest, Watch, WatchAnswer,
@@ -87,7 +87,7 @@
     state: State,
     /// The latest committed changes, without gaps.
     history: Vec<Committed>,
-    views: SessionViews,
+    view: LeaderView,
     watches: Vec<WaitingWatch>,
     /// The image that daemons read in parts, with its index.
     image: Option<(u64, Vec<u8>)>,
@@ -103,7 +103,7 @@
             }
         }
         let now = config.clock.now();
-        let views = SessionViews::new(config.lease, state.sessions().iter().map(|s| s.id), now);
+        let view = LeaderView::new(config.lease, &state, now);
         let next_index = state.applied() + 1;
         log_event!(config.log, Event::ControlStarted; "applied" => state.applied());
         Self {
@@ -111,7 +111,7 @@
             file,
             state,
             history: records,
-            views,
+            view,
             watches: Vec::new(),
             image: None,
             next_index,
@@ -148,6 +148,7 @@
             ControlInput::Propose(req, tx) => self.propose(req, tx, batch),
             ControlInput::Watch(req, tx) => self.watch(&req, tx),
             ControlInput::State(req, tx) => drop(tx.send(self.state_part(&req))),
+            ControlInput::InForce(req, tx) => drop(tx.send(self.view.in_force(&self.state, req.index))),
             ControlInput::Stop => {}
         }
     }
@@ -165,17 +166,7 @@
     }
 
     fn renew(&mut self, req: &Renew) -> RenewAnswer {
-        let renewed = self.state.session(req.session).is_some();
-        if renewed {
-            self.views.renewed(req.session, self.config.clock.now());
-        }
-        RenewAnswer {
-            session: req.session,
-            sent_at_ms: req.sent_at_ms,
-            renewed,
-            leader: String::new(),
-            committed: self.state.applied(),
-        }
+        self.view.renew(&self.state, req, self.config.clock.now())
     }
 
     fn propose(
@@ -200,11 +191,7 @@
     }
 
     fn look_after_sessions(&mut self, batch: &mut Vec<(change::Body, Waiter)>) {
-        for session in self.views.expired(self.config.clock.now()) {
-            let end = EndSession {
-                session,
-                reason: "the lease ran out".into(),
-            };
+        for end in self.view.expired(self.config.clock.now()) {
             batch.push((change::Body::EndSession(end), Waiter::None));
         }
     }
@@ -212,7 +199,10 @@
     /// Gives ranges without an owner to servers.
     fn place(&mut self) -> Result<(), LogError> {
         let assignments = placement::assign_unowned(&self.state);
-        let batch = assignments
+        let allowed = self
+            .view
+            .allowed(&self.state, assignments, self.config.clock.now());
+        let batch = allowed
             .into_iter()
             .map(|a| (change::Body::AssignRange(a), Waiter::None));
         let batch = batch.collect();
@@ -254,15 +244,20 @@
             return;
         };
         let applied = self.state.apply(record.index, change);
+        self.view
+            .note(&self.state, record.index, &applied, self.config.clock.now());
         self.note(&applied, change);
         match (waiter, applied) {
             (Waiter::OpenSession(tx), Applied::SessionOpened(session)) => {
                 drop(tx.send(OpenSessionAnswer {
                     session,
-                    leader: String::new(),
+                    ..OpenSessionAnswer::default()
                 }));
             }
-            (Waiter::OpenSession(tx), _) => drop(tx.send(OpenSessionAnswer::default())),
+            (Waiter::OpenSession(tx), _) => drop(tx.send(OpenSessionAnswer {
+                holder: holder(&self.state, change),
+                ..OpenSessionAnswer::default()
+            })),
             (Waiter::Propose(tx), Applied::Command(command)) => {
                 drop(tx.send(ProposeAnswer {
                     index: record.index,
@@ -280,17 +275,15 @@
         }
     }
 
-    /// Logs what a change did and keeps the views of sessions in step.
-    fn note(&mut self, applied: &Applied, change: &Change) {
+    /// Logs what a change did.
+    fn note(&self, applied: &Applied, change: &Change) {
         let log = &self.config.log;
         match applied {
             Applied::SessionOpened(session) => {
-                self.views.renewed(*session, self.config.clock.now());
                 let host = self.state.session(*session).map_or("", |s| s.open.host.as_str());
                 log_event!(log, Event::ControlSessionOpened; "session" => session, "host" => host);
             }
             Applied::SessionEnded(session) => {
-                self.views.remove(*session);
                 log_event!(log, Event::ControlSessionEnded; "session" => session);
             }
             Applied::RangeAssigned { service, span, owner } => {
@@ -368,6 +361,15 @@
     }
 }
 
+/// Returns the peer address of the process that holds the session that `change` wanted to open.
+fn holder(state: &State, change: &Change) -> String {
+    let Some(change::Body::OpenSession(open)) = &change.body else {
+        return String::new();
+    };
+    let session = state.session_of_host(&open.host);
+    session.map(|s| s.open.peer_address.clone()).unwrap_or_default()
+}
+
 fn answer_word(answer: &CommandAnswer) -> &'static str {
     match &answer.body {
         Some(command_answer::Body::Accepted(_)) => "accepted",
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -1,7 +1,7 @@
 use {
     crate::wire::peer::{
-        OpenSessionAnswer, OpenSessionRequest, Propose, ProposeAnswer, Renew, RenewAnswer, StateAnswer,
-        StateRequest, Watch, WatchAnswer,
+        InForceAnswer, InForceRequest, OpenSessionAnswer, OpenSessionRequest, Propose, ProposeAnswer, Renew,
+        RenewAnswer, StateAnswer, StateRequest, Watch, WatchAnswer,
     },
     crossbeam_channel::{Sender, TrySendError},
     tokio::sync::oneshot,
@@ -20,6 +20,8 @@
     Watch(Watch, oneshot::Sender<WatchAnswer>),
     /// Asks for a part of the state.
     State(StateRequest, oneshot::Sender<StateAnswer>),
+    /// Asks which daemons lack a configuration.
+    InForce(InForceRequest, oneshot::Sender<InForceAnswer>),
     /// Ends the duty.
     Stop,
 }
--- a/src/control/range_table.rs
+++ b/src/control/range_table.rs
@@ -1,6 +1,6 @@
 use crate::{
+    clock::Ms,
     key::{Key, KeyRange},
-    wire::control as wire,
 };
 
 /// Who owns a range.
@@ -15,7 +15,26 @@
 }
 
 /// Planned move of a range that its owner is giving up.
-pub type Release = wire::ReleaseRange;
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Release {
+    /// Log index of the change that asked for it.
+    pub index: u64,
+    /// Session that the range goes to.
+    pub to_session: u64,
+    /// Address of the server that the range goes to.
+    pub to_server: String,
+    /// Why it moves.
+    pub reason: String,
+}
+
+/// A wait before the next owner of a range, since calls of the last one may still run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vacancy {
+    /// Log index of the change that left the range without an owner.
+    pub index: u64,
+    /// Time from that change to the next owner.
+    pub wait: Ms,
+}
 
 /// One range of a service. It ends where the next one starts.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,7 +44,9 @@
     /// Owner, if there is one now.
     pub owner: Option<Owner>,
     /// The planned move that is under way, if any.
-    pub release: Option<Release>,
+    pub release: Option<Box<Release>>,
+    /// The wait before the next owner, if one is needed.
+    pub vacancy: Option<Vacancy>,
 }
 
 /// All ranges of one service, sorted, without gap or overlap.
@@ -33,6 +54,9 @@
 pub struct RangeTable {
     /// Name of the service.
     pub service: String,
+    /// Longest deadline that calls of the service ever had. It never falls, since calls of an earlier
+    /// schema may still run.
+    pub longest_deadline: Ms,
     ranges: Vec<Range>,
 }
 
@@ -45,18 +69,17 @@
                 start,
                 owner: None,
                 release: None,
+                vacancy: None,
             })
             .collect();
-        Self {
-            service: service.to_owned(),
-            ranges,
-        }
+        Self::from_ranges(service, ranges)
     }
 
     /// Returns a table of these ranges, which are sorted and start at the lowest key.
     pub fn from_ranges(service: &str, ranges: Vec<Range>) -> Self {
         Self {
             service: service.to_owned(),
+            longest_deadline: Ms::ZERO,
             ranges,
         }
     }
@@ -107,17 +130,32 @@
         self.ranges.drain(positions.start + 1..positions.end);
     }
 
-    /// Takes all ranges of `session` from it and returns how many there were.
-    pub fn vacate_session(&mut self, session: u64) -> usize {
-        let mut count = 0;
+    /// Takes ranges from the owners for whom `vacancy` returns a wait, or that none is needed.
+    pub fn vacate(&mut self, vacancy: impl Fn(&Owner) -> Option<Option<Vacancy>>) {
         for range in &mut self.ranges {
-            if range.owner.as_ref().is_some_and(|owner| owner.session == session) {
+            if let Some(vacancy) = range.owner.as_ref().and_then(&vacancy) {
                 range.owner = None;
                 range.release = None;
-                count += 1;
+                range.vacancy = vacancy;
             }
         }
-        count
+    }
+
+    /// Cancels the planned moves to targets that are not `usable`.
+    pub fn cancel_releases(&mut self, usable: impl Fn(&Release) -> bool) {
+        for range in &mut self.ranges {
+            if range.release.as_ref().is_some_and(|release| !usable(release)) {
+                range.release = None;
+            }
+        }
+    }
+
+    /// Returns the ranges that share keys with `span`, with their positions.
+    pub fn within<'a>(&'a self, span: &'a KeyRange) -> impl Iterator<Item = (usize, &'a Range)> {
+        let first = self.position(&span.start);
+        let shares = |range: &Range| span.end.as_ref().is_none_or(|end| range.start < *end);
+        let ranges = self.ranges[first..].iter().take_while(move |range| shares(range));
+        ranges.enumerate().map(move |(i, range)| (first + i, range))
     }
 
     /// Makes sure that a range starts at `key` and returns its position.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,24 +1,15 @@
 use {
-    super::{Owner, RangeTable, Revision, Server, Session},
+    super::{answers::Answers, Owner, RangeTable, Revision, Server, Session, Vacancy},
     crate::{
-        clock::Ms,
-        key::{Key, KeyRange},
+        key::KeyRange,
         schema::Schema,
         wire::control::{
-            change, command_answer, operator_command, AnsweredCommand, AssignRange, Change, CommandAnswer,
-            Drain, EndSession, OpenSession, OperatorCommand, RangeReleased, Refused, ReleaseRange,
-            SetServers,
+            change, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession, SetServers,
         },
     },
-    prost::Message,
     std::sync::Arc,
 };
 
-/// Time that the answer to an operator's command is kept for resends.
-const ANSWER_RETENTION: Ms = Ms(24 * 3_600_000);
-/// Most answers to operators' commands that are kept.
-const ANSWERS_MAX: usize = 20_000;
-
 /// The replicated state. Every process that applies the same changes holds the same state.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct State {
@@ -28,7 +19,7 @@
     pub(super) schema_json: String,
     pub(super) sessions: Vec<Session>,
     pub(super) services: Vec<RangeTable>,
-    pub(super) answered: Vec<AnsweredCommand>,
+    pub(super) answers: Answers,
     pub(super) drains: Vec<Drain>,
 }
 
@@ -54,15 +45,15 @@
     ReleaseStarted {
         /// Name of the service.
         service: String,
-        /// First key of the span.
-        start: Key,
+        /// The keys.
+        span: KeyRange,
     },
     /// The owner of a span has given it up.
     RangeReleased {
         /// Name of the service.
         service: String,
-        /// First key of the span.
-        start: Key,
+        /// The keys.
+        span: KeyRange,
     },
     /// An operator's command was decided.
     Command(CommandAnswer),
@@ -131,10 +122,10 @@
         self.applied = index;
         match &change.body {
             Some(change::Body::OpenSession(open)) => self.open_session(index, open),
-            Some(change::Body::EndSession(end)) => self.end_session(end),
-            Some(change::Body::SetServers(set)) => self.set_servers(set),
+            Some(change::Body::EndSession(end)) => self.end_session(index, end),
+            Some(change::Body::SetServers(set)) => self.set_servers(index, set),
             Some(change::Body::AssignRange(assign)) => self.assign_range(index, assign),
-            Some(change::Body::ReleaseRange(release)) => self.release_range(release),
+            Some(change::Body::ReleaseRange(release)) => self.release_range(index, release),
             Some(change::Body::RangeReleased(released)) => self.range_released(released),
             Some(change::Body::OperatorCommand(command)) => {
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
@@ -143,10 +134,24 @@
         }
     }
 
-    /// A host has one session at most: the older one has to end first, after its lease.
+    /// Returns the waits of the ranges that an assignment covers.
+    pub fn vacancies_within(&self, assignment: &AssignRange) -> Vec<Vacancy> {
+        let Some(table) = self.table(&assignment.service) else {
+            return Vec::new();
+        };
+        let span = super::ownership_changes::key_range(&assignment.start, assignment.end.as_ref());
+        let found = table.within(&span).filter_map(|(_, range)| range.vacancy);
+        found.collect()
+    }
+
+    /// A host has one session at most: the older one has to end first, after its lease. The process that
+    /// holds it and lost the answer gets the same session again.
     fn open_session(&mut self, index: u64, open: &OpenSession) -> Applied {
-        if self.sessions.iter().any(|s| s.open.host == open.host) {
-            return Applied::Ignored("the host has a session");
+        if let Some(session) = self.session_of_host(&open.host) {
+            return match session.open.process == open.process {
+                true => Applied::SessionOpened(session.id),
+                false => Applied::Ignored("the host has a session"),
+            };
         }
         self.sessions.push(Session {
             id: index,
@@ -156,251 +161,47 @@
         Applied::SessionOpened(index)
     }
 
-    fn end_session(&mut self, end: &EndSession) -> Applied {
-        if !self.remove_session(end.session) {
-            return Applied::Ignored("the session has already ended");
-        }
-        Applied::SessionEnded(end.session)
+    /// Returns the live session of a host.
+    pub fn session_of_host(&self, host: &str) -> Option<&Session> {
+        self.sessions.iter().find(|s| s.open.host == host)
     }
 
-    fn remove_session(&mut self, id: u64) -> bool {
-        let Some(position) = self.session_position(id) else {
-            return false;
+    fn end_session(&mut self, index: u64, end: &EndSession) -> Applied {
+        let Some(position) = self.session_position(end.session) else {
+            return Applied::Ignored("the session has already ended");
         };
-        self.sessions.remove(position);
-        for table in &mut self.services {
-            table.vacate_session(id);
-        }
-        true
+        let session = self.sessions.remove(position);
+        self.vacate_session(index, &session, end.idle);
+        Applied::SessionEnded(end.session)
     }
 
-    fn set_servers(&mut self, set: &SetServers) -> Applied {
+    fn set_servers(&mut self, index: u64, set: &SetServers) -> Applied {
         let Some(position) = self.session_position(set.session) else {
             return Applied::Ignored("the session has ended");
         };
         let mut servers = set.servers.clone();
         servers.sort_by(|a, b| (&a.service, &a.address).cmp(&(&b.service, &b.address)));
-        let session = &mut self.sessions[position];
-        let before = std::mem::replace(&mut session.servers, servers);
-        let after = session.clone();
+        let before = std::mem::replace(&mut self.sessions[position].servers, servers);
         for old in &before {
-            let kept = after.server(&old.service, &old.address);
-            if kept.is_none_or(|s| s.incarnation != old.incarnation) {
-                self.vacate_server(set.session, old);
+            let kept = self.sessions[position].server(&old.service, &old.address);
+            let kept = kept.map(|s| s.incarnation == old.incarnation);
+            // Another process could only take the address after the old one had ended.
+            let ended = kept == Some(false) || set.ended.contains(&old.incarnation);
+            if kept != Some(true) {
+                self.vacate_server(index, set.session, old, ended);
             }
         }
         Applied::ServersSet(set.session)
     }
 
-    /// Takes all ranges from a server that is gone or was started anew.
-    fn vacate_server(&mut self, session: u64, server: &Server) {
-        let Some(table) = self.services.iter_mut().find(|t| t.service == server.service) else {
-            return;
-        };
-        for position in 0..table.ranges().len() {
-            let range = table.range_mut(position);
-            let owned = |o: &Owner| o.session == session && o.server == server.address;
-            if range.owner.as_ref().is_some_and(owned) {
-                range.owner = None;
-                range.release = None;
-            }
-        }
-    }
-
-    /// A span can only be given to a live server, and only while no part of it has an owner.
-    fn assign_range(&mut self, index: u64, assign: &AssignRange) -> Applied {
-        let server_lives = self
-            .session(assign.session)
-            .is_some_and(|s| s.server(&assign.service, &assign.server).is_some());
-        if !server_lives {
-            return Applied::Ignored("the server is gone");
-        }
-        let Some(table) = self.table_mut(&assign.service) else {
-            return Applied::Ignored("the service is gone");
-        };
-        let span = key_range(&assign.start, assign.end.as_ref());
-        if span.is_empty() || has_owner_within(table, &span) {
-            return Applied::Ignored("the span has an owner");
-        }
-        let owner = Owner {
-            session: assign.session,
-            server: assign.server.clone(),
-            epoch: index,
-        };
-        let positions = table.carve(&span);
-        table.join(positions.clone());
-        let range = table.range_mut(positions.start);
-        range.owner = Some(owner.clone());
-        range.release = None;
-        Applied::RangeAssigned {
-            service: assign.service.clone(),
-            span,
-            owner,
-        }
-    }
-
-    fn release_range(&mut self, release: &ReleaseRange) -> Applied {
-        let Some(table) = self.table_mut(&release.service) else {
-            return Applied::Ignored("the service is gone");
-        };
-        let span = key_range(&release.start, release.end.as_ref());
-        let position = table.position(&span.start);
-        let owned = table.ranges()[position]
-            .owner
-            .as_ref()
-            .is_some_and(|o| o.epoch == release.epoch);
-        let within = {
-            let whole = table.span(position);
-            let ends_within = match (&span.end, &whole.end) {
-                (_, None) => true,
-                (Some(end), Some(whole_end)) => end <= whole_end,
-                (None, Some(_)) => false,
-            };
-            whole.contains(&span.start) && ends_within
-        };
-        if span.is_empty() || !owned || !within {
-            return Applied::Ignored("the owner has changed");
-        }
-        let positions = table.carve(&span);
-        table.range_mut(positions.start).release = Some(release.clone());
-        Applied::ReleaseStarted {
-            service: release.service.clone(),
-            start: span.start,
-        }
-    }
-
-    fn range_released(&mut self, released: &RangeReleased) -> Applied {
-        let Some(table) = self.table_mut(&released.service) else {
-            return Applied::Ignored("the service is gone");
-        };
-        let start = Key::new(released.start.clone());
-        let position = table.position(&start);
-        let range = table.range_mut(position);
-        let owned = range.owner.as_ref().is_some_and(|o| o.epoch == released.epoch);
-        if range.start != start || !owned || range.release.is_none() {
-            return Applied::Ignored("the owner has changed");
-        }
-        range.owner = None;
-        Applied::RangeReleased {
-            service: released.service.clone(),
-            start,
-        }
-    }
-
-    /// Decides a command once: a resend gets the recorded answer.
-    fn operator_command(&mut self, index: u64, at_ms: u64, command: &OperatorCommand) -> CommandAnswer {
-        if let Some(known) = self.answered.iter().find(|a| a.command_id == command.command_id) {
-            return known.answer.clone().unwrap_or_default();
-        }
-        let answer = self.decide_command(index, command);
-        let oldest_kept = Ms(at_ms) - ANSWER_RETENTION;
-        self.answered.retain(|a| Ms(a.at_ms) >= oldest_kept);
-        if self.answered.len() == ANSWERS_MAX {
-            self.answered.remove(0);
-        }
-        self.answered.push(AnsweredCommand {
-            command_id: command.command_id.clone(),
-            answer: Some(answer.clone()),
-            at_ms,
-        });
-        answer
-    }
-
-    fn decide_command(&mut self, index: u64, command: &OperatorCommand) -> CommandAnswer {
-        let base = command.base.as_ref().map(Revision::from_wire).unwrap_or_default();
-        if base != self.revision {
-            return answer(command_answer::Body::Conflict(self.revision.to_wire()));
-        }
-        let result = match &command.body {
-            Some(operator_command::Body::ApplySchema(json)) => self.apply_schema(json),
-            Some(operator_command::Body::Drain(drain)) => self.add_drain(drain),
-            Some(operator_command::Body::Undrain(drain)) => self.remove_drain(drain),
-            Some(operator_command::Body::Move(_)) | None => Err(refused("the command is not known", "")),
-        };
-        match result {
-            Ok(()) => {
-                self.revision = self.revision.next(index, &command.encode_to_vec());
-                answer(command_answer::Body::Accepted(self.revision.to_wire()))
-            }
-            Err(refused) => answer(command_answer::Body::Refused(refused)),
-        }
-    }
-
-    /// Ranges of services that stay divided by key keep their owners; boundaries count for new ones only.
-    fn apply_schema(&mut self, json: &str) -> Result<(), Refused> {
-        let schema = Schema::from_json(json).map_err(|e| refused(&e.to_string(), ""))?;
-        if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
-            return Err(refused("the schema is for another cluster", "cluster"));
-        }
-        self.services
-            .retain(|t| schema.service(&t.service).is_some_and(|s| s.divided_by_key));
-        for service in schema.services.iter().filter(|s| s.divided_by_key) {
-            if self.table(&service.name).is_none() {
-                self.services
-                    .push(RangeTable::new(&service.name, &service.boundaries));
-                self.services.sort_by(|a, b| a.service.cmp(&b.service));
-            }
-        }
-        self.schema = Arc::new(schema);
-        self.schema_json = json.to_owned();
-        Ok(())
-    }
-
-    fn add_drain(&mut self, drain: &Drain) -> Result<(), Refused> {
-        if !self.sessions.iter().any(|s| s.open.host == drain.host) {
-            return Err(refused("no such host has a session", "host"));
-        }
-        if !self.drains.contains(drain) {
-            self.drains.push(drain.clone());
-        }
-        Ok(())
-    }
-
-    fn remove_drain(&mut self, drain: &Drain) -> Result<(), Refused> {
-        let count = self.drains.len();
-        self.drains.retain(|d| d != drain);
-        if self.drains.len() == count {
-            return Err(refused("this host or server is not being drained", "host"));
-        }
-        Ok(())
-    }
-
-    fn session_position(&self, id: u64) -> Option<usize> {
+    pub(super) fn session_position(&self, id: u64) -> Option<usize> {
         self.sessions.binary_search_by_key(&id, |s| s.id).ok()
     }
 
-    fn table_mut(&mut self, service: &str) -> Option<&mut RangeTable> {
+    pub(super) fn table_mut(&mut self, service: &str) -> Option<&mut RangeTable> {
         let found = self
             .services
             .binary_search_by(|t| t.service.as_str().cmp(service));
         found.ok().map(|i| &mut self.services[i])
     }
 }
-
-/// Returns the span between `start` and `end`.
-fn key_range(start: &bytes::Bytes, end: Option<&bytes::Bytes>) -> KeyRange {
-    KeyRange {
-        start: Key::new(start.clone()),
-        end: end.map(|e| Key::new(e.clone())),
-    }
-}
-
-/// Tells if any range that shares keys with `span` has an owner.
-fn has_owner_within(table: &RangeTable, span: &KeyRange) -> bool {
-    let first = table.position(&span.start);
-    let shared = table.ranges()[first..]
-        .iter()
-        .take_while(|r| span.end.as_ref().is_none_or(|end| r.start < *end));
-    shared.into_iter().any(|r| r.owner.is_some())
-}
-
-fn answer(body: command_answer::Body) -> CommandAnswer {
-    CommandAnswer { body: Some(body) }
-}
-
-fn refused(reason: &str, field: &str) -> Refused {
-    Refused {
-        reason: reason.to_owned(),
-        field: field.to_owned(),
-    }
-}
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,9 +1,12 @@
 use {
-    super::{Owner, Range, RangeTable, Revision, Session, State},
+    super::{answers::Answers, Owner, Range, RangeTable, Release, Revision, Session, State, Vacancy},
     crate::{
+        clock::Ms,
         key::Key,
         schema::Schema,
-        wire::control::{OwnerImage, RangeImage, ServiceImage, SessionImage, StateImage},
+        wire::control::{
+            OwnerImage, RangeImage, ReleaseImage, ServiceImage, SessionImage, StateImage, VacancyImage,
+        },
     },
     prost::Message,
     std::sync::Arc,
@@ -20,6 +23,7 @@
         let services = self.services.iter().map(|t| ServiceImage {
             name: t.service.clone(),
             ranges: t.ranges().iter().map(range_image).collect(),
+            longest_deadline_ms: t.longest_deadline.0,
         });
         let image = StateImage {
             applied: self.applied,
@@ -27,7 +31,8 @@
             schema: self.schema_json.clone(),
             sessions: sessions.collect(),
             services: services.collect(),
-            answered: self.answered.clone(),
+            answered: self.answers.records(),
+            answers_horizon_ms: self.answers.horizon().0,
             drains: self.drains.clone(),
         };
         image.encode_to_vec()
@@ -50,7 +55,9 @@
         }
         let tables = image.services.into_iter().map(|service| {
             let ranges = service.ranges.into_iter().map(range_from_image).collect();
-            RangeTable::from_ranges(&service.name, ranges)
+            let mut table = RangeTable::from_ranges(&service.name, ranges);
+            table.longest_deadline = Ms(service.longest_deadline_ms);
+            table
         });
         Some(Self {
             applied: image.applied,
@@ -63,7 +70,7 @@
             schema_json: image.schema,
             sessions,
             services: tables.collect(),
-            answered: image.answered,
+            answers: Answers::from_records(image.answered, Ms(image.answers_horizon_ms)),
             drains: image.drains,
         })
     }
@@ -75,10 +82,21 @@
         server: o.server.clone(),
         epoch: o.epoch,
     });
+    let release = range.release.as_deref().map(|r| ReleaseImage {
+        index: r.index,
+        to_session: r.to_session,
+        to_server: r.to_server.clone(),
+        reason: r.reason.clone(),
+    });
+    let vacancy = range.vacancy.map(|v| VacancyImage {
+        index: v.index,
+        wait_ms: v.wait.0,
+    });
     RangeImage {
         start: range.start.to_bytes(),
         owner,
-        release: range.release.clone(),
+        release,
+        vacancy,
     }
 }
 
@@ -88,9 +106,20 @@
         server: o.server,
         epoch: o.epoch,
     });
+    let release = image.release.map(|r| Release {
+        index: r.index,
+        to_session: r.to_session,
+        to_server: r.to_server,
+        reason: r.reason,
+    });
+    let vacancy = image.vacancy.map(|v| Vacancy {
+        index: v.index,
+        wait: Ms(v.wait_ms),
+    });
     Range {
         start: Key::new(image.start),
         owner,
-        release: image.release,
+        release: release.map(Box::new),
+        vacancy,
     }
 }
--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -1,12 +1,9 @@
 use {
-    super::{
-        local_server::{Grant, LocalServer},
-        node::Node,
-    },
+    super::{local_server::LocalServer, node::Node},
     crate::{
-        control::{Owner, State},
         edge::{Order, OrderError},
         event::Event,
+        grant::{self, GrantAction, Touched},
         key::KeyRange,
         log_event,
         wire::control::{change, RangeReleased},
@@ -18,145 +15,160 @@
     },
 };
 
-/// Longest time until the grants are compared with the state again.
-const RECONCILE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time until what failed is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two looks at the calls that still run in a range that moves.
 const BUSY_PAUSE: Duration = Duration::from_millis(2);
-
-/// A range that a local server should own, as the state has it.
-struct Wanted {
-    span: KeyRange,
-    owner: Owner,
-    released: bool,
-}
+/// Longest time for the servers to confirm their revokes while the daemon stops.
+const STOP_MAX: Duration = Duration::from_secs(2);
 
 impl Node {
-    /// Keeps what the local servers own in step with the state.
+    /// Keeps what the local servers own in step with the state. Only what has changed is looked at.
     pub async fn keep_grants(self: Rc<Self>) {
         loop {
+            let touched = self.touched.take();
             let servers = self.servers.borrow().clone();
+            let mut waits_for_calls = false;
             for server in &servers {
-                self.reconcile(server).await;
+                self.align(server, &touched);
+                self.act(server);
+                waits_for_calls |= !server.grants.borrow().releases().is_empty();
+            }
+            let held: usize = servers.iter().map(|s| s.grants.borrow().held()).sum();
+            self.metrics.ranges(held as u64);
+            let pause = if waits_for_calls { BUSY_PAUSE } else { RETRY_PAUSE };
+            if self.touched.borrow().is_empty() {
+                let _ = timeout(pause, self.grants_changed.notified()).await;
             }
-            let granted: usize = servers.iter().map(|s| s.grants.borrow().len()).sum();
-            self.metrics.ranges(granted as u64);
-            let _ = timeout(RECONCILE_PAUSE, self.state_changed.notified()).await;
         }
     }
 
-    /// Forgets all grants after the end of a session and tells the servers to stop owning.
-    pub fn forget_grants(&self) {
+    /// Wants nothing of the local servers any more, after the end of a session.
+    pub fn drop_grants(&self) {
         for server in self.servers.borrow().iter() {
-            for grant in server.grants.take() {
-                self.revoke_later(server.clone(), grant);
-            }
+            server.grants.borrow_mut().drop_all();
         }
+        self.grants_changed.notify_one();
     }
 
-    async fn reconcile(self: &Rc<Self>, server: &Rc<LocalServer>) {
-        let wanted = wanted(&self.state(), self.session.get(), server);
-        let mut surplus = Vec::new();
-        server.grants.borrow_mut().retain(|grant| {
-            let kept = wanted.iter().any(|w| w.owner.epoch == grant.epoch);
-            if !kept {
-                surplus.push(grant.clone());
+    /// Takes all grants back. True: the servers confirmed it, so that none of their calls runs any more.
+    pub async fn give_up_grants(self: &Rc<Self>) -> bool {
+        self.drop_grants();
+        let settled = async {
+            while self
+                .servers
+                .borrow()
+                .iter()
+                .any(|s| !s.grants.borrow().is_empty())
+            {
+                sleep(BUSY_PAUSE).await;
             }
-            kept
-        });
-        for grant in surplus {
-            self.revoke_later(server.clone(), grant);
+        };
+        let settled = timeout(STOP_MAX, settled).await.is_ok();
+        let failed = self.servers.borrow().iter().any(|s| s.revoke_failed.get());
+        settled && !failed && self.lost_servers.borrow().is_empty()
+    }
+
+    fn align(&self, server: &LocalServer, touched: &Touched) {
+        let state = self.state();
+        let service = &server.announced.service;
+        let address = &server.announced.address;
+        let session = self.session.get();
+        let mut book = server.grants.borrow_mut();
+        if touched.all {
+            let wanted = grant::all_wanted(&state, service, session, address);
+            book.align(&KeyRange::default(), &wanted);
+            return;
         }
-        for range in wanted {
-            if range.released {
-                self.release(server, range);
-            } else if !server.holds(&range.span, range.owner.epoch) {
-                self.grant(server, range).await;
+        let (Some(session), Some(table)) = (session, state.table(service)) else {
+            return;
+        };
+        let of_service = touched.spans.iter().filter(|(name, _)| name == service);
+        let mut spans: Vec<KeyRange> = of_service.map(|(_, span)| span.clone()).collect();
+        if touched.releases {
+            spans.extend(book.releases());
+        }
+        for span in spans {
+            let wanted = grant::wanted_of(table, &span, session, address);
+            book.align(&span, &wanted);
+        }
+    }
+
+    /// Starts what is to be done about the grants of a server.
+    fn act(self: &Rc<Self>, server: &Rc<LocalServer>) {
+        let mut book = server.grants.borrow_mut();
+        book.forget_dropped(server.orders.leases_end_at(), self.clock.now());
+        for action in book.next_actions(|span| server.is_busy_in(span)) {
+            spawn_local(self.clone().carry_out(server.clone(), action));
+        }
+    }
+
+    async fn carry_out(self: Rc<Self>, server: Rc<LocalServer>, action: GrantAction) {
+        let confirmed = match &action {
+            GrantAction::Grant { span, epoch } => self.grant(&server, span, *epoch).await,
+            GrantAction::Revoke { span, epoch } => self.revoke(&server, span, *epoch).await,
+            GrantAction::Report { span, epoch, release } => {
+                let released = RangeReleased {
+                    service: server.announced.service.clone(),
+                    start: span.start.to_bytes(),
+                    epoch: *epoch,
+                    release: *release,
+                };
+                let answer = self.propose(change::Body::RangeReleased(released)).await;
+                answer.is_some()
             }
+        };
+        server.grants.borrow_mut().done(&action, confirmed);
+        if confirmed {
+            self.grants_changed.notify_one();
+            self.state_changed.notify_waiters();
         }
     }
 
-    async fn grant(&self, server: &Rc<LocalServer>, range: Wanted) {
-        let service = server.announced.service.clone();
-        let lease = self.lease.left(self.clock.now());
-        let epoch = range.owner.epoch;
+    async fn grant(&self, server: &Rc<LocalServer>, span: &KeyRange, epoch: u64) -> bool {
+        let service = &server.announced.service;
         let order = Order::Grant {
             service: service.clone(),
-            span: range.span.clone(),
+            span: span.clone(),
             epoch,
-            lease,
         };
         match server.orders.give(order).await {
             Ok(()) => {
                 log_event!(
                     self.log, Event::RangeGranted;
-                    "service" => service, "range" => range.span.to_string(), "epoch" => epoch,
+                    "service" => service, "range" => span.to_string(), "epoch" => epoch,
                     "server" => &server.announced.address
                 );
-                server.grants.borrow_mut().push(Grant {
-                    span: range.span,
-                    epoch,
-                });
-            }
-            Err(e) => self.order_failed(server, &e),
-        }
-    }
-
-    /// Gives up a range of a planned move: waits for what runs, revokes, and reports it.
-    fn release(self: &Rc<Self>, server: &Rc<LocalServer>, range: Wanted) {
-        if !server.holds(&range.span, range.owner.epoch)
-            || !server.start_release(&range.span, range.owner.epoch)
-        {
-            return;
-        }
-        let (node, server) = (self.clone(), server.clone());
-        spawn_local(async move {
-            while server.is_busy_in(&range.span) {
-                sleep(BUSY_PAUSE).await;
+                true
             }
-            let service = server.announced.service.clone();
-            let epoch = range.owner.epoch;
-            let order = Order::Revoke {
-                service: service.clone(),
-                span: range.span.clone(),
-                epoch,
-            };
-            match server.orders.give(order).await {
-                Ok(()) => {
-                    log_event!(
-                        node.log, Event::RangeRevoked;
-                        "service" => &service, "range" => range.span.to_string(), "epoch" => epoch
-                    );
-                    let start = range.span.start.to_bytes();
-                    node.propose(change::Body::RangeReleased(RangeReleased {
-                        service,
-                        start,
-                        epoch,
-                    }))
-                    .await;
-                }
-                Err(e) => node.order_failed(&server, &e),
+            Err(e) => {
+                self.order_failed(server, &e);
+                false
             }
-            server.end_release(&range.span, epoch);
-        });
+        }
     }
 
-    fn revoke_later(&self, server: Rc<LocalServer>, grant: Grant) {
-        let log = self.log.clone();
-        spawn_local(async move {
-            let service = server.announced.service.clone();
-            let range = grant.span.to_string();
-            let order = Order::Revoke {
-                service: service.clone(),
-                span: grant.span,
-                epoch: grant.epoch,
-            };
-            if server.orders.give(order).await.is_ok() {
+    async fn revoke(&self, server: &Rc<LocalServer>, span: &KeyRange, epoch: u64) -> bool {
+        let service = &server.announced.service;
+        let order = Order::Revoke {
+            service: service.clone(),
+            span: span.clone(),
+            epoch,
+        };
+        match server.orders.give(order).await {
+            Ok(()) => {
                 log_event!(
-                    log, Event::RangeRevoked;
-                    "service" => service, "range" => range, "epoch" => grant.epoch
+                    self.log, Event::RangeRevoked;
+                    "service" => service, "range" => span.to_string(), "epoch" => epoch
                 );
+                true
+            }
+            Err(e) => {
+                server.revoke_failed.set(true);
+                self.order_failed(server, &e);
+                false
             }
-        });
+        }
     }
 
     fn order_failed(&self, server: &Rc<LocalServer>, error: &OrderError) {
@@ -165,8 +177,10 @@
             "service" => &server.announced.service, "server" => &server.announced.address,
             "error" => error.to_string()
         );
-        if *error == OrderError::ServerGone {
-            self.remove_server(server, "its address refuses connections");
+        match error {
+            OrderError::ServerGone => self.remove_server(server, "its address refuses connections"),
+            OrderError::Silent => self.remove_silent_server(server, "it does not answer orders"),
+            OrderError::NoLease | OrderError::Refused(_) | OrderError::Failed(_) => {}
         }
     }
 
@@ -174,40 +188,29 @@
     pub async fn extend_leases(self: Rc<Self>) {
         loop {
             sleep(self.settings.lease.renew.as_duration()).await;
-            let lease = self.lease.left(self.clock.now());
-            if lease.0 == 0 {
-                continue;
-            }
             let servers = self.servers.borrow().clone();
             for server in servers {
-                if !server.grants.borrow().is_empty() && !server.lease_order_waits.replace(true) {
-                    spawn_local(async move {
-                        let _ = server.orders.give(Order::Lease { lease }).await;
-                        server.lease_order_waits.set(false);
-                    });
+                let may_extend = server.grants.borrow().may_extend();
+                if may_extend && !server.lease_order_waits.replace(true) {
+                    spawn_local(self.clone().extend(server));
                 }
             }
         }
     }
-}
 
-/// Returns the ranges that `server` should own.
-fn wanted(state: &State, session: Option<u64>, server: &LocalServer) -> Vec<Wanted> {
-    let mut wanted = Vec::new();
-    let (Some(session), Some(table)) = (session, state.table(&server.announced.service)) else {
-        return wanted;
-    };
-    for (position, range) in table.ranges().iter().enumerate() {
-        let Some(owner) = &range.owner else {
-            continue;
-        };
-        if owner.session == session && owner.server == server.announced.address {
-            wanted.push(Wanted {
-                span: table.span(position),
-                owner: owner.clone(),
-                released: range.release.is_some(),
-            });
+    async fn extend(self: Rc<Self>, server: Rc<LocalServer>) {
+        match server.orders.give(Order::Lease).await {
+            Ok(()) | Err(OrderError::NoLease) => {}
+            Err(OrderError::Refused(_)) => {
+                log_event!(
+                    self.log, Event::GrantsLost;
+                    "service" => &server.announced.service, "server" => &server.announced.address
+                );
+                server.grants.borrow_mut().lost_all();
+                self.grants_changed.notify_one();
+            }
+            Err(e) => self.order_failed(&server, &e),
         }
+        server.lease_order_waits.set(false);
     }
-    wanted
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,14 +1,15 @@
 use {
-    super::local_server::LocalServer,
+    super::local_server::{LocalServer, LostServer},
     crate::{
         clock::Clock,
         control::{ControlHandle, Server, State},
+        grant::Touched,
         lease::DaemonLease,
         link::{KeyRing, LinkError, Links},
         metrics::Metrics,
         settings::Settings,
         wire::{
-            control::{change, Change},
+            control::{change, Change, Committed},
             peer::{frame::Body, Propose, ProposeAnswer},
         },
     },
@@ -42,7 +43,15 @@
     pub state: RefCell<Rc<State>>,
     /// Woken whenever the state has changed.
     pub state_changed: Notify,
+    /// What changed in the state since the grants were compared with it.
+    pub touched: RefCell<Touched>,
+    /// Woken whenever grants may have something to do.
+    pub grants_changed: Notify,
+    /// Woken when the session is to be renewed at once.
+    pub renew_now: Notify,
     pub servers: RefCell<Vec<Rc<LocalServer>>>,
+    /// Servers that are gone from here, but not yet from the replicated state.
+    pub lost_servers: RefCell<Vec<LostServer>>,
     /// Woken whenever the list of local servers has changed.
     pub servers_changed: Notify,
     /// Peer address of the control host that answered last.
@@ -87,7 +96,11 @@
             session: Cell::new(None),
             state: RefCell::default(),
             state_changed: Notify::new(),
+            touched: RefCell::default(),
+            grants_changed: Notify::new(),
+            renew_now: Notify::new(),
             servers: RefCell::default(),
+            lost_servers: RefCell::default(),
             servers_changed: Notify::new(),
             leader: RefCell::new(leader),
             stopping: Cell::new(false),
@@ -105,6 +118,31 @@
     /// Replaces the state and wakes those who wait for a change.
     pub fn set_state(&self, state: State) {
         *self.state.borrow_mut() = Rc::new(state);
+        self.touch(Touched::everything());
+    }
+
+    /// Applies committed changes in order and wakes those who wait for a change. The state is copied only
+    /// if someone still holds the present one.
+    pub fn apply_changes(&self, changes: &[Committed]) {
+        let mut touched = Touched::default();
+        {
+            let mut held = self.state.borrow_mut();
+            let state = Rc::make_mut(&mut held);
+            for committed in changes {
+                let follows = committed.index == state.applied() + 1;
+                if let (true, Some(change)) = (follows, &committed.change) {
+                    let applied = state.apply(committed.index, change);
+                    touched.note(&applied, self.session.get());
+                }
+            }
+        }
+        self.touch(touched);
+    }
+
+    /// Has the grants compared with what changed.
+    pub fn touch(&self, touched: Touched) {
+        self.touched.borrow_mut().merge(touched);
+        self.grants_changed.notify_one();
         self.state_changed.notify_waiters();
     }
 
@@ -124,16 +162,30 @@
         found.cloned()
     }
 
-    /// Returns what the local servers announced.
+    /// Returns what the local servers announced, with those that may still own ranges though they are gone.
     pub fn announced(&self) -> Vec<Server> {
+        let now = self.clock.now();
         let servers = self.servers.borrow();
-        servers
+        let lost = self.lost_servers.borrow();
+        let live = servers.iter().map(|s| Server {
+            leaving: s.leaving.get(),
+            ..s.announced.clone()
+        });
+        let held = lost
             .iter()
-            .map(|s| Server {
-                leaving: s.leaving.get(),
-                ..s.announced.clone()
-            })
-            .collect()
+            .filter(|lost| !lost.ended && now < lost.leases_end_at)
+            .map(|lost| Server {
+                leaving: true,
+                ..lost.announced.clone()
+            });
+        live.chain(held).collect()
+    }
+
+    /// Returns the incarnations of the servers that have certainly ended and are still to be published.
+    pub fn ended_servers(&self) -> Vec<String> {
+        let lost = self.lost_servers.borrow();
+        let ended = lost.iter().filter(|lost| lost.ended);
+        ended.map(|lost| lost.announced.incarnation.clone()).collect()
     }
 
     /// Sends a request to the control host that answered last, and turns to the next one after a failure.
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -3,7 +3,10 @@
     crate::{
         control::Revision,
         edge::{self, HttpFault, HttpRequest, HttpResponse},
-        wire::control::{change, command_answer, CommandAnswer},
+        wire::{
+            control::{change, command_answer, CommandAnswer},
+            peer::{frame::Body, InForceRequest},
+        },
     },
     http::{header, StatusCode},
     serde_json::{json, Value},
@@ -33,6 +36,9 @@
         match (request.method.as_str(), name) {
             ("GET", "show") => edge::json_response(StatusCode::OK, &self.show()),
             ("GET", "status") => edge::json_response(StatusCode::OK, &self.status()),
+            ("GET", "in-force") => {
+                edge::json_response(StatusCode::OK, &self.in_force(request.uri.query()).await)
+            }
             ("POST", name) => self.command(name, &request.body).await,
             _ => edge::plain_response(StatusCode::NOT_FOUND, "no such operation"),
         }
@@ -58,6 +64,25 @@
         json!({ "revision": state.revision().to_string(), "schema": schema })
     }
 
+    /// Tells whether every live session has the revision in `query`, or else the one of this daemon.
+    async fn in_force(&self, query: Option<&str>) -> Value {
+        let given = query.and_then(|q| q.strip_prefix("revision="));
+        let revision = given.and_then(|text| text.parse().ok());
+        let revision: Revision = revision.unwrap_or_else(|| self.state().revision());
+        let request = InForceRequest {
+            index: revision.index,
+        };
+        let behind = match self.ask_control(Body::InForce(request)).await {
+            Ok(Body::InForceAnswer(answer)) => {
+                self.follow_leader(&answer.leader);
+                answer.known.then_some(answer.behind)
+            }
+            Ok(_) | Err(_) => None,
+        };
+        let in_force = behind.as_ref().is_some_and(Vec::is_empty);
+        json!({ "revision": revision.to_string(), "in_force": in_force, "behind": behind })
+    }
+
     fn status(&self) -> Value {
         let state = self.state();
         let sessions: Vec<Value> = state
--- a/src/daemon/peer_handler.rs
+++ b/src/daemon/peer_handler.rs
@@ -35,6 +35,10 @@
                 .pass_to_control(|tx| ControlInput::State(req, tx))
                 .await
                 .map(Body::StateAnswer),
+            Body::InForce(req) => self
+                .pass_to_control(|tx| ControlInput::InForce(req, tx))
+                .await
+                .map(Body::InForceAnswer),
             _ => None,
         }
     }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -121,6 +121,7 @@
         move |request| for_operators.clone().serve_operator(request),
     ));
     spawn_local(node.clone().hold_session());
+    spawn_local(node.clone().watch_clock());
     spawn_local(node.clone().publish_servers());
     spawn_local(node.clone().watch_state());
     spawn_local(node.clone().keep_grants());
@@ -152,11 +153,14 @@
     while node.running.get() > 0 {
         sleep(STOP_PAUSE).await;
     }
-    node.lease.void();
-    if let Some(session) = node.session.get() {
+    node.lease.void(node.clock.now());
+    let session = node.session.take();
+    let idle = node.give_up_grants().await;
+    if let Some(session) = session {
         let end = EndSession {
             session,
             reason: "the daemon stops".into(),
+            idle,
         };
         node.propose(change::Body::EndSession(end)).await;
     }
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -1,10 +1,14 @@
 use {
-    super::{local_server::LocalServer, node::Node},
+    super::{
+        local_server::{LocalServer, LostServer},
+        node::Node,
+    },
     crate::{
         clock::Ms,
         control::Server,
         edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerOrders},
         event::Event,
+        grant::Touched,
         log_event,
     },
     http::StatusCode,
@@ -60,7 +64,8 @@
                 known.last_announce.set(now);
                 return Ok(());
             }
-            self.remove_server(&known, "it was started anew");
+            let ended = known.announced.incarnation != announced.incarnation;
+            self.forget_server(&known, "it was started anew", ended);
         }
         let client = ServerClient::start(
             &announced.address,
@@ -71,12 +76,13 @@
         );
         let server = LocalServer {
             client: client.map_err(|e| e.to_string())?,
-            orders: ServerOrders::start(&announced.address).map_err(|e| e.to_string())?,
+            orders: ServerOrders::start(&announced.address, self.clock.clone(), self.lease.clone())
+                .map_err(|e| e.to_string())?,
             last_announce: Cell::new(now),
             leaving: Cell::new(false),
             grants: RefCell::default(),
+            revoke_failed: Cell::new(false),
             running: RefCell::default(),
-            releases: RefCell::default(),
             lease_order_waits: Cell::default(),
             announced,
         };
@@ -85,8 +91,13 @@
             "service" => &server.announced.service, "server" => &server.announced.address,
             "incarnation" => &server.announced.incarnation, "slots" => server.announced.slots
         );
+        // A server that came back before its removal was published goes on where it was.
+        self.lost_servers
+            .borrow_mut()
+            .retain(|lost| lost.announced.incarnation != server.announced.incarnation);
         self.servers.borrow_mut().push(Rc::new(server));
         self.servers_changed.notify_one();
+        self.touch(Touched::everything());
         Ok(())
     }
 
@@ -100,19 +111,35 @@
         }
     }
 
-    /// Forgets a local server that is lost.
+    /// Forgets a local server at whose address nothing listens. It has ended if none of its calls runs.
     pub fn remove_server(&self, lost: &Rc<LocalServer>, reason: &str) {
+        let ended = lost.running.borrow().is_empty();
+        self.forget_server(lost, reason, ended);
+    }
+
+    /// Forgets a local server that does not answer. Its ranges stay with it until its leases have ended.
+    pub fn remove_silent_server(&self, lost: &Rc<LocalServer>, reason: &str) {
+        self.forget_server(lost, reason, false);
+    }
+
+    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, ended: bool) {
         let count = self.servers.borrow().len();
         self.servers
             .borrow_mut()
             .retain(|server| !Rc::ptr_eq(server, lost));
-        if self.servers.borrow().len() < count {
-            log_event!(
-                self.log, Event::ServerLost;
-                "service" => &lost.announced.service, "server" => &lost.announced.address, "reason" => reason
-            );
-            self.servers_changed.notify_one();
+        if self.servers.borrow().len() == count {
+            return;
         }
+        log_event!(
+            self.log, Event::ServerLost;
+            "service" => &lost.announced.service, "server" => &lost.announced.address, "reason" => reason
+        );
+        self.lost_servers.borrow_mut().push(LostServer {
+            announced: lost.announced.clone(),
+            ended,
+            leases_end_at: lost.orders.leases_end_at(),
+        });
+        self.servers_changed.notify_one();
     }
 
     /// Removes servers that stopped announcing themselves.
@@ -123,7 +150,7 @@
             let servers = self.servers.borrow().clone();
             for server in servers {
                 if server.last_announce.get() + ANNOUNCE_MAX_AGE < now {
-                    self.remove_server(&server, "it stopped announcing itself");
+                    self.remove_silent_server(&server, "it stopped announcing itself");
                 }
             }
         }
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -2,7 +2,10 @@
     super::node::Node,
     crate::{
         clock::Ms,
+        control::Server,
         event::Event,
+        grant::Touched,
+        lease::{ClockVerdict, SleepDetector},
         log_event,
         wire::{
             control::{change, OpenSession, SetServers},
@@ -15,8 +18,10 @@
 
 /// Pause after a failed try to open a session.
 const OPEN_PAUSE: Duration = Duration::from_millis(50);
-/// Longest time until the list of servers is sent again after a failure.
-const SERVERS_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time until the list of servers is sent again after a failure, or while a lost one is held.
+const SERVERS_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two looks at the clocks.
+const CLOCK_PAUSE: Ms = Ms(10);
 
 impl Node {
     /// Holds a session open: opens it, renews it, and opens the next one after its end.
@@ -29,12 +34,13 @@
             log_event!(self.log, Event::SessionOpened; "session" => session);
             self.session.set(Some(session));
             self.servers_changed.notify_one();
+            self.touch(Touched::everything());
             self.renew_until_end(session).await;
             self.session.set(None);
-            self.lease.void();
+            self.lease.void(self.clock.now());
             self.metrics.lease(false);
             log_event!(self.log, Event::SessionEnded; "session" => session);
-            self.forget_grants();
+            self.drop_grants();
         }
     }
 
@@ -52,6 +58,9 @@
         {
             Ok(Body::OpenSessionAnswer(answer)) => {
                 self.follow_leader(&answer.leader);
+                if !answer.holder.is_empty() {
+                    log_event!(self.log, Event::SessionRefused; "host" => &self.settings.host, "holder" => answer.holder);
+                }
                 (answer.session != 0).then_some(answer.session)
             }
             Ok(_) | Err(_) => None,
@@ -64,8 +73,12 @@
         while !self.stopping.get() || self.running.get() > 0 {
             let sent_at = self.clock.now();
             match self.renew(session, sent_at).await {
-                Some(true) => self.lease.renewed(sent_at, &self.settings.lease),
-                Some(false) => return,
+                Some(Renewal::Renewed) => self.lease.renewed(sent_at, &self.settings.lease),
+                Some(Renewal::Lagging) => {
+                    let applied = self.state().applied();
+                    log_event!(self.log, Event::ConfigurationLags; "session" => session, "applied" => applied);
+                }
+                Some(Renewal::Ended) => return,
                 None => {}
             }
             let holds = self.lease.is_valid(self.clock.now());
@@ -75,13 +88,14 @@
             held = holds;
             self.metrics.lease(holds);
             let spent = self.clock.now() - sent_at;
-            sleep((self.settings.lease.renew - spent).as_duration()).await;
+            let pause = (self.settings.lease.renew - spent).as_duration();
+            let _ = timeout(pause, self.renew_now.notified()).await;
         }
         std::future::pending::<()>().await;
     }
 
     /// Renews the session once. `None`: no answer.
-    async fn renew(&self, session: u64, sent_at: Ms) -> Option<bool> {
+    async fn renew(&self, session: u64, sent_at: Ms) -> Option<Renewal> {
         let renew = Renew {
             session,
             sent_at_ms: sent_at.0,
@@ -91,31 +105,75 @@
         match self.ask_control(Body::Renew(renew)).await {
             Ok(Body::RenewAnswer(answer)) if answer.sent_at_ms == sent_at.0 && answer.session == session => {
                 self.follow_leader(&answer.leader);
-                Some(answer.renewed)
+                Some(match (answer.renewed, answer.lagging) {
+                    (true, _) => Renewal::Renewed,
+                    (false, true) => Renewal::Lagging,
+                    (false, false) => Renewal::Ended,
+                })
             }
             Ok(_) | Err(_) => None,
         }
     }
 
+    /// Voids the lease whenever this process did not run for longer than the margin, and renews at once.
+    pub async fn watch_clock(self: Rc<Self>) {
+        let mut detector = SleepDetector::new(CLOCK_PAUSE, self.settings.lease.drift);
+        loop {
+            sleep(CLOCK_PAUSE.as_duration()).await;
+            let (kind, span) = match detector.observe(self.clock.now(), self.clock.monotonic()) {
+                ClockVerdict::Steady => continue,
+                ClockVerdict::Suspended(span) => ("suspended", span),
+                ClockVerdict::Paused(span) => ("paused", span),
+            };
+            self.lease.void(self.clock.now());
+            log_event!(self.log, Event::LeaseVoided; "cause" => kind, "ms" => span.0);
+            self.renew_now.notify_one();
+        }
+    }
+
     /// Keeps the list of servers in the replicated state up to date.
     pub async fn publish_servers(self: Rc<Self>) {
         let mut published = None;
         loop {
-            let wanted = (self.session.get(), self.announced());
+            let wanted = (self.session.get(), self.announced(), self.ended_servers());
             if published.as_ref() != Some(&wanted) {
-                let (Some(session), servers) = wanted.clone() else {
+                let (Some(session), servers, ended) = wanted.clone() else {
                     self.servers_changed.notified().await;
                     continue;
                 };
-                let set = SetServers { session, servers };
+                let set = SetServers {
+                    session,
+                    servers,
+                    ended,
+                };
                 let committed = self.propose(change::Body::SetServers(set)).await.is_some();
+                if committed {
+                    self.forget_published(&wanted.1, &wanted.2);
+                }
                 published = committed.then_some(wanted);
             }
-            if published.is_some() {
+            if published.is_some() && self.lost_servers.borrow().is_empty() {
                 self.servers_changed.notified().await;
             } else {
                 let _ = timeout(SERVERS_PAUSE, self.servers_changed.notified()).await;
             }
         }
     }
+
+    /// Forgets the lost servers that the replicated state no longer has.
+    fn forget_published(&self, servers: &[Server], ended: &[String]) {
+        self.lost_servers.borrow_mut().retain(|lost| {
+            let listed = servers
+                .iter()
+                .any(|s| s.incarnation == lost.announced.incarnation);
+            listed || lost.ended && !ended.contains(&lost.announced.incarnation)
+        });
+    }
+}
+
+/// What control said about a renewal.
+enum Renewal {
+    Renewed,
+    Lagging,
+    Ended,
 }
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -23,15 +23,8 @@
             match self.ask_control(Body::Watch(watch)).await {
                 Ok(Body::WatchAnswer(answer)) if answer.needs_state => self.fetch_state().await,
                 Ok(Body::WatchAnswer(answer)) => {
-                    let mut state = State::clone(&self.state());
-                    for committed in answer.changes {
-                        let follows = committed.index == state.applied() + 1;
-                        if let (true, Some(change)) = (follows, &committed.change) {
-                            state.apply(committed.index, change);
-                        }
-                    }
-                    if state.applied() != applied {
-                        self.set_state(state);
+                    if !answer.changes.is_empty() {
+                        self.apply_changes(&answer.changes);
                     }
                 }
                 Ok(_) | Err(_) => sleep(WATCH_PAUSE).await,
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -1,14 +1,12 @@
 use {
     crate::{
-        control::Revision,
-        wire::control::{operator_command, Drain, OperatorCommand},
+        control::{CommandId, Revision},
+        key::Key,
+        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand},
     },
     serde::{Deserialize, Serialize},
 };
 
-/// Most characters of a command id.
-const COMMAND_ID_MAX_CHARS: usize = 128;
-
 /// Body of a changing call of an operator.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -19,10 +17,16 @@
     pub base: String,
     /// The schema file, for `apply`.
     pub schema: Option<serde_json::Value>,
-    /// Name of the host, for `drain` and `undrain`.
+    /// Name of the host, for `drain`, `undrain` and `move`.
     pub host: String,
-    /// Address of one server of the host; empty for all.
+    /// Address of one server of the host; empty for all, or for the one with the fewest ranges.
     pub server: String,
+    /// Name of the service, for `move`.
+    pub service: String,
+    /// Text of the first key, for `move`.
+    pub start: String,
+    /// Text of the first key after the span, for `move`. `None`: no upper bound.
+    pub end: Option<String>,
 }
 
 /// Reads the changing call `name` of an operator.
@@ -31,28 +35,46 @@
 /// The field at fault and what is wrong with it.
 pub fn operator_command(name: &str, body: &[u8]) -> Result<OperatorCommand, String> {
     let request: CommandRequest = serde_json::from_slice(body).map_err(|e| e.to_string())?;
-    if request.command_id.is_empty() || request.command_id.len() > COMMAND_ID_MAX_CHARS {
-        return Err(format!(
-            "command_id: 1 to {COMMAND_ID_MAX_CHARS} characters are needed"
-        ));
-    }
+    let id: CommandId = request
+        .command_id
+        .parse()
+        .map_err(|e| format!("command_id: {e}"))?;
     let base: Revision = request.base.parse().map_err(|e| format!("base: {e}"))?;
-    let drain = Drain {
-        host: request.host,
-        server: request.server,
-    };
     let body = match name {
         "apply" => {
             let schema = request.schema.ok_or("schema: the schema file is needed")?;
             operator_command::Body::ApplySchema(schema.to_string())
         }
-        "drain" => operator_command::Body::Drain(drain),
-        "undrain" => operator_command::Body::Undrain(drain),
+        "drain" => operator_command::Body::Drain(drain(request)),
+        "undrain" => operator_command::Body::Undrain(drain(request)),
+        "move" => operator_command::Body::Move(move_span(request)?),
         other => return Err(format!("{other:?} is not a command")),
     };
     Ok(OperatorCommand {
-        command_id: request.command_id,
+        command_id: id.to_string(),
         base: Some(base.to_wire()),
         body: Some(body),
     })
 }
+
+fn drain(request: CommandRequest) -> Drain {
+    Drain {
+        host: request.host,
+        server: request.server,
+    }
+}
+
+fn move_span(request: CommandRequest) -> Result<MoveSpan, String> {
+    let start = Key::from_text(&request.start).map_err(|e| format!("start: {e}"))?;
+    let end = match &request.end {
+        Some(end) => Some(Key::from_text(end).map_err(|e| format!("end: {e}"))?),
+        None => None,
+    };
+    Ok(MoveSpan {
+        service: request.service,
+        start: start.to_bytes(),
+        end: end.map(|e| e.to_bytes()),
+        to_host: request.host,
+        to_server: request.server,
+    })
+}
--- a/src/edge/server_orders.rs
+++ b/src/edge/server_orders.rs
@@ -1,9 +1,22 @@
 use {
-    crate::{clock::Ms, key::KeyRange},
+    crate::{
+        clock::{Clock, Ms},
+        key::KeyRange,
+        lease::DaemonLease,
+    },
     base64::{engine::general_purpose::STANDARD, Engine},
     crossbeam_channel::{Receiver, Sender},
+    http::StatusCode,
     serde_json::{json, Value},
-    std::{io, thread, time::Duration},
+    std::{
+        io,
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Arc,
+        },
+        thread,
+        time::Duration,
+    },
     thiserror::Error,
     tokio::sync::oneshot,
     ureq::Agent,
@@ -27,14 +40,9 @@
         span: KeyRange,
         /// Epoch of the ownership.
         epoch: u64,
-        /// Time that the grant is good for.
-        lease: Ms,
     },
     /// Extends all grants.
-    Lease {
-        /// Time that all grants are good for.
-        lease: Ms,
-    },
+    Lease,
     /// Stop owning a span of keys; confirmed once nothing of it runs.
     Revoke {
         /// Name of the service.
@@ -54,7 +62,16 @@
     /// Nothing listens at the server's address.
     #[error("nothing listens at the server's address")]
     ServerGone,
-    /// The server refused, or did not answer.
+    /// The server did not answer in time.
+    #[error("the server does not answer")]
+    Silent,
+    /// The daemon's own lease does not hold, so nothing was sent.
+    #[error("the daemon has no lease")]
+    NoLease,
+    /// The server answered that it cannot carry the order out.
+    #[error("the server refuses: {0}")]
+    Refused(String),
+    /// The order was not confirmed.
     #[error("{0}")]
     Failed(String),
 }
@@ -69,20 +86,46 @@
 #[derive(Debug)]
 pub struct ServerOrders {
     ring: Sender<Job>,
+    leases_end_at: Arc<AtomicU64>,
+}
+
+/// What the thread for one server needs.
+struct Worker {
+    address: String,
+    agent: Agent,
+    clock: Clock,
+    lease: DaemonLease,
+    leases_end_at: Arc<AtomicU64>,
 }
 
 impl ServerOrders {
-    /// Starts the thread for the server at `address`.
+    /// Starts the thread for the server at `address`. Grants are good for as long as `lease` is.
     ///
     /// # Errors
     /// The thread could not be started.
-    pub fn start(address: &str) -> io::Result<Self> {
+    pub fn start(address: &str, clock: Clock, lease: DaemonLease) -> io::Result<Self> {
         let (ring, jobs) = crossbeam_channel::bounded(RING_ORDERS);
-        let address = address.to_owned();
+        let leases_end_at = Arc::new(AtomicU64::new(0));
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .build();
+        let worker = Worker {
+            address: address.to_owned(),
+            agent: agent.into(),
+            clock,
+            lease,
+            leases_end_at: leases_end_at.clone(),
+        };
         thread::Builder::new()
             .name("orders".into())
-            .spawn(move || run(&address, &jobs))?;
-        Ok(Self { ring })
+            .spawn(move || worker.run(&jobs))?;
+        Ok(Self { ring, leases_end_at })
+    }
+
+    /// Returns the end of the longest lease that was sent to the server, whether it arrived or not.
+    pub fn leases_end_at(&self) -> Ms {
+        Ms(self.leases_end_at.load(Ordering::SeqCst))
     }
 
     /// Gives an order and waits until the server confirmed it.
@@ -98,50 +141,66 @@
     }
 }
 
-fn run(address: &str, jobs: &Receiver<Job>) {
-    let agent: Agent = Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .build()
-        .into();
-    for job in jobs {
-        let result = give(&agent, address, &job.order);
-        let _ = job.tx.send(result);
+impl Worker {
+    fn run(&self, jobs: &Receiver<Job>) {
+        for job in jobs {
+            let result = self.give(&job.order);
+            // The task that waits may have ended.
+            let _ = job.tx.send(result);
+        }
     }
-}
 
-fn give(agent: &Agent, address: &str, order: &Order) -> Result<(), OrderError> {
-    let (path, body, timeout) = match order {
-        Order::Grant {
-            service,
-            span,
-            epoch,
-            lease,
-        } => {
-            let mut body = span_json(service, span, *epoch);
-            body["lease_ms"] = lease.0.into();
-            ("grant", body, ORDER_TIMEOUT)
+    fn give(&self, order: &Order) -> Result<(), OrderError> {
+        let (path, body, timeout) = match order {
+            Order::Grant { service, span, epoch } => {
+                let mut body = span_json(service, span, *epoch);
+                self.add_lease(&mut body)?;
+                ("grant", body, ORDER_TIMEOUT)
+            }
+            Order::Lease => {
+                let mut body = json!({});
+                self.add_lease(&mut body)?;
+                ("lease", body, ORDER_TIMEOUT)
+            }
+            Order::Revoke { service, span, epoch } => {
+                ("revoke", span_json(service, span, *epoch), REVOKE_TIMEOUT)
+            }
+            Order::Drain => ("drain", json!({}), ORDER_TIMEOUT),
+        };
+        let response = self
+            .agent
+            .post(format!("http://{}/fold/{path}", self.address))
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .content_type("application/json")
+            .send(body.to_string());
+        match response {
+            Ok(response) if response.status().is_success() => Ok(()),
+            Ok(response) if response.status() == StatusCode::CONFLICT => {
+                Err(OrderError::Refused(format!("status {}", response.status())))
+            }
+            Ok(response) => Err(OrderError::Failed(format!("status {}", response.status()))),
+            Err(ureq::Error::Io(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(OrderError::ServerGone)
+            }
+            Err(ureq::Error::Timeout(_)) => Err(OrderError::Silent),
+            Err(e) => Err(OrderError::Failed(e.to_string())),
         }
-        Order::Lease { lease } => ("lease", json!({ "lease_ms": lease.0 }), ORDER_TIMEOUT),
-        Order::Revoke { service, span, epoch } => {
-            ("revoke", span_json(service, span, *epoch), REVOKE_TIMEOUT)
-        }
-        Order::Drain => ("drain", json!({}), ORDER_TIMEOUT),
-    };
-    let response = agent
-        .post(format!("http://{address}/fold/{path}"))
-        .config()
-        .timeout_global(Some(timeout))
-        .build()
-        .content_type("application/json")
-        .send(body.to_string());
-    match response {
-        Ok(response) if response.status().is_success() => Ok(()),
-        Ok(response) => Err(OrderError::Failed(format!("status {}", response.status()))),
-        Err(ureq::Error::Io(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            Err(OrderError::ServerGone)
+    }
+
+    /// Adds the lease that the daemon has right before the order is sent. The absolute end holds even if
+    /// the order is carried out late.
+    fn add_lease(&self, body: &mut Value) -> Result<(), OrderError> {
+        let now = self.clock.now();
+        let ends_at = self.lease.ends_at();
+        if ends_at <= now {
+            return Err(OrderError::NoLease);
         }
-        Err(e) => Err(OrderError::Failed(e.to_string())),
+        self.leases_end_at.fetch_max(ends_at.0, Ordering::SeqCst);
+        body["lease_ms"] = (ends_at - now).0.into();
+        body["lease_until_ms"] = ends_at.0.into();
+        Ok(())
     }
 }
 
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -84,6 +84,15 @@
     /// A span of keys was taken back from a local server.
     RangeRevoked = "CF4008", Info, "range revoked";
 
+    /// Another process holds the session of this host.
+    SessionRefused = "CF4101", Warning, "session refused";
+    /// The lease was voided since the process did not run for a while.
+    LeaseVoided = "CF4102", Warning, "lease voided";
+    /// The lease is not renewed since this daemon lacks a configuration.
+    ConfigurationLags = "CF4103", Warning, "configuration lags";
+    /// A local server no longer holds its grants.
+    GrantsLost = "CF4104", Warning, "grants lost by a server";
+
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
     /// The control role has stopped after an error.
--- /dev/null
+++ b/src/grant/mod.rs
@@ -0,0 +1,11 @@
+//! What the servers behind a daemon hold, and the orders that bring it in step with the state.
+
+mod grant_book;
+mod grant_entry;
+mod touched;
+
+pub use {
+    grant_book::{GrantAction, GrantBook},
+    grant_entry::{GrantGoal, GrantPhase},
+    touched::{all_wanted, wanted_of, Touched, Wanted},
+};
--- /dev/null
+++ b/src/grant/touched.rs
@@ -0,0 +1,116 @@
+use {
+    super::GrantGoal,
+    crate::{
+        control::{Applied, RangeTable, State},
+        key::KeyRange,
+    },
+};
+
+/// Most spans that are kept apart before all ranges are looked at.
+const SPANS_MAX: usize = 64;
+
+/// A span that a server is to own, as the state has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// The keys.
+    pub span: KeyRange,
+    /// Epoch of the ownership.
+    pub epoch: u64,
+    /// Whether it is held or given up.
+    pub goal: GrantGoal,
+}
+
+/// Parts of the state that changed, so that grants are compared with these only.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Touched {
+    /// Everything may have changed.
+    pub all: bool,
+    /// Releases may have been cancelled.
+    pub releases: bool,
+    /// Service and keys of single changes.
+    pub spans: Vec<(String, KeyRange)>,
+}
+
+impl Touched {
+    /// Returns a value by which all ranges are looked at.
+    pub fn everything() -> Self {
+        Self {
+            all: true,
+            ..Self::default()
+        }
+    }
+
+    /// Notes what a change did, for the daemon with this session.
+    pub fn note(&mut self, applied: &Applied, own_session: Option<u64>) {
+        match applied {
+            Applied::SessionEnded(session) | Applied::ServersSet(session) => {
+                self.all |= Some(*session) == own_session;
+                self.releases = true;
+            }
+            Applied::RangeAssigned {
+                service, span, owner, ..
+            } => {
+                if Some(owner.session) == own_session {
+                    self.add(service, span);
+                }
+            }
+            Applied::ReleaseStarted { service, span } | Applied::RangeReleased { service, span } => {
+                self.add(service, span);
+            }
+            Applied::Command(_) => self.all = true,
+            Applied::SessionOpened(_) | Applied::Ignored(_) => {}
+        }
+    }
+
+    /// Tells if nothing has changed.
+    pub fn is_empty(&self) -> bool {
+        !self.all && !self.releases && self.spans.is_empty()
+    }
+
+    /// Adds what `other` has.
+    pub fn merge(&mut self, other: Self) {
+        self.all |= other.all;
+        self.releases |= other.releases;
+        for (service, span) in other.spans {
+            self.add(&service, &span);
+        }
+    }
+
+    fn add(&mut self, service: &str, span: &KeyRange) {
+        if self.spans.len() == SPANS_MAX {
+            self.all = true;
+            self.spans.clear();
+        }
+        if !self.all {
+            self.spans.push((service.to_owned(), span.clone()));
+        }
+    }
+}
+
+/// Returns what the server at `address` behind `session` is to own of `span`.
+pub fn wanted_of(table: &RangeTable, span: &KeyRange, session: u64, address: &str) -> Vec<Wanted> {
+    let mut wanted = Vec::new();
+    for (position, range) in table.within(span) {
+        let Some(owner) = &range.owner else {
+            continue;
+        };
+        if owner.session != session || owner.server != address {
+            continue;
+        }
+        let release = range.release.as_ref().map(|r| GrantGoal::Release(r.index));
+        wanted.push(Wanted {
+            span: table.span(position),
+            epoch: owner.epoch,
+            goal: release.unwrap_or(GrantGoal::Hold),
+        });
+    }
+    wanted
+}
+
+/// Returns what a server is to own of all keys, or nothing without a session or a table.
+pub fn all_wanted(state: &State, service: &str, session: Option<u64>, address: &str) -> Vec<Wanted> {
+    match (session, state.table(service)) {
+        (Some(session), Some(table)) => wanted_of(table, &KeyRange::default(), session, address),
+        _ => Vec::new(),
+    }
+}
--- a/src/lease/daemon_lease.rs
+++ b/src/lease/daemon_lease.rs
@@ -7,31 +7,44 @@
 };
 
 /// The lease of a daemon's session, as the daemon itself counts it. Clones share it.
+///
+/// One thread renews and voids it; any thread may look at it.
 #[derive(Clone, Debug, Default)]
 pub struct DaemonLease {
     ends_at: Arc<AtomicU64>,
+    /// Renewals that were sent before this point do not count.
+    not_before: Arc<AtomicU64>,
 }
 
 impl DaemonLease {
     /// Counts a renewal that was sent at `sent_at` by the daemon's own clock. A late answer never
-    /// shortens the lease.
+    /// shortens the lease, and the answer to a renewal from before [`Self::void`] never revives it.
     pub fn renewed(&self, sent_at: Ms, timing: &LeaseSettings) {
+        if sent_at.0 < self.not_before.load(Ordering::SeqCst) {
+            return;
+        }
         let ends_at = sent_at + timing.ttl - timing.drift;
         self.ends_at.fetch_max(ends_at.0, Ordering::SeqCst);
     }
 
-    /// Ends the lease at once.
-    pub fn void(&self) {
+    /// Ends the lease at `now`. Only a renewal that is sent after `now` starts it again.
+    pub fn void(&self, now: Ms) {
+        self.not_before.store(now.0 + 1, Ordering::SeqCst);
         self.ends_at.store(0, Ordering::SeqCst);
     }
 
     /// Tells if the lease holds at `now`.
     pub fn is_valid(&self, now: Ms) -> bool {
-        now.0 < self.ends_at.load(Ordering::SeqCst)
+        now < self.ends_at()
     }
 
     /// Returns the time left at `now`.
     pub fn left(&self, now: Ms) -> Ms {
-        Ms(self.ends_at.load(Ordering::SeqCst)) - now
+        self.ends_at() - now
+    }
+
+    /// Returns the end of the lease by the daemon's own clock. Zero: there is none.
+    pub fn ends_at(&self) -> Ms {
+        Ms(self.ends_at.load(Ordering::SeqCst))
     }
 }
--- /dev/null
+++ b/src/lease/leader_view.rs
@@ -0,0 +1,93 @@
+use {
+    super::{Renewal, SessionViews, TakeoverWaits},
+    crate::{
+        clock::Ms,
+        control::{Applied, State},
+        settings::LeaseSettings,
+        wire::{
+            control::{AssignRange, EndSession},
+            peer::{InForceAnswer, Renew, RenewAnswer},
+        },
+    },
+};
+
+/// What a leader keeps in memory besides the replicated state: leases and waits, by its own clock.
+#[derive(Clone, Debug, Default)]
+pub struct LeaderView {
+    sessions: SessionViews,
+    waits: TakeoverWaits,
+}
+
+impl LeaderView {
+    /// Returns the view of a leader that was elected at `now`.
+    pub fn new(timing: LeaseSettings, state: &State, now: Ms) -> Self {
+        let live = state.sessions().iter().map(|session| session.id);
+        let mut sessions = SessionViews::new(timing, live, now);
+        sessions.revision_committed(state.revision().index, now);
+        Self {
+            sessions,
+            waits: TakeoverWaits::new(state.applied(), now),
+        }
+    }
+
+    /// Notes what the change committed at `index` did.
+    pub fn note(&mut self, state: &State, index: u64, applied: &Applied, now: Ms) {
+        match applied {
+            Applied::SessionOpened(session) => self.sessions.renewed(*session, now),
+            Applied::SessionEnded(session) => {
+                self.sessions.remove(*session);
+                self.waits.committed(index, now);
+            }
+            Applied::ServersSet(_) => self.waits.committed(index, now),
+            Applied::Command(_) if state.revision().index == index => {
+                self.sessions.revision_committed(index, now);
+            }
+            Applied::Command(_)
+            | Applied::RangeAssigned { .. }
+            | Applied::ReleaseStarted { .. }
+            | Applied::RangeReleased { .. }
+            | Applied::Ignored(_) => {}
+        }
+    }
+
+    /// Answers a renewal that was received at `now`.
+    pub fn renew(&mut self, state: &State, renew: &Renew, now: Ms) -> RenewAnswer {
+        let lives = state.session(renew.session).is_some();
+        let renewal = lives.then(|| self.sessions.renew(renew.session, renew.applied, now));
+        RenewAnswer {
+            session: renew.session,
+            sent_at_ms: renew.sent_at_ms,
+            renewed: renewal == Some(Renewal::Renewed),
+            lagging: renewal == Some(Renewal::Lagging),
+            leader: String::new(),
+            committed: state.applied(),
+        }
+    }
+
+    /// Returns the ends of the sessions whose leases have certainly ended at `now`.
+    pub fn expired(&mut self, now: Ms) -> Vec<EndSession> {
+        let expired = self.sessions.expired(now).into_iter();
+        let ends = expired.map(|session| EndSession {
+            session,
+            reason: "the lease ran out".into(),
+            idle: false,
+        });
+        ends.collect()
+    }
+
+    /// Returns the assignments that may be made at `now`.
+    pub fn allowed(&mut self, state: &State, assignments: Vec<AssignRange>, now: Ms) -> Vec<AssignRange> {
+        self.waits.allowed(state, assignments, now)
+    }
+
+    /// Tells which hosts have not said that they applied `index`.
+    pub fn in_force(&self, state: &State, index: u64) -> InForceAnswer {
+        let behind = self.sessions.behind(index).into_iter();
+        let hosts = behind.filter_map(|id| state.session(id).map(|s| s.open.host.clone()));
+        InForceAnswer {
+            known: true,
+            leader: String::new(),
+            behind: hosts.collect(),
+        }
+    }
+}
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -1,6 +1,15 @@
 //! Leases of sessions: what the daemon may rely on, and what the leader must wait for.
 
 mod daemon_lease;
+mod leader_view;
 mod session_views;
+mod sleep_detector;
+mod takeover_waits;
 
-pub use {daemon_lease::DaemonLease, session_views::SessionViews};
+pub use {
+    daemon_lease::DaemonLease,
+    leader_view::LeaderView,
+    session_views::{Renewal, SessionViews},
+    sleep_detector::{ClockVerdict, SleepDetector},
+    takeover_waits::TakeoverWaits,
+};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 pub mod edge;
 pub mod event;
+pub mod grant;
 pub mod key;
 pub mod lease;
 pub mod link;
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -1,5 +1,6 @@
 use {
     super::processes::{free_address, wait_until, Process},
+    clementinefold::{clock::Clock, control::CommandId},
     rustix::process::Signal,
     serde_json::{json, Value},
     std::{fs, net::SocketAddr, path::PathBuf, time::Duration},
@@ -265,7 +266,7 @@
 
     /// Returns a fresh id for an operator's command.
     pub fn command_id(&self) -> String {
-        format!("{:016x}", getrandom::u64().unwrap())
+        CommandId::new(Clock::System.wall(), getrandom::u64().unwrap()).to_string()
     }
 
     /// Returns the address of the server that owns `range` by the state of `host`. `None`: none does.
