Fault tables and seeded schedules of leases, takeovers, moves, commands and configuration

Change: tests/lease_schedules.rs drives the real decisions (LeaderView, DaemonLease, SleepDetector, GrantBook, State, and the stand-in's Ownership) of a leader, three daemons and their servers in one thread: drifting clocks, late, doubled and lost messages, freezes of each, new leaders, planned moves; 10,000 schedules with fixed seeds and 200 drawn by quickcheck from a fixed seed. LEASE_SCHEDULES=N runs N of each kind. Tables: lease_arithmetic, takeover_wait, planned_moves, command_ids, config_force. Found by the schedules (seed 59 unfenced, seed 1 with drift): a server whose lease had ended in between was taken for not holding the range, so a release was reported while calls of it still ran; it is now revoked all the same (row running_calls). Found by a table: a leader that looks at its sessions rarely never ended one (row slow_leader). The takeover wait is stretched by the drift that the margin allows, else a fast leader's clock ends it too early.

--- a/src/grant/grant_book.rs
+++ b/src/grant/grant_book.rs
@@ -108,11 +108,12 @@
         }
     }
 
-    /// Takes note that the server has lost everything that it held, since its lease had ended.
+    /// Takes note that the server has lost everything that it held, since its lease had ended. Calls may
+    /// still run there, so a span that is given up is revoked all the same.
     pub fn lost_all(&mut self) {
         for entry in &mut self.entries {
             if entry.phase == GrantPhase::Held {
-                entry.phase = GrantPhase::Absent;
+                entry.phase = GrantPhase::Unsure;
             }
         }
     }
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -26,7 +26,7 @@
         sessions.revision_committed(state.revision().index, now);
         Self {
             sessions,
-            waits: TakeoverWaits::new(state.applied(), now),
+            waits: TakeoverWaits::new(timing, state.applied(), now),
         }
     }
 
--- a/src/lease/session_views.rs
+++ b/src/lease/session_views.rs
@@ -101,9 +101,10 @@
     /// After a pause of the leader itself all views are extended by it, since renewals may have waited.
     pub fn expired(&mut self, now: Ms) -> Vec<u64> {
         let pause = self.last_look.replace(now).map_or(Ms::ZERO, |last| now - last);
-        if pause > self.timing.renew {
+        let excess = pause - self.timing.renew;
+        if excess > Ms::ZERO {
             for view in &mut self.views {
-                view.ends_at += pause;
+                view.ends_at += excess;
             }
         }
         let expired = self.views.iter().filter(|view| view.ends_at <= now);
--- a/src/lease/takeover_waits.rs
+++ b/src/lease/takeover_waits.rs
@@ -1,4 +1,4 @@
-use crate::{clock::Ms, control::State, wire::control::AssignRange};
+use crate::{clock::Ms, control::State, settings::LeaseSettings, wire::control::AssignRange};
 
 /// The leader's view of ranges that need a wait before their next owner.
 ///
@@ -7,6 +7,7 @@
 /// clock from when the end was committed; a new leader counts it anew.
 #[derive(Clone, Debug, Default)]
 pub struct TakeoverWaits {
+    timing: LeaseSettings,
     /// Changes up to this log index count as committed at this time.
     floor: (u64, Ms),
     /// Log indexes of later changes that may have left ranges without an owner, with the time of their
@@ -16,8 +17,9 @@
 
 impl TakeoverWaits {
     /// Returns the view of a new leader, for which everything up to `applied` is committed at `now`.
-    pub fn new(applied: u64, now: Ms) -> Self {
+    pub fn new(timing: LeaseSettings, applied: u64, now: Ms) -> Self {
         Self {
+            timing,
             floor: (applied, now),
             committed: Vec::new(),
         }
@@ -33,7 +35,9 @@
         self.forget_passed(state, now);
         assignments.retain(|assignment| {
             let vacancies = state.vacancies_within(assignment);
-            let passed = vacancies.iter().all(|v| self.since(v.index) + v.wait <= now);
+            let passed = vacancies
+                .iter()
+                .all(|v| self.since(v.index) + self.stretched(v.wait) <= now);
             passed
         });
         assignments
@@ -48,10 +52,17 @@
         found.map_or(Ms::MAX, |i| self.committed[i].1)
     }
 
+    /// Returns the time on the leader's clock in which `wait` has passed on every other one.
+    fn stretched(&self, wait: Ms) -> Ms {
+        let fast = (self.timing.ttl + self.timing.drift).0;
+        let slow = (self.timing.ttl - self.timing.drift).0.max(1);
+        Ms((wait.0 * fast).div_ceil(slow))
+    }
+
     /// Folds the changes for which every wait has passed into the floor.
     fn forget_passed(&mut self, state: &State, now: Ms) {
         let longest = state.services().iter().map(|t| t.longest_deadline).max();
-        let longest = longest.unwrap_or_default();
+        let longest = self.stretched(longest.unwrap_or_default());
         let passed = self.committed.partition_point(|(_, at)| *at + longest <= now);
         if let Some(last) = self.committed[..passed].last() {
             self.floor = *last;
--- /dev/null
+++ b/tests/command_ids.rs
@@ -0,0 +1,187 @@
+//! An operator's command is decided once, whoever sends it how often.
+
+#[path = "support/state_fixture.rs"]
+mod state_fixture;
+
+use {
+    clementinefold::{
+        clock::Ms,
+        control::CommandId,
+        wire::control::{operator_command::Body, CommandAnswer, Drain, MoveSpan, OperatorCommand},
+    },
+    state_fixture::{accepted, conflict, refused, schema, Fixture},
+};
+
+const DAY: Ms = Ms(24 * 3_600_000);
+
+fn apply(f: &mut Fixture, max_deadline_ms: u32) -> OperatorCommand {
+    f.command(Body::ApplySchema(schema(true, max_deadline_ms)))
+}
+
+#[test]
+fn resends() {
+    type Event = fn(&mut Fixture);
+    let cases: &[(&str, Event)] = &[
+        ("at once", |_| {}),
+        ("after a new leader", Fixture::elect),
+        ("after a snapshot", Fixture::restore),
+        ("after other commands", |f| {
+            f.apply_schema(&schema(true, 300));
+            f.apply_schema(&schema(true, 400));
+        }),
+        ("within the retention", |f| f.wall += Ms(DAY.0 - 1)),
+    ];
+    for (name, event) in cases {
+        let mut f = Fixture::with_hosts(1, true, 100);
+        let command = apply(&mut f, 200);
+        let first = f.decide(&command);
+        assert!(accepted(&first).is_some(), "{name}");
+        event(&mut f);
+        let revision = f.state.revision();
+        assert_eq!(f.decide(&command), first, "{name}: the first answer again");
+        assert_eq!(f.state.revision(), revision, "{name}: nothing changes");
+    }
+}
+
+#[test]
+fn after_retention() {
+    let mut f = Fixture::with_hosts(1, true, 100);
+    let command = apply(&mut f, 200);
+    f.decide(&command);
+    f.wall += DAY + Ms(1);
+    f.apply_schema(&schema(true, 300));
+    let revision = f.state.revision();
+    // The base fits again only for a command that would revert the configuration.
+    let resent = OperatorCommand {
+        base: Some(revision.to_wire()),
+        ..command
+    };
+    for leader in ["same leader", "after a snapshot"] {
+        let answer = f.decide(&resent);
+        assert!(
+            refused(&answer).is_some_and(|r| r.contains("too old")),
+            "{leader}: {answer:?}"
+        );
+        assert_eq!(f.state.revision(), revision, "{leader}");
+        f.restore();
+    }
+}
+
+#[test]
+fn never_sent_before() {
+    // Nothing as old was ever forgotten, so the command was certainly never decided.
+    let mut f = Fixture::with_hosts(1, true, 100);
+    let late = apply(&mut f, 200);
+    f.wall += Ms(2 * DAY.0);
+    assert!(accepted(&f.decide(&late)).is_some());
+}
+
+#[test]
+fn many_commands() {
+    let mut f = Fixture::new();
+    let first = apply(&mut f, 200);
+    f.decide(&first);
+    for i in 0..20_000 {
+        f.wall += Ms(1);
+        let other = OperatorCommand {
+            command_id: CommandId::new(f.wall, i).to_string(),
+            ..OperatorCommand::default()
+        };
+        f.decide(&other);
+    }
+    let answer = f.decide(&first);
+    assert!(
+        refused(&answer).is_some_and(|r| r.contains("too old")),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn racing_operators() {
+    // Two cells that saw equal counts of changes at equal indexes still differ.
+    let decide = |order: [u32; 2]| -> (CommandAnswer, CommandAnswer, Fixture) {
+        let mut f = Fixture::with_hosts(1, true, 100);
+        let commands = order.map(|deadline| apply(&mut f, deadline));
+        let first = f.decide(&commands[0]);
+        let second = f.decide(&commands[1]);
+        (first, second, f)
+    };
+    let (first, second, f) = decide([200, 300]);
+    assert_eq!(accepted(&first), Some(f.state.revision()));
+    assert_eq!(
+        conflict(&second),
+        Some(f.state.revision()),
+        "the winner's revision"
+    );
+    let (_, _, other) = decide([300, 200]);
+    assert_eq!(f.state.revision().index, other.state.revision().index);
+    assert_ne!(f.state.revision().digest, other.state.revision().digest);
+}
+
+#[test]
+fn what_moves_the_revision() {
+    let drain = |host: &str| {
+        Body::Drain(Drain {
+            host: host.into(),
+            server: String::new(),
+        })
+    };
+    let move_to = |host: &str| {
+        Body::Move(MoveSpan {
+            service: "ledger".into(),
+            start: bytes::Bytes::new(),
+            end: None,
+            to_host: host.into(),
+            to_server: String::new(),
+        })
+    };
+    let cases = [
+        ("schema", Body::ApplySchema(schema(true, 200)), true, true),
+        ("bad schema", Body::ApplySchema("{}".into()), false, false),
+        ("drain", drain("host-1"), true, true),
+        ("drain of an unknown host", drain("host-9"), false, false),
+        ("move", move_to("host-2"), true, false),
+        ("move to an unknown host", move_to("host-9"), false, false),
+    ];
+    for (name, body, is_accepted, moves) in cases {
+        let mut f = Fixture::with_hosts(2, true, 100);
+        let before = f.state.revision();
+        let command = f.command(body);
+        let answer = f.decide(&command);
+        assert_eq!(accepted(&answer).is_some(), is_accepted, "{name}: {answer:?}");
+        assert_eq!(f.state.revision() != before, moves, "{name}");
+        f.open(7, 7);
+        assert_eq!(
+            f.state.revision() != before,
+            moves,
+            "{name}: sessions are no configuration"
+        );
+    }
+}
+
+#[test]
+fn bad_ids() {
+    let cases = [
+        "",
+        "a",
+        "123",
+        "-a",
+        "12-",
+        "012-a",
+        "12-a b",
+        "12-\u{e9}",
+        "99999999999999999999999-a",
+        "x-a",
+    ];
+    for id in cases {
+        assert!(id.parse::<CommandId>().is_err(), "{id:?}");
+        let mut f = Fixture::new();
+        let command = OperatorCommand {
+            command_id: id.into(),
+            ..apply(&mut f, 100)
+        };
+        assert!(refused(&f.decide(&command)).is_some(), "{id:?}");
+    }
+    let id = CommandId::new(Ms(1_700_000_000_000), 255);
+    assert_eq!(id.to_string().parse(), Ok(id));
+}
--- /dev/null
+++ b/tests/lease_world/daemon_actor.rs
@@ -0,0 +1,152 @@
+use clementinefold::{
+    clock::Ms,
+    control::{Server, State},
+    grant::{self, GrantAction, GrantBook, Touched},
+    key::{Key, KeyRange},
+    lease::{ClockVerdict, DaemonLease, SleepDetector},
+    settings::LeaseSettings,
+    wire::{
+        control::{Committed, SetServers},
+        peer::{Renew, RenewAnswer},
+    },
+};
+
+/// Time between two steps of a daemon, by its own clock.
+const STEP: Ms = Ms(10);
+
+/// One daemon process.
+pub struct DaemonActor {
+    pub lease: DaemonLease,
+    pub session: Option<u64>,
+    pub process: u64,
+    pub state: State,
+    pub book: GrantBook,
+    pub frozen_until: i64,
+    pub next_step: Ms,
+    pub next_renewal: Ms,
+    pub next_extension: Ms,
+    touched: Touched,
+    detector: SleepDetector,
+    timing: LeaseSettings,
+    address: String,
+    checks_fencing: bool,
+}
+
+impl DaemonActor {
+    pub fn new(number: usize, timing: LeaseSettings, checks_fencing: bool) -> Self {
+        Self {
+            lease: DaemonLease::default(),
+            session: None,
+            process: number as u64,
+            state: State::default(),
+            book: GrantBook::default(),
+            frozen_until: 0,
+            next_step: Ms::ZERO,
+            next_renewal: Ms::ZERO,
+            next_extension: Ms::ZERO,
+            touched: Touched::default(),
+            detector: SleepDetector::new(STEP, timing.drift),
+            timing,
+            address: format!("10.0.0.{number}:1"),
+            checks_fencing,
+        }
+    }
+
+    /// Feeds the clock and voids the lease after a pause.
+    pub fn step(&mut self, now: Ms) {
+        self.next_step = now + STEP;
+        if self.detector.observe(now, now) != ClockVerdict::Steady {
+            self.lease.void(now);
+            self.next_renewal = now;
+        }
+    }
+
+    pub fn renewal(&mut self, session: u64, now: Ms) -> Renew {
+        self.next_renewal = now + self.timing.renew;
+        Renew {
+            session,
+            sent_at_ms: now.0,
+            applied: self.state.applied(),
+            loads: Vec::new(),
+        }
+    }
+
+    pub fn take_renewal(&mut self, answer: &RenewAnswer, now: Ms) {
+        if self.session != Some(answer.session) {
+            return;
+        }
+        if answer.renewed {
+            self.lease.renewed(Ms(answer.sent_at_ms), &self.timing);
+        } else if !answer.lagging {
+            self.session = None;
+            self.lease.void(now);
+            self.book.drop_all();
+        }
+    }
+
+    pub fn opened(&mut self, session: u64) {
+        if session != 0 && self.session.is_none() {
+            self.session = Some(session);
+            self.touched = Touched::everything();
+        }
+    }
+
+    pub fn servers(&self, session: u64) -> SetServers {
+        SetServers {
+            session,
+            servers: vec![Server {
+                service: "ledger".into(),
+                address: self.address.clone(),
+                incarnation: "a".into(),
+                slots: 4,
+                connections: 10,
+                checks_fencing: self.checks_fencing,
+                leaving: false,
+            }],
+            ended: Vec::new(),
+        }
+    }
+
+    pub fn apply(&mut self, changes: &[Committed]) {
+        for committed in changes {
+            if committed.index == self.state.applied() + 1 {
+                let change = committed.change.as_ref().unwrap();
+                let applied = self.state.apply(committed.index, change);
+                self.touched.note(&applied, self.session);
+            }
+        }
+    }
+
+    /// Brings the book in step with the state and returns what is to be done.
+    pub fn act(
+        &mut self,
+        leases_end_at: Ms,
+        now: Ms,
+        is_busy: impl Fn(&KeyRange) -> bool,
+    ) -> Vec<GrantAction> {
+        let touched = std::mem::take(&mut self.touched);
+        if touched.all {
+            let wanted = grant::all_wanted(&self.state, "ledger", self.session, &self.address);
+            self.book.align(&KeyRange::default(), &wanted);
+        } else if let (Some(session), Some(table)) = (self.session, self.state.table("ledger")) {
+            let mut spans: Vec<KeyRange> = touched.spans.into_iter().map(|(_, span)| span).collect();
+            if touched.releases {
+                spans.extend(self.book.releases());
+            }
+            for span in spans {
+                let wanted = grant::wanted_of(table, &span, session, &self.address);
+                self.book.align(&span, &wanted);
+            }
+        }
+        self.book.forget_dropped(leases_end_at, now);
+        self.book.next_actions(is_busy)
+    }
+
+    /// Returns the epoch at which a call of `key` may be dispatched now.
+    pub fn may_dispatch(&self, key: &Key, now: Ms) -> Option<u64> {
+        let owner = self.state.table("ledger")?.range_of(key).owner.as_ref()?;
+        let is_own = Some(owner.session) == self.session && owner.server == self.address;
+        let may = is_own && self.lease.is_valid(now) && self.book.is_held(key, owner.epoch);
+        may.then_some(owner.epoch)
+    }
+}
--- /dev/null
+++ b/tests/lease_world/world.rs
@@ -0,0 +1,431 @@
+use {
+    super::{
+        daemon_actor::DaemonActor,
+        leader_actor::LeaderActor,
+        server_actor::{Run, ServerActor},
+    },
+    clementinefold::{
+        clock::Ms,
+        grant::GrantAction,
+        key::{Key, KeyRange},
+        settings::LeaseSettings,
+        wire::{
+            control::{change, Committed, RangeReleased, SetServers},
+            peer::{Renew, RenewAnswer},
+        },
+    },
+    rand::{rngs::SmallRng, Rng, SeedableRng},
+};
+
+const DAEMONS: usize = 3;
+const KEYS: [&str; 2] = ["alpha", "tango"];
+/// True time of a schedule, in ms.
+const END: i64 = 4000;
+/// True time of one step, in ms.
+const STEP: i64 = 5;
+/// Longest deadline of a call, in ms.
+const DEADLINE: i64 = 200;
+
+/// What a schedule is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct WorldPlan {
+    pub checks_fencing: bool,
+    /// Largest difference of a clock's speed from true time, in parts per thousand.
+    pub drift: i64,
+}
+
+impl Default for WorldPlan {
+    fn default() -> Self {
+        Self {
+            checks_fencing: true,
+            drift: 0,
+        }
+    }
+}
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+enum Msg {
+    Open(usize),
+    Opened(usize, u64),
+    Servers(SetServers),
+    Renew(usize, Renew),
+    Renewed(usize, RenewAnswer),
+    Changes(usize, Vec<Committed>),
+    Released(usize, GrantAction, RangeReleased),
+    Order(usize, GrantAction, Ms),
+    Extend(usize, Ms),
+    Confirmed(usize, GrantAction, bool),
+    GrantsLost(usize),
+    Call(usize, Key, u64, i64),
+}
+
+/// All actors, the messages on their way, and the true time.
+pub struct LeaseWorld {
+    plan: WorldPlan,
+    rng: SmallRng,
+    now: i64,
+    leader: LeaderActor,
+    leader_frozen_until: i64,
+    daemons: Vec<DaemonActor>,
+    servers: Vec<ServerActor>,
+    leases_end_at: [Ms; DAEMONS],
+    /// Speeds of the clocks of the hosts, and of the leader's, in parts per thousand.
+    speeds: [i64; DAEMONS + 1],
+    messages: Vec<(i64, Msg)>,
+    served: u64,
+}
+
+impl LeaseWorld {
+    /// Runs the schedule of `seed` and returns what broke an invariant, if anything did.
+    pub fn run(plan: &WorldPlan, seed: u64) -> Option<String> {
+        let mut world = Self::new(*plan, seed);
+        while world.now < END {
+            world.step();
+            if let Some(broken) = world.broken() {
+                return Some(format!("at {} ms: {broken}", world.now));
+            }
+        }
+        None
+    }
+
+    /// Runs the schedule of `seed` and returns how many calls were served.
+    pub fn served(plan: &WorldPlan, seed: u64) -> u64 {
+        let mut world = Self::new(*plan, seed);
+        while world.now < END {
+            world.step();
+        }
+        world.served
+    }
+
+    fn new(plan: WorldPlan, seed: u64) -> Self {
+        let timing = LeaseSettings::default();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let speeds = std::array::from_fn(|_| 1000 + rng.random_range(-plan.drift..=plan.drift));
+        let schema = format!(
+            r#"{{"cluster": "test", "services": [{{"name": "ledger", "divided_by_key": true,
+                "boundaries": ["m"], "checks_fencing": {}, "calls": [{{"name": "read", "method": "GET",
+                "path": "/", "idempotent": true, "deadline_ms": {DEADLINE}, "max_deadline_ms": {DEADLINE}}}]}}]}}"#,
+            plan.checks_fencing
+        );
+        Self {
+            plan,
+            rng,
+            now: 0,
+            leader: LeaderActor::new(timing, &schema, Ms(1_000_000)),
+            leader_frozen_until: 0,
+            daemons: (0..DAEMONS)
+                .map(|number| DaemonActor::new(number, timing, plan.checks_fencing))
+                .collect(),
+            servers: (0..DAEMONS).map(|_| ServerActor::default()).collect(),
+            leases_end_at: [Ms::ZERO; DAEMONS],
+            speeds,
+            messages: Vec::new(),
+            served: 0,
+        }
+    }
+
+    /// Returns the time on the clock of a host, or of the leader at `DAEMONS`.
+    fn clock(&self, actor: usize) -> Ms {
+        Ms((1_000_000 + self.now * self.speeds[actor] / 1000) as u64)
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.disturb();
+        self.deliver();
+        if self.now >= self.leader_frozen_until {
+            let now = self.clock(DAEMONS);
+            self.leader.tick(now);
+        }
+        for number in 0..DAEMONS {
+            if self.now >= self.daemons[number].frozen_until {
+                self.step_daemon(number);
+            }
+        }
+    }
+
+    /// Freezes actors, elects leaders and starts moves, now and then.
+    fn disturb(&mut self) {
+        let length = self.rng.random_range(20..1500);
+        let actor = self.rng.random_range(0..DAEMONS);
+        match self.rng.random_range(0..600) {
+            0 | 1 => self.daemons[actor].frozen_until = self.now + length,
+            2 => self.servers[actor].frozen_until = self.now + length,
+            3 => self.leader_frozen_until = self.now + length,
+            4 => {
+                // Another host leads; answers of the old leader may still be on their way.
+                self.leader_frozen_until = 0;
+                let now = self.clock(DAEMONS);
+                self.leader.elect(now);
+            }
+            5..=8 => {
+                let key = key(self.rng.random_range(0..KEYS.len()));
+                let now = self.clock(DAEMONS);
+                self.leader.start_move(&key, actor, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends a message that may be late, doubled or lost.
+    fn send(&mut self, msg: Msg) {
+        let late = if self.rng.random_range(0..20) == 0 { 700 } else { 8 };
+        let fate = self.rng.random_range(0..60);
+        if fate != 0 {
+            let at = self.now + self.rng.random_range(1..=late);
+            self.messages.push((at, msg.clone()));
+        }
+        if fate == 1 {
+            let at = self.now + self.rng.random_range(1..=1500);
+            self.messages.push((at, msg));
+        }
+    }
+
+    /// Sends a message within a host, which is late but neither doubled nor lost.
+    fn send_local(&mut self, msg: Msg) {
+        let at = self.now + self.rng.random_range(0..5);
+        self.messages.push((at, msg));
+    }
+
+    fn deliver(&mut self) {
+        let messages = std::mem::take(&mut self.messages);
+        for (at, msg) in messages {
+            if at > self.now || self.is_frozen(&msg) {
+                self.messages.push((at, msg));
+            } else {
+                self.take(msg);
+            }
+        }
+    }
+
+    /// Tells if the receiver of the message is frozen.
+    fn is_frozen(&self, msg: &Msg) -> bool {
+        let until = match msg {
+            Msg::Open(_) | Msg::Servers(_) | Msg::Renew(..) | Msg::Released(..) => self.leader_frozen_until,
+            Msg::Opened(d, _)
+            | Msg::Renewed(d, _)
+            | Msg::Changes(d, _)
+            | Msg::Confirmed(d, ..)
+            | Msg::GrantsLost(d) => self.daemons[*d].frozen_until,
+            Msg::Order(s, ..) | Msg::Extend(s, _) | Msg::Call(s, ..) => self.servers[*s].frozen_until,
+        };
+        self.now < until
+    }
+
+    fn take(&mut self, msg: Msg) {
+        let leader_now = self.clock(DAEMONS);
+        match msg {
+            Msg::Open(d) => {
+                let session = self.leader.open(d, self.daemons[d].process, leader_now);
+                self.send(Msg::Opened(d, session));
+            }
+            Msg::Opened(d, session) => self.daemons[d].opened(session),
+            Msg::Servers(set) => self.leader.set_servers(set, leader_now),
+            Msg::Renew(d, renew) => {
+                let answer = self.leader.renew(&renew, leader_now);
+                self.send(Msg::Renewed(d, answer));
+            }
+            Msg::Renewed(d, answer) => {
+                let now = self.clock(d);
+                self.daemons[d].take_renewal(&answer, now);
+            }
+            Msg::Changes(d, changes) => self.daemons[d].apply(&changes),
+            Msg::Released(d, action, released) => {
+                self.leader
+                    .commit(change::Body::RangeReleased(released), leader_now);
+                self.send(Msg::Confirmed(d, action, true));
+            }
+            Msg::Confirmed(d, action, confirmed) => self.daemons[d].book.done(&action, confirmed),
+            Msg::GrantsLost(d) => self.daemons[d].book.lost_all(),
+            Msg::Order(s, action, until) => self.take_order(s, action, until),
+            Msg::Extend(s, until) => {
+                let now = self.clock(s);
+                if !self.servers[s].ownership.extend(until, now) {
+                    self.send_local(Msg::GrantsLost(s));
+                }
+            }
+            Msg::Call(s, key, epoch, ends_at) => self.take_call(s, key, epoch, ends_at),
+        }
+    }
+
+    fn take_order(&mut self, s: usize, action: GrantAction, until: Ms) {
+        let now = self.clock(s);
+        let confirmed = match &action {
+            GrantAction::Grant { span, epoch } => self.servers[s].grant(span, *epoch, until, now),
+            GrantAction::Revoke { span, epoch } => {
+                self.servers[s].revoke(span, *epoch, now);
+                if self.servers[s].is_busy(span, self.now) {
+                    // Confirmed once nothing runs.
+                    self.messages
+                        .push((self.now + STEP, Msg::Order(s, action, until)));
+                    return;
+                }
+                true
+            }
+            GrantAction::Report { .. } => false,
+        };
+        self.send_local(Msg::Confirmed(s, action, confirmed));
+    }
+
+    fn take_call(&mut self, s: usize, key: Key, epoch: u64, ends_at: i64) {
+        if self.now >= ends_at {
+            return;
+        }
+        let now = self.clock(s);
+        let admitted = self.servers[s].ownership.admit(&key, epoch, now).is_ok();
+        if admitted || !self.plan.checks_fencing {
+            self.served += 1;
+            let until = self.rng.random_range(self.now..=ends_at);
+            self.servers[s].runs.push(Run { key, epoch, until });
+        }
+    }
+
+    fn step_daemon(&mut self, d: usize) {
+        let now = self.clock(d);
+        if now < self.daemons[d].next_step {
+            return;
+        }
+        self.daemons[d].step(now);
+        if now >= self.daemons[d].next_renewal {
+            self.renew(d, now);
+        }
+        let changes = self.leader.changes_after(self.daemons[d].state.applied());
+        if !changes.is_empty() && self.now >= self.leader_frozen_until {
+            self.send(Msg::Changes(d, changes));
+        }
+        let server = &self.servers[d];
+        let true_now = self.now;
+        let messages = &self.messages;
+        let is_busy = |span: &KeyRange| {
+            let on_its_way =
+                |msg: &Msg| matches!(msg, Msg::Call(s, key, ..) if *s == d && span.contains(key));
+            server.is_busy(span, true_now) || messages.iter().any(|(_, msg)| on_its_way(msg))
+        };
+        let actions = self.daemons[d].act(self.leases_end_at[d], now, is_busy);
+        for action in actions {
+            self.start(d, action, now);
+        }
+        if now >= self.daemons[d].next_extension && self.daemons[d].book.may_extend() {
+            self.daemons[d].next_extension = now + Ms(150);
+            let until = self.daemons[d].lease.ends_at();
+            if until > now {
+                self.leases_end_at[d] = self.leases_end_at[d].max(until);
+                self.send_local(Msg::Extend(d, until));
+            }
+        }
+        self.dispatch(d, now);
+    }
+
+    fn renew(&mut self, d: usize, now: Ms) {
+        match self.daemons[d].session {
+            Some(session) => {
+                let renew = self.daemons[d].renewal(session, now);
+                self.send(Msg::Renew(d, renew));
+                let servers = self.daemons[d].servers(session);
+                let listed = self.leader.state.session(session);
+                if listed.is_some_and(|s| s.servers.is_empty()) {
+                    self.send(Msg::Servers(servers));
+                }
+            }
+            None => {
+                self.daemons[d].next_renewal = now + Ms(50);
+                self.send(Msg::Open(d));
+            }
+        }
+    }
+
+    fn start(&mut self, d: usize, action: GrantAction, now: Ms) {
+        if let GrantAction::Report { span, epoch, release } = &action {
+            let released = RangeReleased {
+                service: "ledger".into(),
+                start: span.start.to_bytes(),
+                epoch: *epoch,
+                release: *release,
+            };
+            // A report that is lost is sent again after a while.
+            self.messages
+                .push((self.now + 400, Msg::Confirmed(d, action.clone(), false)));
+            self.send(Msg::Released(d, action, released));
+            return;
+        }
+        let until = self.daemons[d].lease.ends_at();
+        if matches!(action, GrantAction::Grant { .. }) {
+            if until <= now {
+                self.send_local(Msg::Confirmed(d, action, false));
+                return;
+            }
+            self.leases_end_at[d] = self.leases_end_at[d].max(until);
+        }
+        self.send_local(Msg::Order(d, action, until));
+    }
+
+    /// Sends a call whose daemon may stand still between its last look at the lease and the first byte.
+    fn dispatch(&mut self, d: usize, now: Ms) {
+        let key = key(self.rng.random_range(0..KEYS.len()));
+        let Some(epoch) = self.daemons[d].may_dispatch(&key, now) else {
+            return;
+        };
+        // Only a server that checks fences is safe from a call that leaves after its deadline.
+        let late = if self.rng.random_range(0..10) == 0 {
+            2000
+        } else {
+            3
+        };
+        let at = self.now + self.rng.random_range(0..=late);
+        let ends_at = match self.plan.checks_fencing {
+            true => at + DEADLINE,
+            false => self.now + DEADLINE * 1000 / self.speeds[d].max(1),
+        };
+        self.messages.push((at, Msg::Call(d, key, epoch, ends_at)));
+    }
+
+    /// Returns what breaks an invariant now.
+    fn broken(&mut self) -> Option<String> {
+        let now = self.now;
+        for server in &mut self.servers {
+            server.runs.retain(|run| run.until > now);
+        }
+        KEYS.iter()
+            .enumerate()
+            .find_map(|(i, _)| self.broken_for(&key(i)))
+    }
+
+    fn broken_for(&self, key: &Key) -> Option<String> {
+        let holders: Vec<(usize, u64)> = (0..DAEMONS)
+            .filter_map(|d| Some((d, self.daemons[d].may_dispatch(key, self.clock(d))?)))
+            .collect();
+        if holders.len() > 1 {
+            return Some(format!("{key} has holders {holders:?}"));
+        }
+        let granted = |s: usize| {
+            let held = self.servers[s].held.iter().find(|(span, _)| span.contains(key));
+            held.map(|(_, epoch)| *epoch).filter(|epoch| {
+                self.servers[s]
+                    .ownership
+                    .admit(key, *epoch, self.clock(s))
+                    .is_ok()
+            })
+        };
+        let grants: Vec<(usize, u64)> = (0..DAEMONS).filter_map(|s| Some((s, granted(s)?))).collect();
+        if grants.len() > 1 {
+            return Some(format!("{key} is granted at {grants:?}"));
+        }
+        let (holder, epoch) = *grants.first()?;
+        for s in (0..DAEMONS).filter(|s| *s != holder) {
+            let mut runs = self.servers[s].runs.iter().filter(|run| run.key == *key);
+            // Work that started while its owner held the key may end on a server that checks fences.
+            if let Some(run) = runs.find(|_| !self.plan.checks_fencing) {
+                return Some(format!(
+                    "{key} of epoch {} runs at {s}, but {holder} holds it at {epoch}",
+                    run.epoch
+                ));
+            }
+        }
+        None
+    }
+}
+
+fn key(i: usize) -> Key {
+    Key::new(KEYS[i].as_bytes().to_vec())
+}
