Consensus core as a pure state machine, with seeded schedules of faults

Cause: the control log stands on one host; a lost disk loses it.

Change: src/consensus holds one member of a replicated log without I/O: pre-vote, check-quorum, terms, leader lease, commit of entries of the own term by counting (the leader's own entry counts once it is synced), one-at-a-time membership through learners, members named by the incarnation of their disk,

--- a/codegen/src/lib.rs
+++ b/codegen/src/lib.rs
@@ -9,7 +9,13 @@
 const JSON_PACKAGES: [&str; 2] = [".clementinefold.settings", ".clementinefold.schema"];
 
 /// All `.proto` files, in the folder `proto/`.
-const PROTO_FILES: [&str; 4] = ["settings.proto", "schema.proto", "control.proto", "peer.proto"];
+const PROTO_FILES: [&str; 5] = [
+    "settings.proto",
+    "schema.proto",
+    "control.proto",
+    "consensus.proto",
+    "peer.proto",
+];
 
 /// Writes one Rust file for each package of `proto_dir` into `out_dir`.
 pub fn generate(proto_dir: &Path, out_dir: &Path) -> Result<()> {
--- a/codegen/tests/generated_code.rs
+++ b/codegen/tests/generated_code.rs
@@ -19,5 +19,5 @@
         );
         files += 1;
     }
-    assert_eq!(files, 4);
+    assert_eq!(files, 5);
 }
--- /dev/null
+++ b/src/consensus/core.rs
@@ -0,0 +1,510 @@
+use {
+    super::{progress::Progress, Apply, CoreEvent, Outputs, ReplicaLog, SavedState, Write},
+    crate::{
+        clock::Ms,
+        settings::LeaseSettings,
+        wire::consensus::{
+            entry, envelope::Body, Entry, Envelope, HardState, Membership, Returned, SeenBoot, Snapshot,
+        },
+    },
+    bytes::Bytes,
+    rand::{rngs::SmallRng, Rng, RngCore, SeedableRng},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// Heartbeats in one shortest election timeout.
+const HEARTBEATS_PER_ELECTION: u64 = 6;
+/// Entries before a snapshot that are kept for members and daemons that lag.
+const KEPT_ENTRIES: u64 = 10_000;
+
+/// Time for all other voters to confirm a disk after a start, in shortest election timeouts.
+const RETURN_GRACE_ELECTIONS: u64 = 4;
+
+/// What a core needs to start.
+#[derive(Clone, Debug, Default)]
+pub struct CoreConfig {
+    /// Peer address of this host.
+    pub address: String,
+    /// Timing of elections and leases.
+    pub timing: LeaseSettings,
+    /// Seed of election timeouts and of the process number.
+    pub seed: u64,
+}
+
+/// Where a member stands.
+#[derive(Clone, Debug)]
+pub(super) enum Role {
+    Follower,
+    /// Asks whether it would be elected.
+    PreCandidate(Vec<u64>),
+    /// Asks for votes.
+    Candidate(Vec<u64>),
+    Leader(Leadership),
+    /// Takes no part any more.
+    Stopped,
+}
+
+/// What a leader keeps for its term.
+#[derive(Clone, Debug)]
+pub(super) struct Leadership {
+    pub peers: Vec<Progress>,
+    pub elected_at: Ms,
+    /// Index of the first entry of the term.
+    pub first_index: u64,
+}
+
+/// The furthest that another member has stated of itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stated {
+    pub id: u64,
+    pub term: u64,
+    /// Term and index of the end of its log.
+    pub end: (u64, u64),
+}
+
+/// A snapshot that arrives in parts.
+#[derive(Clone, Debug)]
+pub(super) struct Incoming {
+    pub index: u64,
+    pub term: u64,
+    pub buf: Vec<u8>,
+}
+
+/// One member of the cell as a pure state machine: messages, ticks, proposals and disk results go in,
+/// [`Outputs`] come out.
+#[derive(Debug)]
+pub struct Core {
+    pub(super) cfg: CoreConfig,
+    pub(super) hard: HardState,
+    pub(super) log: ReplicaLog,
+    pub(super) role: Role,
+    pub(super) leader: Option<u64>,
+    pub(super) commit: u64,
+    /// No vote is given before this time, since a leader may have been heard within a timeout.
+    pub(super) refuse_votes_until: Ms,
+    pub(super) election_at: Ms,
+    pub(super) heartbeat_at: Ms,
+    pub(super) synced_index: u64,
+    pub(super) incoming: Option<Incoming>,
+    pub(super) confirmed_by: Vec<u64>,
+    /// What other members stated since this process started.
+    pub(super) stated: Vec<Stated>,
+    /// Until then all other voters have to confirm this disk, after it a quorum.
+    pub(super) grace_ends_at: Ms,
+    pub(super) process: u64,
+    handed_out: u64,
+    written: u64,
+    last_write: u64,
+    hard_write: u64,
+    /// Numbers of writes under way with the last index that each leaves in the log.
+    log_writes: VecDeque<(u64, u64)>,
+    held: VecDeque<(u64, Envelope)>,
+    rng: SmallRng,
+    outputs: Outputs,
+}
+
+impl Core {
+    /// Returns a member that starts from what its disk holds.
+    pub fn new(cfg: CoreConfig, saved: SavedState, now: Ms) -> Self {
+        let mut rng = SmallRng::seed_from_u64(cfg.seed);
+        let process = rng.next_u64();
+        let log = ReplicaLog::new(saved.head, saved.entries, saved.snapshot);
+        let mut core = Self {
+            hard: saved.hard,
+            commit: log.snapshot_index(),
+            handed_out: log.snapshot_index(),
+            synced_index: log.last_index(),
+            log,
+            role: Role::Follower,
+            leader: None,
+            refuse_votes_until: now + cfg.timing.election,
+            election_at: Ms::MAX,
+            heartbeat_at: now,
+            incoming: None,
+            confirmed_by: Vec::new(),
+            stated: Vec::new(),
+            grace_ends_at: now + Ms(cfg.timing.election.0 * RETURN_GRACE_ELECTIONS),
+            process,
+            written: 0,
+            last_write: 0,
+            hard_write: 0,
+            log_writes: VecDeque::new(),
+            held: VecDeque::new(),
+            rng,
+            outputs: Outputs::default(),
+            cfg,
+        };
+        core.hard.boot += 1;
+        core.write_hard();
+        core.wait_for_election(now);
+        core
+    }
+
+    /// Founds a cell as its only source of the first members. The disk must be empty.
+    pub fn found(&mut self, cell: u64, membership: Membership) {
+        self.hard.cell = cell;
+        self.hard.term = 1;
+        self.write_hard();
+        self.append_own(vec![Entry {
+            index: 1,
+            term: 1,
+            body: Some(entry::Body::Membership(membership)),
+        }]);
+    }
+
+    /// Returns the incarnation of the disk.
+    pub fn id(&self) -> u64 {
+        self.hard.id
+    }
+
+    /// Returns the cell, or 0 while the disk belongs to none.
+    pub fn cell(&self) -> u64 {
+        self.hard.cell
+    }
+
+    /// Returns the term.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Returns the index up to which entries are committed.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Returns the log.
+    pub fn log(&self) -> &ReplicaLog {
+        &self.log
+    }
+
+    /// Returns the members in force.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership()
+    }
+
+    /// Returns the leader of this term, if it is known.
+    pub fn leader(&self) -> Option<u64> {
+        self.leader
+    }
+
+    /// Tells if this member leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Tells if this member takes no part any more.
+    pub fn is_stopped(&self) -> bool {
+        matches!(self.role, Role::Stopped)
+    }
+
+    /// Tells if this member leads and has handed out everything committed before its term.
+    pub fn is_ready(&self) -> bool {
+        matches!(&self.role, Role::Leader(l) if self.handed_out >= l.first_index)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Ms) {
+        if self.is_stopped() || self.hard.cell == 0 {
+            return;
+        }
+        if now >= self.heartbeat_at {
+            self.heartbeat_at = now + self.heartbeat();
+            if self.is_leader() {
+                self.send_heartbeats(now);
+                self.look_after_members(now);
+            }
+            self.announce_return();
+        }
+        if self.is_leader() {
+            self.check_quorum(now);
+        } else if now >= self.election_at {
+            self.wait_for_election(now);
+            self.start_pre_vote(now);
+        }
+    }
+
+    /// Takes a message of another member.
+    pub fn receive(&mut self, envelope: Envelope, now: Ms) {
+        let for_me = envelope.to == self.hard.id && envelope.from != self.hard.id;
+        if self.is_stopped() || !for_me || !self.takes_cell(envelope.cell) {
+            return;
+        }
+        let (from, term) = (envelope.from, envelope.term);
+        let Some(body) = envelope.body else {
+            return;
+        };
+        match body {
+            Body::VoteRequest(req) => {
+                self.note_stated(from, term, (0, 0));
+                return self.vote_request(from, term, &req, now);
+            }
+            Body::Returned(returned) => return self.peer_returned(from, &returned),
+            Body::ReturnedAnswer(answer) => return self.return_answered(from, &answer),
+            Body::DiskQuery(_) | Body::DiskAnswer(_) => return,
+            _ => {}
+        }
+        self.note_stated(from, term, (0, 0));
+        if term > self.hard.term {
+            self.follow(term, None, now);
+        }
+        match body {
+            Body::VoteAnswer(answer) => self.vote_answer(from, term, &answer, now),
+            Body::Append(append) => self.append_request(from, term, append, now),
+            Body::SnapshotPart(part) => self.snapshot_part(from, term, part, now),
+            Body::AppendAnswer(answer) if term == self.hard.term => self.append_answer(from, &answer, now),
+            Body::SnapshotAnswer(answer) if term == self.hard.term => {
+                self.snapshot_answer(from, &answer, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Proposes changes. Returns the index of the first one, or `None` if this member does not lead.
+    pub fn propose(&mut self, changes: Vec<Bytes>, now: Ms) -> Option<u64> {
+        if !self.is_leader() {
+            return None;
+        }
+        let first = self.log.last_index() + 1;
+        let term = self.hard.term;
+        let entries = changes.into_iter().zip(first..).map(|(change, index)| Entry {
+            index,
+            term,
+            body: Some(entry::Body::Change(change)),
+        });
+        self.append_own(entries.collect());
+        self.replicate(now);
+        Some(first)
+    }
+
+    /// Reports that all writes up to `number` are synced.
+    pub fn written(&mut self, number: u64, now: Ms) {
+        if self.is_stopped() {
+            return;
+        }
+        self.written = self.written.max(number);
+        while let Some((write, end)) = self.log_writes.front().copied() {
+            if write > self.written {
+                break;
+            }
+            self.synced_index = end;
+            self.log_writes.pop_front();
+        }
+        while self.held.front().is_some_and(|(write, _)| *write <= self.written) {
+            if let Some((_, envelope)) = self.held.pop_front() {
+                self.outputs.messages.push(envelope);
+            }
+        }
+        if matches!(self.role, Role::Candidate(_)) {
+            self.count_own_vote(now);
+        }
+        self.advance_commit(now);
+    }
+
+    /// Reports that the disk failed. This member takes no part any more.
+    pub fn disk_failed(&mut self) {
+        self.stop();
+    }
+
+    /// Records a snapshot of the applied state at a committed `index` and drops older entries.
+    pub fn compact(&mut self, index: u64, image: Bytes) {
+        let Some(term) = self.log.term_at(index).filter(|_| index <= self.handed_out) else {
+            return;
+        };
+        let snapshot = Arc::new(Snapshot {
+            index,
+            term,
+            membership: Some(self.log.membership_at(index)),
+            image,
+        });
+        self.log.compact(snapshot.clone(), KEPT_ENTRIES);
+        self.write_log(Write::Snapshot {
+            snapshot,
+            head: self.log.head(),
+            entries: self.log.entries().to_vec(),
+        });
+    }
+
+    /// Takes what is to be done.
+    pub fn take_outputs(&mut self) -> Outputs {
+        self.hand_out();
+        std::mem::take(&mut self.outputs)
+    }
+
+    pub(super) fn heartbeat(&self) -> Ms {
+        Ms((self.cfg.timing.election.0 / HEARTBEATS_PER_ELECTION).max(1))
+    }
+
+    /// Draws the time of the next election, one to two timeouts from now.
+    pub(super) fn wait_for_election(&mut self, now: Ms) {
+        let election = self.cfg.timing.election;
+        self.election_at = now + election + Ms(self.rng.random_range(0..=election.0));
+    }
+
+    /// Follows a newer term, or a leader of the present one.
+    pub(super) fn follow(&mut self, term: u64, leader: Option<u64>, now: Ms) {
+        if let Role::Leader(_) = &self.role {
+            let event = CoreEvent::SteppedDown { term: self.hard.term };
+            self.outputs.events.push(event);
+        }
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = 0;
+            self.write_hard();
+            self.leader = None;
+            self.incoming = None;
+        }
+        if let (Some(leader), true) = (leader, self.leader != leader) {
+            self.outputs
+                .events
+                .push(CoreEvent::FollowsLeader { leader, term });
+        }
+        self.leader = leader.or(self.leader);
+        self.role = Role::Follower;
+        if self.election_at == Ms::MAX {
+            self.wait_for_election(now);
+        }
+    }
+
+    pub(super) fn stop(&mut self) {
+        if self.is_leader() {
+            let event = CoreEvent::SteppedDown { term: self.hard.term };
+            self.outputs.events.push(event);
+        }
+        self.role = Role::Stopped;
+        self.leader = None;
+        self.held.clear();
+        self.outputs.messages.clear();
+    }
+
+    pub(super) fn event(&mut self, event: CoreEvent) {
+        self.outputs.events.push(event);
+    }
+
+    pub(super) fn install(&mut self, snapshot: Arc<Snapshot>) {
+        self.log.install(snapshot.clone());
+        self.write_log(Write::Snapshot {
+            snapshot: snapshot.clone(),
+            head: self.log.head(),
+            entries: Vec::new(),
+        });
+        self.commit = self.commit.max(snapshot.index);
+        self.handed_out = snapshot.index;
+        self.outputs.applies.push(Apply::Snapshot(snapshot));
+    }
+
+    pub(super) fn append_own(&mut self, entries: Vec<Entry>) {
+        let members = entries
+            .iter()
+            .find(|e| matches!(e.body, Some(entry::Body::Membership(_))));
+        if let Some(index) = members.map(|e| e.index) {
+            self.outputs.events.push(CoreEvent::MembersChanged { index });
+        }
+        self.log.append(entries.clone());
+        self.write_log(Write::Append(entries));
+    }
+
+    pub(super) fn write_hard(&mut self) {
+        self.last_write += 1;
+        self.hard_write = self.last_write;
+        self.outputs
+            .writes
+            .push((self.last_write, Write::Hard(self.hard.clone())));
+    }
+
+    /// Sends a message once the hard state is synced.
+    pub(super) fn send(&mut self, to: u64, body: Body) {
+        self.send_after(self.hard_write, to, body);
+    }
+
+    /// Sends a message once everything that was written so far is synced.
+    pub(super) fn send_synced(&mut self, to: u64, body: Body) {
+        self.send_after(self.last_write, to, body);
+    }
+
+    pub(super) fn is_hard_synced(&self) -> bool {
+        self.written >= self.hard_write
+    }
+
+    /// States to the other voters that this member has started, until each has answered.
+    fn announce_return(&mut self) {
+        for id in self.other_voters() {
+            if !self.confirmed_by.contains(&id) {
+                self.send_returned(id);
+            }
+        }
+    }
+
+    pub(super) fn send_returned(&mut self, to: u64) {
+        let returned = Returned {
+            boot: self.hard.boot,
+            process: self.process,
+        };
+        self.send_synced(to, Body::Returned(returned));
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<u64> {
+        let voters = self.membership().voters().map(|m| m.id);
+        voters.filter(|id| *id != self.hard.id).collect()
+    }
+
+    /// Remembers a start of another member. False: the member was seen with a newer disk.
+    pub(super) fn see_boot(&mut self, boot: SeenBoot) -> bool {
+        let found = self.hard.seen.binary_search_by_key(&boot.id, |s| s.id);
+        match found {
+            Ok(i) if self.hard.seen[i] == boot => return true,
+            Ok(i) if self.hard.seen[i].boot >= boot.boot => return false,
+            Ok(i) => self.hard.seen[i] = boot,
+            Err(i) => self.hard.seen.insert(i, boot),
+        }
+        self.write_hard();
+        true
+    }
+
+    fn send_after(&mut self, write: u64, to: u64, body: Body) {
+        let envelope = Envelope {
+            cell: self.hard.cell,
+            from: self.hard.id,
+            to,
+            term: self.hard.term,
+            from_address: self.cfg.address.clone(),
+            body: Some(body),
+        };
+        if write <= self.written {
+            self.outputs.messages.push(envelope);
+        } else {
+            let at = self.held.partition_point(|(other, _)| *other <= write);
+            self.held.insert(at, (write, envelope));
+        }
+    }
+
+    pub(super) fn write_log(&mut self, write: Write) {
+        let end = self.log.last_index();
+        let first_changed = match &write {
+            Write::Append(entries) => entries.first().map_or(u64::MAX, |e| e.index),
+            Write::Snapshot { .. } | Write::Hard(_) => u64::MAX,
+        };
+        let still_synced = first_changed.saturating_sub(1).min(end);
+        self.synced_index = self.synced_index.min(still_synced);
+        for (_, synced) in &mut self.log_writes {
+            *synced = (*synced).min(still_synced);
+        }
+        self.last_write += 1;
+        self.log_writes.push_back((self.last_write, end));
+        self.outputs.writes.push((self.last_write, write));
+    }
+
+    /// A disk that belongs to no cell takes the first one that names its incarnation.
+    fn takes_cell(&mut self, cell: u64) -> bool {
+        if self.hard.cell == 0 && cell != 0 {
+            self.hard.cell = cell;
+            self.write_hard();
+        }
+        self.hard.cell == cell
+    }
+
+    fn hand_out(&mut self) {
+        let entries = self.log.between(self.handed_out, self.commit).to_vec();
+        self.handed_out = self.commit.max(self.handed_out);
+        self.outputs.applies.extend(entries.into_iter().map(Apply::Entry));
+    }
+}
--- /dev/null
+++ b/src/consensus/mod.rs
@@ -0,0 +1,23 @@
+//! Agreement of the control hosts on one replicated log, without I/O but for its storage.
+
+mod core;
+mod election;
+mod follower;
+mod member_change;
+mod membership;
+mod output;
+mod progress;
+mod replica_log;
+mod replication;
+mod storage;
+mod storage_folder;
+mod storage_record;
+
+pub use {
+    self::core::{Core, CoreConfig},
+    member_change::{MemberChange, MemberChangeError},
+    output::{Apply, CoreEvent, Outputs, Write},
+    replica_log::ReplicaLog,
+    storage::{SavedState, Storage, StorageError},
+    storage_folder::{DiskFolder, Folder},
+};
--- /dev/null
+++ b/src/consensus/replica_log.rs
@@ -0,0 +1,173 @@
+use {
+    crate::wire::consensus::{entry::Body, Entry, LogHead, Membership, Snapshot},
+    std::sync::Arc,
+};
+
+/// The log in memory: the latest snapshot and the entries after the head.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaLog {
+    head: LogHead,
+    entries: Vec<Entry>,
+    snapshot: Option<Arc<Snapshot>>,
+    /// Memberships with the index of their entry, ascending.
+    memberships: Vec<(u64, Membership)>,
+}
+
+impl ReplicaLog {
+    /// Returns the log that was read from a disk.
+    pub fn new(head: LogHead, entries: Vec<Entry>, snapshot: Option<Arc<Snapshot>>) -> Self {
+        let mut log = Self {
+            head,
+            entries: Vec::new(),
+            memberships: Vec::new(),
+            snapshot,
+        };
+        log.memberships.extend(log.snapshot_membership());
+        log.append(entries);
+        log
+    }
+
+    /// Returns the position before the first entry that is held.
+    pub fn head(&self) -> LogHead {
+        self.head
+    }
+
+    /// Returns the latest snapshot.
+    pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns the index of the latest snapshot, or 0.
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |s| s.index)
+    }
+
+    /// Returns the index of the last entry.
+    pub fn last_index(&self) -> u64 {
+        self.entries.last().map_or(self.head.index, |e| e.index)
+    }
+
+    /// Returns the term of the last entry.
+    pub fn last_term(&self) -> u64 {
+        self.entries.last().map_or(self.head.term, |e| e.term)
+    }
+
+    /// Returns the term of the entry at `index`, if it is known.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.head.index {
+            return Some(self.head.term);
+        }
+        self.position(index).map(|i| self.entries[i].term)
+    }
+
+    /// Returns at most `max_bytes` of entries from `first` on, at least one if there is one.
+    pub fn slice(&self, first: u64, max_bytes: usize) -> &[Entry] {
+        let Some(from) = self.position(first) else {
+            return &[];
+        };
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            let empty = bytes == 0;
+            bytes += entry_bytes(entry);
+            empty || bytes <= max_bytes
+        };
+        let count = self.entries[from..].iter().take_while(fits).count();
+        &self.entries[from..from + count]
+    }
+
+    /// Returns the entries after `after` up to `until`.
+    pub fn between(&self, after: u64, until: u64) -> &[Entry] {
+        let from = (after.max(self.head.index) - self.head.index) as usize;
+        let to = (until.max(self.head.index) - self.head.index) as usize;
+        &self.entries[from.min(to)..to.min(self.entries.len())]
+    }
+
+    /// Returns the last index of an earlier term than that of the entry at `index`.
+    pub fn before_term_of(&self, index: u64) -> u64 {
+        let Some(position) = self.position(index) else {
+            return index.saturating_sub(1).max(self.head.index);
+        };
+        let term = self.entries[position].term;
+        let earlier = self.entries[..position].iter().rev().find(|e| e.term != term);
+        earlier.map_or(self.head.index, |e| e.index)
+    }
+
+    /// Appends entries. The first one replaces an entry with the same index and all after it.
+    pub fn append(&mut self, entries: Vec<Entry>) {
+        if let Some(first) = entries.first().map(|e| e.index) {
+            let keep = (first - 1).saturating_sub(self.head.index) as usize;
+            self.entries.truncate(keep);
+            self.memberships.retain(|(index, _)| *index < first);
+        }
+        for entry in entries {
+            if let Some(Body::Membership(membership)) = &entry.body {
+                self.memberships.push((entry.index, membership.clone()));
+            }
+            self.entries.push(entry);
+        }
+    }
+
+    /// Returns the members in force, which are those of the last entry that names them.
+    pub fn membership(&self) -> &Membership {
+        static NOBODY: Membership = Membership { members: Vec::new() };
+        self.memberships.last().map_or(&NOBODY, |(_, m)| m)
+    }
+
+    /// Returns the index of the entry that names the members in force.
+    pub fn membership_index(&self) -> u64 {
+        self.memberships.last().map_or(0, |(index, _)| *index)
+    }
+
+    /// Returns the members as of `index`.
+    pub fn membership_at(&self, index: u64) -> Membership {
+        let earlier = self.memberships.iter().rev().find(|(i, _)| *i <= index);
+        earlier.map(|(_, m)| m.clone()).unwrap_or_default()
+    }
+
+    /// Takes a snapshot of one's own entries and drops all but `kept` entries up to it.
+    pub fn compact(&mut self, snapshot: Arc<Snapshot>, kept: u64) {
+        let head = snapshot.index.saturating_sub(kept).max(self.head.index);
+        if let Some(term) = self.term_at(head) {
+            self.entries.drain(..(head - self.head.index) as usize);
+            self.head = LogHead { index: head, term };
+        }
+        self.memberships.retain(|(index, _)| *index > snapshot.index);
+        self.snapshot = Some(snapshot);
+        let first = self.snapshot_membership();
+        self.memberships.splice(0..0, first);
+    }
+
+    /// Replaces the whole log by a snapshot from the leader.
+    pub fn install(&mut self, snapshot: Arc<Snapshot>) {
+        let head = LogHead {
+            index: snapshot.index,
+            term: snapshot.term,
+        };
+        *self = Self::new(head, Vec::new(), Some(snapshot));
+    }
+
+    /// Returns all entries that are held.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    fn snapshot_membership(&self) -> Option<(u64, Membership)> {
+        let snapshot = self.snapshot.as_ref()?;
+        Some((snapshot.index, snapshot.membership.clone()?))
+    }
+
+    fn position(&self, index: u64) -> Option<usize> {
+        let position = index.checked_sub(self.head.index + 1)? as usize;
+        (position < self.entries.len()).then_some(position)
+    }
+}
+
+/// Returns about how many bytes an entry takes in a message.
+fn entry_bytes(entry: &Entry) -> usize {
+    const OVERHEAD_BYTES: usize = 24;
+    match &entry.body {
+        Some(Body::Change(change)) => change.len() + OVERHEAD_BYTES,
+        Some(Body::Membership(membership)) => membership.members.len() * 64 + OVERHEAD_BYTES,
+        None => OVERHEAD_BYTES,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call;
 pub mod cli;
 pub mod clock;
+pub mod consensus;
 pub mod control;
 pub mod daemon;
 pub mod edge;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(missing_docs)]
 
+#[rustfmt::skip]
+#[path = "generated/clementinefold.consensus.rs"]
+pub mod consensus;
 #[rustfmt::skip]
 #[path = "generated/clementinefold.control.rs"]
 pub mod control;
