--- a/tests/consensus_faults.rs
+++ b/tests/consensus_faults.rs
@@ -1,11 +1,11 @@
 //! Named faults of the agreement. The exchange checks its invariants after each step of each case.
 
-mod support;
+mod exchange;
 
 use {
     clementinefold::consensus::CoreEvent,
+    exchange::{mem_disk::DiskFault, Exchange},
     std::panic::catch_unwind,
-    support::{exchange::Exchange, mem_disk::DiskFault},
 };
 
 /// A cell of `count` hosts with a leader and some acknowledged changes.
--- a/tests/consensus_schedules.rs
+++ b/tests/consensus_schedules.rs
@@ -3,15 +3,12 @@
 //! A longer run: `CONSENSUS_SCHEDULES=200000 cargo test --release --test consensus_schedules`. With
 //! `CONSENSUS_FIRST_SEED` it starts at another seed.
 
-mod support;
+mod exchange;
 
 use {
+    exchange::{mem_disk::DiskFault, CopiedDisk, Exchange},
     rand::{rngs::SmallRng, Rng, SeedableRng},
     std::{env, thread},
-    support::{
-        exchange::{CopiedDisk, Exchange},
-        mem_disk::DiskFault,
-    },
 };
 
 /// Schedules in a run of CI.
--- a/tests/support/exchange.rs
+++ b/tests/exchange/mod.rs
@@ -1,7 +1,12 @@
 //! Drives several consensus cores through one seeded exchange in one thread and checks after each step.
 
+// Each test uses a part of it.
+#![allow(dead_code)]
+
+pub mod mem_disk;
+
 use {
-    super::mem_disk::{DiskFault, MemDisk},
+    self::mem_disk::{DiskFault, MemDisk},
     bytes::Bytes,
     clementinefold::{
         clock::Ms,
--- a/tests/storage_faults.rs
+++ b/tests/storage_faults.rs
@@ -1,6 +1,6 @@
 //! Faults of the files of the control log, on a disk in memory and on a real folder.
 
-mod support;
+mod exchange;
 
 use {
     bytes::Bytes,
@@ -8,8 +8,8 @@
         consensus::{DiskFolder, Folder, SavedState, Storage, StorageError, Write},
         wire::consensus::{entry, Entry, HardState, LogHead, Snapshot},
     },
+    exchange::mem_disk::{DiskFault, MemDisk},
     std::sync::Arc,
-    support::mem_disk::{DiskFault, MemDisk},
 };
 
 fn entries(range: std::ops::RangeInclusive<u64>, term: u64) -> Vec<Entry> {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,14 @@
-//! What several tests share.
+//! Starts the programs of the project on loopback and checks what they did, for tests and benches.
 
-#![allow(dead_code)]
+// Each test and bench uses a part of it.
+#![allow(dead_code, unused_imports)]
 
-pub mod exchange;
-pub mod mem_disk;
+mod cluster;
+mod ownership_check;
+mod processes;
+
+pub use {
+    cluster::{Answer, Cluster, ClusterPlan, Host, Standin, StandinPlan},
+    ownership_check::{overlaps, Tenure},
+    processes::wait_until,
+};
