--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod daemon;
 pub mod edge;
 pub mod event;
+pub mod grant;
 pub mod key;
 pub mod lease;
 pub mod link;
