--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -46,6 +46,7 @@
         renewed: true,
         leader: String::new(),
         committed: 1_000_000,
+        ..RenewAnswer::default()
     }
 }
 
--- a/codegen/tests/generated_code.rs
+++ b/codegen/tests/generated_code.rs
@@ -19,7 +19,7 @@
         );
         files += 1;
     }
-    assert_eq!(files, 4);
+    assert_eq!(files, 5);
 }
 
 #[test]
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -6,7 +6,7 @@
         target::{Sent, Target},
         text_output::{diff_text, explain_text, status_text},
     },
-    crate::{cli::exit, edge::CommandRequest, schema::Schema},
+    crate::{cli::exit, clock::Clock, control::CommandId, edge::CommandRequest, schema::Schema},
     anyhow::{anyhow, bail, Context, Result},
     clap::ArgMatches,
     percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC},
@@ -300,5 +300,5 @@
 
 fn new_command_id() -> Result<String> {
     let number = getrandom::u64().map_err(|e| anyhow!("random numbers: {e}"))?;
-    Ok(format!("{number:016x}"))
+    Ok(CommandId::new(Clock::System.wall(), number).to_string())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod call;
 pub mod cli;
 pub mod clock;
+pub mod consensus;
 pub mod control;
 pub mod daemon;
 pub mod edge;
 pub mod event;
+pub mod grant;
 pub mod key;
 pub mod lease;
 pub mod link;
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -90,8 +90,9 @@
         "foreign.json",
         &schema(1).to_string().replace("\"test\"", "\"other\""),
     );
-    let first = ["--command-id", "c1", "apply", "new.json"];
-    let cases: [(&str, Vec<&str>, i32, &str); 12] = [
+    let id = cluster.command_id();
+    let first = ["--command-id", &id, "apply", "new.json"];
+    let cases: [(&str, Vec<&str>, i32, &str); 15] = [
         (
             "plan",
             vec!["plan", "new.json"],
@@ -123,6 +124,19 @@
         ("drain", vec!["drain", "host-1"], 0, "accepted"),
         ("undrain", vec!["undrain", "host-1"], 0, "accepted"),
         ("undrain twice", vec!["undrain", "host-1"], 4, "refused"),
+        (
+            "bad command id",
+            vec!["--command-id", "c1", "undrain", "host-1"],
+            4,
+            "command_id",
+        ),
+        ("wait", vec!["wait"], 0, "is in force"),
+        (
+            "apply and wait",
+            vec!["apply", "schema.json", "--wait"],
+            0,
+            "accepted",
+        ),
         ("status", vec!["status"], 0, "ledger"),
     ];
     let mut applied = Vec::new();
@@ -131,7 +145,7 @@
         let said = stdout(&output);
         assert_eq!(code(&output), expected, "{name}: {said}{}", stderr(&output));
         assert!(said.contains(text), "{name}: {said}");
-        if args.contains(&"c1") {
+        if name.contains("the same") || name == "apply" {
             applied.push(said);
         }
     }
@@ -156,9 +170,10 @@
 fn lost_answer_can_be_resent() {
     let cluster = cluster(1);
     cluster.signal_host(0, Signal::STOP);
+    let id = cluster.command_id();
     let args = [
         "--command-id",
-        "c2",
+        &id,
         "apply",
         "schema.json",
         "--base",
@@ -167,7 +182,11 @@
     let output = ctl(&cluster, &args);
     cluster.signal_host(0, Signal::CONT);
     assert_eq!(code(&output), 5, "{}", stderr(&output));
-    assert!(stderr(&output).contains("--command-id c2"), "{}", stderr(&output));
+    assert!(
+        stderr(&output).contains(&format!("--command-id {id}")),
+        "{}",
+        stderr(&output)
+    );
 }
 
 #[test]
