--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,5 +1,8 @@
 use {
-    super::{answers::Answers, Owner, Range, RangeTable, Release, Revision, Session, State, Vacancy},
+    super::{
+        answers::{Answers, Horizon},
+        Owner, Range, RangeTable, Release, Revision, Session, State, Vacancy,
+    },
     crate::{
         clock::Ms,
         key::Key,
@@ -31,8 +34,9 @@
             schema: self.schema_json.clone(),
             sessions: sessions.collect(),
             services: services.collect(),
-            answered: self.answers.records(),
-            answers_horizon_ms: self.answers.horizon().0,
+            answered: self.answers.records().to_vec(),
+            answers_horizon_ms: self.answers.horizon().made_at.0,
+            answers_horizon_base: self.answers.horizon().base,
             drains: self.drains.clone(),
         };
         image.encode_to_vec()
@@ -70,7 +74,13 @@
             schema_json: image.schema,
             sessions,
             services: tables.collect(),
-            answers: Answers::from_records(image.answered, Ms(image.answers_horizon_ms)),
+            answers: Answers::from_records(
+                image.answered,
+                Horizon {
+                    made_at: Ms(image.answers_horizon_ms),
+                    base: image.answers_horizon_base,
+                },
+            ),
             drains: image.drains,
         })
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,8 +1,12 @@
 use {
-    super::local_server::{LocalServer, LostServer},
+    super::{
+        decisions::Decisions,
+        local_server::{LocalServer, LostServer},
+    },
     crate::{
         clock::Clock,
         control::{ControlHandle, Server, State},
+        event::RateLimit,
         grant::Touched,
         lease::DaemonLease,
         link::{KeyRing, LinkError, Links},
@@ -34,6 +38,10 @@
     pub metrics: Metrics,
     pub links: Links,
     pub operator_keys: KeyRing,
+    /// Limit of the log lines on refused requests of operators and servers.
+    pub refusals: RefCell<RateLimit>,
+    /// The last decisions that this daemon saw committed.
+    pub decisions: RefCell<Decisions>,
     /// The near end of the control duty on a control host.
     pub control: Option<ControlHandle>,
     /// Random number of this process.
@@ -90,6 +98,8 @@
             metrics: parts.metrics,
             links: parts.links,
             operator_keys: parts.operator_keys,
+            refusals: RefCell::default(),
+            decisions: RefCell::default(),
             control: parts.control,
             process: rng.next_u64(),
             lease: DaemonLease::default(),
@@ -132,6 +142,7 @@
                 let follows = committed.index == state.applied() + 1;
                 if let (true, Some(change)) = (follows, &committed.change) {
                     let applied = state.apply(committed.index, change);
+                    self.decisions.borrow_mut().note(committed, &applied);
                     touched.note(&applied, self.session.get());
                 }
             }
--- a/tests/consensus_faults.rs
+++ b/tests/consensus_faults.rs
@@ -371,8 +371,11 @@
     assert!(overlap.is_err(), "no two leases overlapped");
 }
 
+/// Name of a case, and what runs it with a seed.
+type Case = (&'static str, fn(u64));
+
 /// The named cases.
-const CASES: &[(&str, fn(u64))] = &[
+const CASES: &[Case] = &[
     ("leader killed before sync", killed_before_sync),
     (
         "leader killed after sync before sending",
