Losses and moves with real processes; a restarted server gets no grants of its predecessor

Cause: tests/loss_takeover.rs restarted_server showed two holders of one key: the daemon had granted the new process what the state still gave to the old one, and the state then gave it to another server. Change: grants follow the state only while it lists the same incarnation of the server (row restarted_server in planned_moves). Test processes use ports below those of outgoing connections (one start failed with 'address already in use' in about 60 cluster starts).

--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -71,26 +71,24 @@
 
     fn align(&self, server: &LocalServer, touched: &Touched) {
         let state = self.state();
-        let service = &server.announced.service;
-        let address = &server.announced.address;
         let session = self.session.get();
         let mut book = server.grants.borrow_mut();
+        let mut spans = Vec::new();
         if touched.all {
-            let wanted = grant::all_wanted(&state, service, session, address);
-            book.align(&KeyRange::default(), &wanted);
-            return;
-        }
-        let (Some(session), Some(table)) = (session, state.table(service)) else {
-            return;
-        };
-        let of_service = touched.spans.iter().filter(|(name, _)| name == service);
-        let mut spans: Vec<KeyRange> = of_service.map(|(_, span)| span.clone()).collect();
-        if touched.releases {
-            spans.extend(book.releases());
+            spans.push(KeyRange::default());
+        } else {
+            let of_service = touched.spans.iter();
+            let of_service = of_service.filter(|(name, _)| *name == server.announced.service);
+            spans.extend(of_service.map(|(_, span)| span.clone()));
+            if touched.releases {
+                spans.extend(book.releases());
+            }
         }
         for span in spans {
-            let wanted = grant::wanted_of(table, &span, session, address);
-            book.align(&span, &wanted);
+            book.align(
+                &span,
+                &grant::wanted_within(&state, session, &server.announced, &span),
+            );
         }
     }
 
--- a/src/grant/mod.rs
+++ b/src/grant/mod.rs
@@ -7,5 +7,5 @@
 pub use {
     grant_book::{GrantAction, GrantBook},
     grant_entry::{GrantGoal, GrantPhase},
-    touched::{all_wanted, wanted_of, Touched, Wanted},
+    touched::{wanted_within, Touched, Wanted},
 };
--- a/src/grant/touched.rs
+++ b/src/grant/touched.rs
@@ -1,7 +1,7 @@
 use {
     super::GrantGoal,
     crate::{
-        control::{Applied, RangeTable, State},
+        control::{Applied, Server, State},
         key::KeyRange,
     },
 };
@@ -87,14 +87,26 @@
     }
 }
 
-/// Returns what the server at `address` behind `session` is to own of `span`.
-pub fn wanted_of(table: &RangeTable, span: &KeyRange, session: u64, address: &str) -> Vec<Wanted> {
+/// Returns what `server` behind `session` is to own of `span`.
+///
+/// A process that was started anew gets nothing that the state gave to the one before it at its address.
+pub fn wanted_within(state: &State, session: Option<u64>, server: &Server, span: &KeyRange) -> Vec<Wanted> {
     let mut wanted = Vec::new();
+    let Some(session) = session.and_then(|id| state.session(id)) else {
+        return wanted;
+    };
+    let listed = session.server(&server.service, &server.address);
+    let Some(table) = state.table(&server.service) else {
+        return wanted;
+    };
+    if listed.is_none_or(|listed| listed.incarnation != server.incarnation) {
+        return wanted;
+    }
     for (position, range) in table.within(span) {
         let Some(owner) = &range.owner else {
             continue;
         };
-        if owner.session != session || owner.server != address {
+        if owner.session != session.id || owner.server != server.address {
             continue;
         }
         let release = range.release.as_ref().map(|r| GrantGoal::Release(r.index));
@@ -106,11 +118,3 @@
     }
     wanted
 }
-
-/// Returns what a server is to own of all keys, or nothing without a session or a table.
-pub fn all_wanted(state: &State, service: &str, session: Option<u64>, address: &str) -> Vec<Wanted> {
-    match (session, state.table(service)) {
-        (Some(session), Some(table)) => wanted_of(table, &KeyRange::default(), session, address),
-        _ => Vec::new(),
-    }
-}
--- a/tests/lease_world/daemon_actor.rs
+++ b/tests/lease_world/daemon_actor.rs
@@ -94,19 +94,23 @@
     pub fn servers(&self, session: u64) -> SetServers {
         SetServers {
             session,
-            servers: vec![Server {
-                service: "ledger".into(),
-                address: self.address.clone(),
-                incarnation: "a".into(),
-                slots: 4,
-                connections: 10,
-                checks_fencing: self.checks_fencing,
-                leaving: false,
-            }],
+            servers: vec![self.server()],
             ended: Vec::new(),
         }
     }
 
+    fn server(&self) -> Server {
+        Server {
+            service: "ledger".into(),
+            address: self.address.clone(),
+            incarnation: "a".into(),
+            slots: 4,
+            connections: 10,
+            checks_fencing: self.checks_fencing,
+            leaving: false,
+        }
+    }
+
     pub fn apply(&mut self, changes: &[Committed]) {
         for committed in changes {
             if committed.index == self.state.applied() + 1 {
@@ -125,18 +129,16 @@
         is_busy: impl Fn(&KeyRange) -> bool,
     ) -> Vec<GrantAction> {
         let touched = std::mem::take(&mut self.touched);
+        let mut spans: Vec<KeyRange> = touched.spans.into_iter().map(|(_, span)| span).collect();
         if touched.all {
-            let wanted = grant::all_wanted(&self.state, "ledger", self.session, &self.address);
-            self.book.align(&KeyRange::default(), &wanted);
-        } else if let (Some(session), Some(table)) = (self.session, self.state.table("ledger")) {
-            let mut spans: Vec<KeyRange> = touched.spans.into_iter().map(|(_, span)| span).collect();
-            if touched.releases {
-                spans.extend(self.book.releases());
-            }
-            for span in spans {
-                let wanted = grant::wanted_of(table, &span, session, &self.address);
-                self.book.align(&span, &wanted);
-            }
+            spans.push(KeyRange::default());
+        }
+        if touched.releases {
+            spans.extend(self.book.releases());
+        }
+        for span in spans {
+            let wanted = grant::wanted_within(&self.state, self.session, &self.server(), &span);
+            self.book.align(&span, &wanted);
         }
         self.book.forget_dropped(leases_end_at, now);
         self.book.next_actions(is_busy)
--- a/tests/loss_takeover.rs
+++ b/tests/loss_takeover.rs
@@ -4,90 +4,153 @@
 
 use {
     rustix::process::Signal,
-    serde_json::{json, Value},
-    std::time::Duration,
-    support::{overlaps, wait_until, Cluster, ClusterPlan, StandinPlan},
+    serde_json::Value,
+    support::{
+        assert_one_owner, owner_of, serves, serves_all, start_ledger, wait_until, Cluster, FIRST_RANGE, KEYS,
+        PATIENCE,
+    },
 };
 
-const PATIENCE: Duration = Duration::from_secs(30);
-const KEYS: [&str; 2] = ["alpha", "tango"];
+/// Host and server that own all ranges at first.
+const OWNER: usize = 1;
+/// A host without ranges.
+const OTHER: usize = 2;
 
-/// Three hosts with one server each and a schema of two ranges.
-fn cluster(checks_fencing: bool) -> Cluster {
-    let mut cluster = Cluster::start(&ClusterPlan::default());
-    for host in 0..3 {
-        cluster.start_server(StandinPlan {
-            host,
-            checks_fencing,
-            ..StandinPlan::default()
-        });
-    }
-    wait_until("all servers are announced", PATIENCE, || {
-        let status = cluster.ask(0, "status").unwrap_or_default();
-        let sessions = status["sessions"].as_array().cloned().unwrap_or_default();
-        let announced = |s: &Value| s["servers"].as_array().is_some_and(|s| !s.is_empty());
-        sessions.len() == 3 && sessions.iter().all(announced)
+fn wait_for_service(cluster: &Cluster, host: usize) {
+    wait_until("all keys are served again", PATIENCE, || {
+        serves_all(cluster, host)
+    });
+}
+
+#[test]
+fn killed_daemon() {
+    let mut cluster = start_ledger(true);
+    cluster.kill_host(OWNER);
+    wait_for_service(&cluster, 0);
+    assert_ne!(owner_of(&cluster, FIRST_RANGE), Some(OWNER));
+    assert_one_owner(&cluster);
+}
+
+#[test]
+fn killed_daemon_unfenced() {
+    let mut cluster = start_ledger(false);
+    cluster.kill_host(OWNER);
+    wait_for_service(&cluster, 0);
+    assert_one_owner(&cluster);
+}
+
+#[test]
+fn restarted_daemon() {
+    // It has nothing on disk and comes back before its old session has ended.
+    let mut cluster = start_ledger(true);
+    cluster.kill_host(OWNER);
+    assert!(!cluster.hosts[OWNER].data_dir.exists());
+    cluster.start_host(OWNER);
+    wait_for_service(&cluster, OWNER);
+    wait_for_service(&cluster, 0);
+    wait_until("the host has a session again", PATIENCE, || {
+        let status = cluster.ask(OWNER, "status").unwrap_or_default();
+        status["session"].is_u64() && status["lease_left_ms"].as_u64().is_some_and(|ms| ms > 0)
     });
-    cluster.apply(0, &schema(checks_fencing));
-    wait_until("all keys are served", PATIENCE, || serves_all(&cluster, 0));
-    cluster
+    assert_one_owner(&cluster);
 }
 
-fn schema(checks_fencing: bool) -> Value {
-    json!({
-        "cluster": "test",
-        "services": [{
-            "name": "ledger", "divided_by_key": true, "boundaries": ["m"], "checks_fencing": checks_fencing,
-            "calls": [{ "name": "read", "method": "GET", "path": "/read", "idempotent": true, "deadline_ms": 500, "max_deadline_ms": 500 }]
-        }]
-    })
+#[test]
+fn frozen_daemon() {
+    let cluster = start_ledger(true);
+    cluster.signal_host(OWNER, Signal::STOP);
+    wait_for_service(&cluster, 0);
+    cluster.signal_host(OWNER, Signal::CONT);
+    wait_for_service(&cluster, OWNER);
+    let log = cluster.log("host-2");
+    assert!(
+        log.contains("lease voided"),
+        "the daemon noticed its pause: {log}"
+    );
+    assert_one_owner(&cluster);
 }
 
-fn serves(cluster: &Cluster, host: usize, key: &str) -> bool {
-    let answer = cluster.call(host, "GET", "/ledger/read", &[("fold-key", key)]);
-    answer.is_some_and(|a| a.outcome == "answered")
+#[test]
+fn killed_server() {
+    let mut cluster = start_ledger(true);
+    cluster.kill_server(OWNER);
+    wait_for_service(&cluster, 0);
+    assert_ne!(owner_of(&cluster, FIRST_RANGE), Some(OWNER));
+    // The daemon itself lives on with its session.
+    let ended = cluster.log("host-1");
+    assert!(
+        !ended.contains("session ended by control"),
+        "no session had to end: {ended}"
+    );
+    assert_one_owner(&cluster);
 }
 
-fn serves_all(cluster: &Cluster, host: usize) -> bool {
-    KEYS.iter().all(|key| serves(cluster, host, key))
+#[test]
+fn restarted_server() {
+    let mut cluster = start_ledger(true);
+    cluster.restart_server(OWNER);
+    wait_for_service(&cluster, 0);
+    assert_one_owner(&cluster);
 }
 
-/// Reads the reports of all servers and asserts that no key had two owners at once.
-fn assert_one_owner(cluster: &Cluster) {
-    let reports: Vec<Value> = (0..cluster.servers.len())
-        .map(|s| cluster.report(s).unwrap())
-        .collect();
-    for key in KEYS {
-        assert_eq!(overlaps(&reports, key), [], "key {key}");
+#[test]
+fn frozen_server() {
+    for checks_fencing in [true, false] {
+        let cluster = start_ledger(checks_fencing);
+        cluster.signal_server(OWNER, Signal::STOP);
+        wait_for_service(&cluster, 0);
+        assert_ne!(owner_of(&cluster, FIRST_RANGE), Some(OWNER));
+        cluster.signal_server(OWNER, Signal::CONT);
+        wait_until("the server answers again", PATIENCE, || {
+            cluster.report(OWNER).is_some()
+        });
+        wait_for_service(&cluster, OTHER);
+        assert_one_owner(&cluster);
     }
 }
 
-/// Returns the position of the server that owns the range of `KEYS[0]`.
-fn owner(cluster: &Cluster) -> usize {
-    let address = cluster.owner(0, "[, m)").unwrap();
-    let position = cluster
-        .servers
-        .iter()
-        .position(|s| s.address.to_string() == address);
-    position.unwrap()
+#[test]
+fn stopped_daemon() {
+    let mut cluster = start_ledger(true);
+    assert!(cluster.stop_host(OWNER), "a graceful stop ends well");
+    wait_for_service(&cluster, 0);
+    assert_one_owner(&cluster);
 }
 
 #[test]
-fn killed_daemon() {
-    let mut cluster = cluster(true);
-    let lost = owner(&cluster).max(1);
-    cluster.kill_host(lost);
-    wait_until("all keys are served again", PATIENCE, || serves_all(&cluster, 0));
+fn two_daemons_of_one_host() {
+    let mut cluster = start_ledger(true);
+    let twin = cluster.start_twin(OWNER);
+    wait_until("the second one is refused", PATIENCE, || {
+        cluster.log("host-2-twin").contains("session refused")
+    });
+    assert!(serves(&cluster, 0, KEYS[0]));
+    assert_eq!(
+        owner_of(&cluster, FIRST_RANGE),
+        Some(OWNER),
+        "the first one keeps its ranges"
+    );
+    cluster.kill_host(OWNER);
+    wait_until("the second one gets a session", PATIENCE, || {
+        let status = cluster.ask(twin, "status").unwrap_or_default();
+        status["session"].is_u64()
+    });
+    wait_for_service(&cluster, 0);
     assert_one_owner(&cluster);
 }
 
 #[test]
-fn frozen_daemon() {
-    let cluster = cluster(true);
-    let lost = owner(&cluster).max(1);
-    cluster.signal_host(lost, Signal::STOP);
-    wait_until("all keys are served again", PATIENCE, || serves_all(&cluster, 0));
-    cluster.signal_host(lost, Signal::CONT);
-    wait_until("the daemon serves again", PATIENCE, || serves_all(&cluster, lost));
+fn restarted_control_host() {
+    let mut cluster = start_ledger(true);
+    let before = cluster.ask(0, "status").unwrap_or_default();
+    cluster.kill_host(0);
+    cluster.start_host(0);
+    wait_for_service(&cluster, OTHER);
+    wait_until("the control host has the state", PATIENCE, || {
+        let shown = cluster.ask(0, "show").unwrap_or_default();
+        shown["revision"] == before["revision"]
+    });
+    let status: Value = cluster.ask(0, "status").unwrap_or_default();
+    assert_eq!(status["ranges"], before["ranges"], "no assignment is lost");
     assert_one_owner(&cluster);
 }
--- a/tests/planned_moves.rs
+++ b/tests/planned_moves.rs
@@ -21,8 +21,6 @@
 
 impl Daemon {
     fn follow(&mut self, f: &Fixture, touched: &Touched) {
-        let table = f.state.table(SERVICE).unwrap();
-        let address = server(1, true).address;
         let mut spans: Vec<KeyRange> = touched.spans.iter().map(|(_, span)| span.clone()).collect();
         if touched.all {
             spans.push(KeyRange::default());
@@ -31,8 +29,8 @@
             spans.extend(self.book.releases());
         }
         for span in spans {
-            self.book
-                .align(&span, &grant::wanted_of(table, &span, self.session, &address));
+            let wanted = grant::wanted_within(&f.state, Some(self.session), &server(1, true), &span);
+            self.book.align(&span, &wanted);
         }
     }
 
@@ -282,6 +280,18 @@
     assert_eq!(hosts, [Some(1), Some(2), Some(1)]);
 }
 
+#[test]
+fn restarted_server() {
+    // The new process has announced itself here, but the state still has the one before it.
+    let (f, daemon) = served();
+    let restarted = clementinefold::wire::control::Server {
+        incarnation: "second-1".into(),
+        ..server(1, true)
+    };
+    let wanted = grant::wanted_within(&f.state, Some(daemon.session), &restarted, &KeyRange::default());
+    assert_eq!(wanted, [], "nothing of the old process goes to the new one");
+}
+
 #[test]
 fn move_commands() {
     let wish = |service: &str, end: Option<&'static str>, host: &str, to_server: &str| {
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -150,6 +150,31 @@
         cluster
     }
 
+    /// Starts a second daemon with the name of a host, but other addresses. Returns its position.
+    pub fn start_twin(&mut self, position: usize) -> usize {
+        let original = &self.hosts[position];
+        let file = self.dir.path().join(format!("{}.json", original.name));
+        let mut settings: Value = serde_json::from_str(&fs::read_to_string(file).unwrap()).unwrap();
+        let twin = Host {
+            name: format!("{}-twin", original.name),
+            caller: free_address(),
+            server: free_address(),
+            operator: free_address(),
+            peer: free_address(),
+            data_dir: original.data_dir.with_extension("twin"),
+            process: None,
+        };
+        settings["caller_address"] = json!(twin.caller.to_string());
+        settings["server_address"] = json!(twin.server.to_string());
+        settings["operator_address"] = json!(twin.operator.to_string());
+        settings["peer_address"] = json!(twin.peer.to_string());
+        let file = self.dir.path().join(format!("{}.json", twin.name));
+        fs::write(file, settings.to_string()).unwrap();
+        self.hosts.push(twin);
+        self.start_host(self.hosts.len() - 1);
+        self.hosts.len() - 1
+    }
+
     /// Starts a daemon, also after its end.
     pub fn start_host(&mut self, position: usize) {
         let host = &mut self.hosts[position];
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,11 +4,16 @@
 #![allow(dead_code, unused_imports)]
 
 mod cluster;
+mod ledger;
 mod ownership_check;
 mod processes;
 
 pub use {
     cluster::{Answer, Cluster, ClusterPlan, Host, Standin, StandinPlan},
+    ledger::{
+        assert_one_owner, move_span, owner_of, schema, serves, serves_all, start_ledger, FIRST_RANGE, KEYS,
+        PATIENCE,
+    },
     ownership_check::{overlaps, Tenure},
     processes::wait_until,
 };
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -14,6 +14,10 @@
 /// Time between two looks at a condition.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
+/// Ports of test processes.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 20_000;
+
 /// One process of a cluster. It is ended with its value.
 #[derive(Debug)]
 pub struct Process(Child);
@@ -55,16 +59,20 @@
     }
 }
 
-/// Returns an address that no other process uses. Each cluster has loopback addresses of its own, so that
-/// no outgoing connection takes the port before it is used.
+/// Returns an address that no other process uses. Each test process has loopback addresses of its own, and
+/// the ports lie below those of outgoing connections, so that none is taken before it is used.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let pid = std::process::id();
-    let number = NEXT.fetch_add(1, Ordering::SeqCst);
-    let last = u8::try_from(2 + number % 250).unwrap();
-    let ip = IpAddr::V4(Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 127, pid as u8, last));
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap()
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let last = u8::try_from(2 + number % 250).unwrap();
+        let port = FIRST_PORT + u16::try_from(number % PORTS).unwrap();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 127, pid as u8, last));
+        if TcpListener::bind((ip, port)).is_ok() {
+            return SocketAddr::new(ip, port);
+        }
+    }
 }
 
 /// Waits until `condition` holds.
