Orders to a server that was started anew: nothing of its predecessor stays granted

The logs showed orders that were meant for the old process reaching the new one at the same address before its announcement, from the order thread of the forgotten server. The state then gave the ranges away while the new process held them. Ruled out: an incarnation in each order would need every server to check it; connection resets do not tell either. Change: the new process inherits the book of the old one with everything to be revoked, over the same ordered thread, and is published only when that is confirmed and no call of the old one is on its way. A forgotten server's thread sends no further leases, and the end of its leases is read when it is used, not when it is forgotten. Lists of servers are numbered, so that one that was overtaken counts for nothing (row late_server_list). Rows: restarted_server and late_server_list in planned_moves.

--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -12,6 +12,8 @@
     pub open: wire::OpenSession,
     /// Backend servers of the daemon, sorted by service and address.
     pub servers: Vec<Server>,
+    /// Number of the list of servers.
+    pub servers_number: u64,
 }
 
 impl Session {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -157,6 +157,7 @@
             id: index,
             open: open.clone(),
             servers: Vec::new(),
+            servers_number: 0,
         });
         Applied::SessionOpened(index)
     }
@@ -179,6 +180,11 @@
         let Some(position) = self.session_position(set.session) else {
             return Applied::Ignored("the session has ended");
         };
+        let session = &mut self.sessions[position];
+        if set.number < session.servers_number {
+            return Applied::Ignored("a later list of servers is known");
+        }
+        session.servers_number = set.number;
         let mut servers = set.servers.clone();
         servers.sort_by(|a, b| (&a.service, &a.address).cmp(&(&b.service, &b.address)));
         let before = std::mem::replace(&mut self.sessions[position].servers, servers);
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -19,6 +19,7 @@
             id: s.id,
             open: Some(s.open.clone()),
             servers: s.servers.clone(),
+            servers_number: s.servers_number,
         });
         let services = self.services.iter().map(|t| ServiceImage {
             name: t.service.clone(),
@@ -51,6 +52,7 @@
                 id: session.id,
                 open: session.open?,
                 servers: session.servers,
+                servers_number: session.servers_number,
             });
         }
         let tables = image.services.into_iter().map(|service| {
--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -99,6 +99,10 @@
         for action in book.next_actions(|span| server.is_busy_in(span)) {
             spawn_local(self.clone().carry_out(server.clone(), action));
         }
+        drop(book);
+        if server.end_succession() {
+            self.servers_changed.notify_one();
+        }
     }
 
     async fn carry_out(self: Rc<Self>, server: Rc<LocalServer>, action: GrantAction) {
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -167,16 +167,13 @@
         let now = self.clock.now();
         let servers = self.servers.borrow();
         let lost = self.lost_servers.borrow();
-        let live = servers.iter().map(|s| Server {
-            leaving: s.leaving.get(),
-            ..s.announced.clone()
-        });
+        let live = servers.iter().map(|server| server.published());
         let held = lost
             .iter()
-            .filter(|lost| !lost.ended && now < lost.leases_end_at)
+            .filter(|lost| !lost.ended && now < lost.orders.leases_end_at())
             .map(|lost| Server {
                 leaving: true,
-                ..lost.announced.clone()
+                ..lost.published.clone()
             });
         live.chain(held).collect()
     }
@@ -184,7 +181,14 @@
     /// Returns the incarnations of the servers that have certainly ended and are still to be published.
     pub fn ended_servers(&self) -> Vec<String> {
         let lost = self.lost_servers.borrow();
-        let ended = lost.iter().filter(|lost| lost.ended);
+        // A process whose successor may still have its calls has not ended in every respect.
+        let is_held = |incarnation: &str| {
+            lost.iter()
+                .any(|l| !l.ended && l.published.incarnation == incarnation)
+        };
+        let ended = lost
+            .iter()
+            .filter(|l| l.ended && !is_held(&l.announced.incarnation));
         ended.map(|lost| lost.announced.incarnation.clone()).collect()
     }
 
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -8,12 +8,13 @@
         control::Server,
         edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerOrders},
         event::Event,
-        grant::Touched,
+        grant::{GrantBook, Touched},
         log_event,
     },
     http::StatusCode,
     std::{
         cell::{Cell, RefCell},
+        io,
         rc::Rc,
         time::Duration,
     },
@@ -55,6 +56,9 @@
 
     fn announce(&self, announced: Server) -> Result<(), String> {
         let now = self.clock.now();
+        let mut predecessor = None;
+        let mut grants = GrantBook::default();
+        let mut orders = None;
         if let Some(known) = self.server(&announced.service, &announced.address) {
             let unchanged = Server {
                 leaving: false,
@@ -66,6 +70,13 @@
             }
             let ended = known.announced.incarnation != announced.incarnation;
             self.forget_server(&known, "it was started anew", ended);
+            if ended {
+                grants = known.grants.take().inherited();
+                orders = Some(known.orders.clone());
+                predecessor = Some(known);
+            } else {
+                known.orders.close();
+            }
         }
         let client = ServerClient::start(
             &announced.address,
@@ -76,11 +87,14 @@
         );
         let server = LocalServer {
             client: client.map_err(|e| e.to_string())?,
-            orders: ServerOrders::start(&announced.address, self.clock.clone(), self.lease.clone())
-                .map_err(|e| e.to_string())?,
+            orders: match orders {
+                Some(orders) => orders,
+                None => self.start_orders(&announced.address).map_err(|e| e.to_string())?,
+            },
             last_announce: Cell::new(now),
             leaving: Cell::new(false),
-            grants: RefCell::default(),
+            predecessor: RefCell::new(predecessor),
+            grants: RefCell::new(grants),
             revoke_failed: Cell::new(false),
             running: RefCell::default(),
             lease_order_waits: Cell::default(),
@@ -101,6 +115,16 @@
         Ok(())
     }
 
+    /// Starts the orders to a server. Leases that were sent to its address before are counted.
+    fn start_orders(&self, address: &str) -> io::Result<Rc<ServerOrders>> {
+        let orders = ServerOrders::start(address, self.clock.clone(), self.lease.clone())?;
+        let lost = self.lost_servers.borrow();
+        for earlier in lost.iter().filter(|lost| lost.announced.address == address) {
+            orders.count_lease(earlier.orders.leases_end_at());
+        }
+        Ok(Rc::new(orders))
+    }
+
     /// A server that leaves keeps its ranges until they have moved, but takes no new ones.
     fn leave(&self, service: &str, address: &str, incarnation: &str) {
         if let Some(server) = self.server(service, address) {
@@ -113,22 +137,27 @@
 
     /// Forgets a local server at whose address nothing listens. It has ended if none of its calls runs.
     pub fn remove_server(&self, lost: &Rc<LocalServer>, reason: &str) {
-        let ended = lost.running.borrow().is_empty();
-        self.forget_server(lost, reason, ended);
+        let ended = lost.running.borrow().is_empty() && lost.predecessor.borrow().is_none();
+        if self.forget_server(lost, reason, ended) {
+            lost.orders.close();
+        }
     }
 
     /// Forgets a local server that does not answer. Its ranges stay with it until its leases have ended.
     pub fn remove_silent_server(&self, lost: &Rc<LocalServer>, reason: &str) {
-        self.forget_server(lost, reason, false);
+        if self.forget_server(lost, reason, false) {
+            lost.orders.close();
+        }
     }
 
-    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, ended: bool) {
+    /// False: it was forgotten before.
+    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, ended: bool) -> bool {
         let count = self.servers.borrow().len();
         self.servers
             .borrow_mut()
             .retain(|server| !Rc::ptr_eq(server, lost));
         if self.servers.borrow().len() == count {
-            return;
+            return false;
         }
         log_event!(
             self.log, Event::ServerLost;
@@ -136,10 +165,12 @@
         );
         self.lost_servers.borrow_mut().push(LostServer {
             announced: lost.announced.clone(),
+            published: lost.published(),
             ended,
-            leases_end_at: lost.orders.leases_end_at(),
+            orders: lost.orders.clone(),
         });
         self.servers_changed.notify_one();
+        true
     }
 
     /// Removes servers that stopped announcing themselves.
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -134,6 +134,7 @@
     /// Keeps the list of servers in the replicated state up to date.
     pub async fn publish_servers(self: Rc<Self>) {
         let mut published = None;
+        let mut number = 0;
         loop {
             let wanted = (self.session.get(), self.announced(), self.ended_servers());
             if published.as_ref() != Some(&wanted) {
@@ -141,10 +142,12 @@
                     self.servers_changed.notified().await;
                     continue;
                 };
+                number += 1;
                 let set = SetServers {
                     session,
                     servers,
                     ended,
+                    number,
                 };
                 let committed = self.propose(change::Body::SetServers(set)).await.is_some();
                 if committed {
--- a/src/edge/server_orders.rs
+++ b/src/edge/server_orders.rs
@@ -11,7 +11,7 @@
     std::{
         io,
         sync::{
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
             Arc,
         },
         thread,
@@ -86,7 +86,14 @@
 #[derive(Debug)]
 pub struct ServerOrders {
     ring: Sender<Job>,
-    leases_end_at: Arc<AtomicU64>,
+    shared: Arc<Shared>,
+}
+
+/// What the near end and the thread share.
+#[derive(Debug, Default)]
+struct Shared {
+    leases_end_at: AtomicU64,
+    closed: AtomicBool,
 }
 
 /// What the thread for one server needs.
@@ -95,7 +102,7 @@
     agent: Agent,
     clock: Clock,
     lease: DaemonLease,
-    leases_end_at: Arc<AtomicU64>,
+    shared: Arc<Shared>,
 }
 
 impl ServerOrders {
@@ -105,7 +112,7 @@
     /// The thread could not be started.
     pub fn start(address: &str, clock: Clock, lease: DaemonLease) -> io::Result<Self> {
         let (ring, jobs) = crossbeam_channel::bounded(RING_ORDERS);
-        let leases_end_at = Arc::new(AtomicU64::new(0));
+        let shared = Arc::new(Shared::default());
         let agent = Agent::config_builder()
             .http_status_as_error(false)
             .proxy(None)
@@ -115,17 +122,28 @@
             agent: agent.into(),
             clock,
             lease,
-            leases_end_at: leases_end_at.clone(),
+            shared: shared.clone(),
         };
         thread::Builder::new()
             .name("orders".into())
             .spawn(move || worker.run(&jobs))?;
-        Ok(Self { ring, leases_end_at })
+        Ok(Self { ring, shared })
     }
 
     /// Returns the end of the longest lease that was sent to the server, whether it arrived or not.
     pub fn leases_end_at(&self) -> Ms {
-        Ms(self.leases_end_at.load(Ordering::SeqCst))
+        Ms(self.shared.leases_end_at.load(Ordering::SeqCst))
+    }
+
+    /// Counts a lease that was sent to the server by other means.
+    pub fn count_lease(&self, ends_at: Ms) {
+        self.shared.leases_end_at.fetch_max(ends_at.0, Ordering::SeqCst);
+    }
+
+    /// Sends no further grants and leases. One that is not stopped by this is counted in
+    /// [`Self::leases_end_at`] by then.
+    pub fn close(&self) {
+        self.shared.closed.store(true, Ordering::SeqCst);
     }
 
     /// Gives an order and waits until the server confirmed it.
@@ -197,7 +215,11 @@
         if ends_at <= now {
             return Err(OrderError::NoLease);
         }
-        self.leases_end_at.fetch_max(ends_at.0, Ordering::SeqCst);
+        self.shared.leases_end_at.fetch_max(ends_at.0, Ordering::SeqCst);
+        // The look comes after the count, so that whoever closes sees the count or stops the order.
+        if self.shared.closed.load(Ordering::SeqCst) {
+            return Err(OrderError::Failed("the server was given up".into()));
+        }
         body["lease_ms"] = (ends_at - now).0.into();
         body["lease_until_ms"] = ends_at.0.into();
         Ok(())
--- a/src/grant/grant_book.rs
+++ b/src/grant/grant_book.rs
@@ -51,6 +51,22 @@
 }
 
 impl GrantBook {
+    /// Returns the book for a process that was started anew at the address of the one with this book. It may
+    /// have been ordered to hold what the one before it held, so all of that is revoked.
+    pub fn inherited(mut self) -> Self {
+        self.entries.retain(|e| !is_absent(e.phase));
+        for entry in &mut self.entries {
+            entry.goal = GrantGoal::Drop;
+            entry.phase = GrantPhase::Unsure;
+        }
+        self
+    }
+
+    /// Tells if something that has to go may still be there.
+    pub fn has_dropped(&self) -> bool {
+        self.entries.iter().any(|e| e.goal == GrantGoal::Drop)
+    }
+
     /// Tells if the server confirmed to hold `key` at `epoch` and is to go on.
     pub fn is_held(&self, key: &Key, epoch: u64) -> bool {
         self.entry_of(key, epoch)
@@ -71,7 +87,7 @@
     /// Tells if all grants may be extended: not while one that has to go may still be there.
     pub fn may_extend(&self) -> bool {
         let holds = self.entries.iter().any(|e| e.phase == GrantPhase::Held);
-        holds && !self.entries.iter().any(|e| e.goal == GrantGoal::Drop)
+        holds && !self.has_dropped()
     }
 
     /// Returns the spans that are being given up for planned moves.
--- a/tests/lease_world/daemon_actor.rs
+++ b/tests/lease_world/daemon_actor.rs
@@ -95,7 +95,7 @@
         SetServers {
             session,
             servers: vec![self.server()],
-            ended: Vec::new(),
+            ..SetServers::default()
         }
     }
 
--- a/tests/planned_moves.rs
+++ b/tests/planned_moves.rs
@@ -8,7 +8,7 @@
         control::{Applied, Owner},
         grant::{self, GrantAction, GrantBook, Touched},
         key::KeyRange,
-        wire::control::{change, operator_command::Body, MoveSpan, RangeReleased},
+        wire::control::{change, operator_command::Body, MoveSpan, RangeReleased, SetServers},
     },
     state_fixture::{accepted, key, refused, server, Fixture, SERVICE},
 };
@@ -290,6 +290,30 @@
     };
     let wanted = grant::wanted_within(&f.state, Some(daemon.session), &restarted, &KeyRange::default());
     assert_eq!(wanted, [], "nothing of the old process goes to the new one");
+    // An order to the old process may have reached the new one before it announced itself.
+    let mut book = daemon.book.inherited();
+    assert!(book.has_dropped() && !book.may_extend());
+    let actions = book.next_actions(|_| false);
+    assert_eq!(actions.iter().map(word).collect::<Vec<_>>(), ["revoke"]);
+    book.done(&actions[0], true);
+    assert_eq!(book.next_actions(|_| false), []);
+    assert!(!book.has_dropped());
+}
+
+#[test]
+fn late_server_list() {
+    // A list that was overtaken on its way must not take the ranges from a server that is there.
+    let (mut f, daemon) = served();
+    let late = SetServers {
+        session: daemon.session,
+        number: 1,
+        ..SetServers::default()
+    };
+    assert!(matches!(
+        f.commit(change::Body::SetServers(late)),
+        Applied::Ignored(_)
+    ));
+    assert!(daemon.serves(&f));
 }
 
 #[test]
--- a/tests/support/state_fixture.rs
+++ b/tests/support/state_fixture.rs
@@ -125,6 +125,7 @@
             session,
             servers,
             ended: ended.iter().map(|e| (*e).to_owned()).collect(),
+            number: self.state.applied(),
         }));
     }
 
