Control hosts agree: the control duty runs on the consensus core

Cause: the log of one control host was the only copy of what is acknowledged.

Change: the control duty drives the consensus core, with a thread of its own for the disk, so that renewals do not wait for a sync and all changes that arrive during one share the next. First voters find each other and the one with the lowest address founds the cell once all others said that their disks are empty. Requests that only the leader may serve are declined with its address; the daemon goes on to it. Every control host in touch with the leader serves the committed changes and the state, and daemons spread over them. A host with an empty disk offers itself; operators add, replace and remove members with the control call. A damaged folder stops the control role and not the daemon. control_duty.rs is split by job.

Ruled out: one request that times out turning every other request away from the leader that they have found. With a frozen leader, no command was accepted for 30 s in tests/control_hosts.rs; a request now turns away only from the host that it asked itself.

--- a/src/consensus/replication.rs
+++ b/src/consensus/replication.rs
@@ -215,6 +215,13 @@
         values.get(self.membership().quorum() - 1).copied()
     }
 
+    /// Returns at the leader how many entries another member lacks and when it was heard.
+    pub fn peer_state(&self, id: u64) -> Option<(u64, Ms)> {
+        let peer = self.peer(id)?;
+        let lag = self.log.last_index().saturating_sub(peer.matched);
+        Some((lag, peer.echoed_at))
+    }
+
     pub(super) fn leadership(&self) -> Option<&Leadership> {
         match &self.role {
             Role::Leader(leadership) => Some(leadership),
--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -1,125 +1,116 @@
 use {
-    super::{Applied, ControlHandle, ControlInput, LogError, LogFile, State},
+    super::{
+        disk_duty::WriteBatch,
+        founding::Founding,
+        members::members_answer,
+        note,
+        proposals::{Proposals, Waiter},
+        start::random,
+        state_parts::StateParts,
+        watches::{self, Watches},
+        ControlConfig, ControlError, ControlInput, State,
+    },
     crate::{
-        clock::{Clock, Ms},
+        consensus::{Apply, Core, CoreConfig, CoreEvent, SavedState, StorageError, Write},
         event::Event,
         lease::LeaderView,
         log_event, placement,
-        settings::LeaseSettings,
         wire::{
-            control::{change, command_answer, Change, CommandAnswer, Committed},
+            consensus::{entry, envelope, Entry, Envelope, Snapshot},
+            control::{change, Change, Committed},
             peer::{
-                OpenSessionAnswer, OpenSessionRequest, Propose, ProposeAnswer, Renew, RenewAnswer,
-                StateAnswer, StateRequest, Watch, WatchAnswer,
+                InForceAnswer, InForceRequest, MembersAnswer, MembersRequest, OpenSessionRequest, Propose,
+                Renew, RenewAnswer, StateAnswer,
             },
         },
     },
-    crossbeam_channel::{Receiver, RecvTimeoutError},
-    slog::Logger,
-    std::{path::PathBuf, thread, time::Duration},
+    crossbeam_channel::{Receiver, RecvTimeoutError, Sender},
+    prost::Message,
+    std::time::Duration,
     tokio::sync::oneshot,
 };
 
-/// Requests that wait for the control duty before further ones are dropped.
-const RING_REQUESTS: usize = 16_384;
-/// Most requests that share one sync of the disk.
+/// Most inputs that are taken before something is done about them.
 const BATCH_MAX: usize = 1024;
-/// Longest time between two looks at the leases and at ranges without an owner.
-const TICK: Duration = Duration::from_millis(20);
-/// Longest time that a watch waits for changes, well below the time that a daemon waits for any answer.
-const WATCH_MAX: Ms = Ms(600);
-/// Most changes in one answer to a watch.
-const WATCH_CHANGES_MAX: usize = 500;
-/// Most changes that are kept for daemons that lag.
-const HISTORY_MAX: usize = 10_000;
-/// Most bytes of one part of the state.
-const STATE_PART_BYTES: usize = 256 * 1024;
-
-/// What the control duty needs to start.
-#[derive(Clone, Debug)]
-pub struct ControlConfig {
-    /// Folder of the log.
-    pub data_dir: PathBuf,
-    /// Timing of sessions and leases.
-    pub lease: LeaseSettings,
-    /// Source of the time.
-    pub clock: Clock,
-    /// Logger of the duty.
-    pub log: Logger,
-}
-
-/// Opens the log and starts the thread of the control duty.
-///
-/// # Errors
-/// The log cannot be opened or read.
-pub fn start_control(config: ControlConfig) -> Result<(ControlHandle, thread::JoinHandle<()>), LogError> {
-    let (file, records) = LogFile::open(&config.data_dir)?;
-    let (tx, rx) = crossbeam_channel::bounded(RING_REQUESTS);
-    let duty = ControlDuty::new(config, file, records);
-    let thread = thread::Builder::new()
-        .name("control".into())
-        .spawn(move || duty.run(&rx))
-        .map_err(|source| LogError::Io {
-            path: PathBuf::from("thread control"),
-            source,
-        })?;
-    Ok((ControlHandle::new(tx), thread))
-}
-
-/// Someone who waits for a change to be committed.
-enum Waiter {
-    OpenSession(oneshot::Sender<OpenSessionAnswer>),
-    Propose(oneshot::Sender<ProposeAnswer>),
-    None,
-}
+/// Longest time between two looks at elections, leases and ranges without an owner.
+const TICK: Duration = Duration::from_millis(10);
+/// Committed entries after which a new snapshot is written.
+const SNAPSHOT_ENTRIES: u64 = 10_000;
 
-/// A watch that waits for changes.
-struct WaitingWatch {
-    applied: u64,
-    until: Ms,
-    tx: oneshot::Sender<WatchAnswer>,
-}
+/// The changes that are proposed together, with those who wait for them.
+type Batch = Vec<(change::Body, Waiter)>;
 
 /// The state that belongs to the thread of the control duty.
-struct ControlDuty {
+pub(super) struct ControlDuty {
     config: ControlConfig,
-    file: LogFile,
+    core: Core,
     state: State,
-    /// The latest committed changes, without gaps.
-    history: Vec<Committed>,
-    view: LeaderView,
-    watches: Vec<WaitingWatch>,
-    /// The image that daemons read in parts, with its index.
-    image: Option<(u64, Vec<u8>)>,
-    next_index: u64,
+    founding: Founding,
+    disk: Sender<WriteBatch>,
+    /// Writes that wait for the disk, which takes one batch at a time.
+    writes: Vec<(u64, Write)>,
+    disk_busy: bool,
+    /// What a leader keeps in memory; present while this host leads and has caught up.
+    view: Option<LeaderView>,
+    proposals: Proposals,
+    /// Index up to which changes that this duty itself proposed must be applied before it proposes more.
+    own_until: u64,
+    watches: Watches,
+    parts: StateParts,
+    /// Peer addresses by disk incarnation, as messages named them; sorted.
+    addresses: Vec<(u64, String)>,
+    failure: Option<String>,
 }
 
 impl ControlDuty {
-    fn new(config: ControlConfig, file: LogFile, records: Vec<Committed>) -> Self {
-        let mut state = State::default();
-        for record in &records {
-            if let Some(change) = &record.change {
-                state.apply(record.index, change);
-            }
-        }
-        let now = config.clock.now();
-        let view = LeaderView::new(config.lease, &state, now);
-        let next_index = state.applied() + 1;
+    pub fn new(
+        config: ControlConfig,
+        saved: SavedState,
+        disk: Sender<WriteBatch>,
+        seed: u64,
+    ) -> Result<Self, ControlError> {
+        let snapshot = saved.snapshot.clone();
+        let state = match &snapshot {
+            Some(snapshot) => restored(snapshot)?,
+            None => State::default(),
+        };
+        let mut watches = Watches::default();
+        watches.restart(saved.head.index);
+        let known = saved.entries.iter().filter(|e| e.index <= state.applied());
+        known.for_each(|e| watches.committed(committed(e)));
+        let founding = Founding::new(
+            saved.hard.id,
+            config.address,
+            &config.first_voters,
+            &config.control_hosts,
+        );
+        let core_config = CoreConfig {
+            address: config.address.to_string(),
+            timing: config.lease,
+            seed,
+        };
+        let core = Core::new(core_config, saved, config.clock.now());
         log_event!(config.log, Event::ControlStarted; "applied" => state.applied());
-        Self {
+        Ok(Self {
             config,
-            file,
+            core,
             state,
-            history: records,
-            view,
-            watches: Vec::new(),
-            image: None,
-            next_index,
-        }
+            founding,
+            disk,
+            writes: Vec::new(),
+            disk_busy: false,
+            view: None,
+            proposals: Proposals::default(),
+            own_until: 0,
+            watches,
+            parts: StateParts::default(),
+            addresses: Vec::new(),
+            failure: None,
+        })
     }
 
-    fn run(mut self, rx: &Receiver<ControlInput>) {
-        loop {
+    pub fn run(mut self, rx: &Receiver<ControlInput>) {
+        while self.failure.is_none() {
             let mut batch = Vec::new();
             match rx.recv_timeout(TICK) {
                 Ok(ControlInput::Stop) | Err(RecvTimeoutError::Disconnected) => return,
@@ -132,23 +123,46 @@
                 }
                 self.take(input, &mut batch);
             }
-            self.look_after_sessions(&mut batch);
-            if let Err(e) = self.commit(batch).and_then(|()| self.place()) {
-                log_event!(self.config.log, Event::ControlFailed; "error" => e.to_string());
-                return;
-            }
-            self.answer_watches();
+            self.propose_all(batch);
+            self.core.tick(self.config.clock.now());
+            self.form_cell();
+            self.carry_out();
+            self.lead();
+            self.carry_out();
+            self.watches.answer(self.config.clock.now());
         }
+        let error = self.failure.unwrap_or_default();
+        log_event!(self.config.log, Event::ControlFailed; "error" => error);
     }
 
-    fn take(&mut self, input: ControlInput, batch: &mut Vec<(change::Body, Waiter)>) {
+    fn take(&mut self, input: ControlInput, batch: &mut Batch) {
+        let now = self.config.clock.now();
         match input {
             ControlInput::OpenSession(req, tx) => self.open_session(req, tx, batch),
             ControlInput::Renew(req, tx) => drop(tx.send(self.renew(&req))),
             ControlInput::Propose(req, tx) => self.propose(req, tx, batch),
-            ControlInput::Watch(req, tx) => self.watch(&req, tx),
-            ControlInput::State(req, tx) => drop(tx.send(self.state_part(&req))),
-            ControlInput::InForce(req, tx) => drop(tx.send(self.view.in_force(&self.state, req.index))),
+            ControlInput::Watch(_, tx) if self.core.leader().is_none() => {
+                drop(tx.send(watches::declined()));
+            }
+            ControlInput::Watch(req, tx) => self.watches.wait(&req, tx, now),
+            ControlInput::State(_, tx) if self.core.leader().is_none() => {
+                drop(tx.send(StateAnswer {
+                    declined: true,
+                    ..StateAnswer::default()
+                }));
+            }
+            ControlInput::State(req, tx) => drop(tx.send(self.parts.part(&self.state, &req))),
+            ControlInput::InForce(req, tx) => drop(tx.send(self.in_force(&req))),
+            ControlInput::Members(req, tx) => drop(tx.send(self.members(&req))),
+            ControlInput::Message(envelope) => self.receive(envelope),
+            ControlInput::Written(number) => {
+                self.disk_busy = false;
+                self.core.written(number, now);
+            }
+            ControlInput::DiskFailed(error) => {
+                self.core.disk_failed();
+                self.failure = Some(error);
+            }
             ControlInput::Stop => {}
         }
     }
@@ -156,225 +170,300 @@
     fn open_session(
         &mut self,
         req: OpenSessionRequest,
-        tx: oneshot::Sender<OpenSessionAnswer>,
-        batch: &mut Vec<(change::Body, Waiter)>,
+        tx: oneshot::Sender<crate::wire::peer::OpenSessionAnswer>,
+        batch: &mut Batch,
     ) {
         match req.open {
             Some(open) => batch.push((change::Body::OpenSession(open), Waiter::OpenSession(tx))),
-            None => drop(tx.send(OpenSessionAnswer::default())),
+            None => drop(tx.send(Default::default())),
         }
     }
 
+    /// Renews a session, but only while no other host can lead.
     fn renew(&mut self, req: &Renew) -> RenewAnswer {
-        self.view.renew(&self.state, req, self.config.clock.now())
+        let now = self.config.clock.now();
+        let holds_lease = self.core.holds_lease(now);
+        match &mut self.view {
+            Some(view) if holds_lease => view.renew(&self.state, req, now),
+            Some(_) | None => RenewAnswer {
+                session: req.session,
+                sent_at_ms: req.sent_at_ms,
+                declined: true,
+                leader: self.other_leader(),
+                ..RenewAnswer::default()
+            },
+        }
     }
 
     fn propose(
         &mut self,
         req: Propose,
-        tx: oneshot::Sender<ProposeAnswer>,
-        batch: &mut Vec<(change::Body, Waiter)>,
+        tx: oneshot::Sender<crate::wire::peer::ProposeAnswer>,
+        batch: &mut Batch,
     ) {
         match req.change.and_then(|c| c.body) {
             Some(body) => batch.push((body, Waiter::Propose(tx))),
-            None => drop(tx.send(ProposeAnswer::default())),
+            None => drop(tx.send(Default::default())),
         }
     }
 
-    fn watch(&mut self, req: &Watch, tx: oneshot::Sender<WatchAnswer>) {
-        let until = self.config.clock.now() + WATCH_MAX;
-        self.watches.push(WaitingWatch {
-            applied: req.applied,
-            until,
-            tx,
-        });
+    fn in_force(&self, req: &InForceRequest) -> InForceAnswer {
+        match &self.view {
+            Some(view) => view.in_force(&self.state, req.index),
+            None => InForceAnswer {
+                leader: self.other_leader(),
+                ..InForceAnswer::default()
+            },
+        }
+    }
+
+    fn members(&mut self, req: &MembersRequest) -> MembersAnswer {
+        if !self.core.is_ready() {
+            return MembersAnswer {
+                declined: true,
+                leader: self.other_leader(),
+                ..MembersAnswer::default()
+            };
+        }
+        members_answer(&mut self.core, &self.founding, req, self.config.clock.now())
     }
 
-    fn look_after_sessions(&mut self, batch: &mut Vec<(change::Body, Waiter)>) {
-        for end in self.view.expired(self.config.clock.now()) {
+    /// Takes a message of another control host.
+    fn receive(&mut self, envelope: Envelope) {
+        let now = self.config.clock.now();
+        match self.addresses.binary_search_by_key(&envelope.from, |a| a.0) {
+            Ok(i) => self.addresses[i].1.clone_from(&envelope.from_address),
+            Err(i) => self
+                .addresses
+                .insert(i, (envelope.from, envelope.from_address.clone())),
+        }
+        match &envelope.body {
+            Some(envelope::Body::DiskQuery(_)) => {
+                let (address, answer) = self.founding.answer(&envelope, self.core.cell() != 0);
+                self.post(address, &answer);
+            }
+            Some(envelope::Body::DiskAnswer(answer)) => {
+                let (from, address) = (envelope.from, envelope.from_address.as_str());
+                self.founding.disk_answered(from, address, answer.formed, now);
+            }
+            _ => self.core.receive(envelope, now),
+        }
+    }
+
+    /// Looks for a cell while the disk belongs to none.
+    fn form_cell(&mut self) {
+        if self.core.cell() != 0 {
+            return;
+        }
+        if let Some(membership) = self.founding.members() {
+            let Ok(cell) = random() else { return };
+            log_event!(self.config.log, Event::CellFounded; "members" => membership.members.len());
+            self.core.found(cell, membership);
+            return;
+        }
+        for (address, envelope) in self.founding.messages(self.config.clock.now()) {
+            self.post(address, &envelope);
+        }
+    }
+
+    /// Acts as the leader: ends sessions whose leases are over and gives ranges without an owner to servers.
+    fn lead(&mut self) {
+        let now = self.config.clock.now();
+        if !self.core.is_ready() {
+            self.view = None;
+            return;
+        }
+        if self.view.is_none() {
+            self.view = Some(LeaderView::new(self.config.lease, &self.state, now));
+        }
+        if self.state.applied() < self.own_until || !self.core.holds_lease(now) {
+            return;
+        }
+        let mut batch = Vec::new();
+        self.look_after_sessions(&mut batch);
+        if batch.is_empty() {
+            self.place(&mut batch);
+        }
+        if !batch.is_empty() {
+            self.propose_all(batch);
+            self.own_until = self.core.log().last_index();
+        }
+    }
+
+    fn look_after_sessions(&mut self, batch: &mut Batch) {
+        let now = self.config.clock.now();
+        let expired = self.view.as_mut().map(|view| view.expired(now));
+        for end in expired.unwrap_or_default() {
             batch.push((change::Body::EndSession(end), Waiter::None));
         }
     }
 
     /// Gives ranges without an owner to servers.
-    fn place(&mut self) -> Result<(), LogError> {
+    fn place(&mut self, batch: &mut Batch) {
+        let now = self.config.clock.now();
+        let Some(view) = &mut self.view else { return };
         let assignments = placement::assign_unowned(&self.state);
-        let allowed = self
-            .view
-            .allowed(&self.state, assignments, self.config.clock.now());
-        let batch = allowed
-            .into_iter()
-            .map(|a| (change::Body::AssignRange(a), Waiter::None));
-        let batch = batch.collect();
-        self.commit(batch)
+        let allowed = view.allowed(&self.state, assignments, now);
+        batch.extend(
+            allowed
+                .into_iter()
+                .map(|a| (change::Body::AssignRange(a), Waiter::None)),
+        );
     }
 
-    /// Writes and syncs the changes, then applies them and answers those who wait.
-    fn commit(&mut self, batch: Vec<(change::Body, Waiter)>) -> Result<(), LogError> {
+    /// Proposes changes together, so that they share a sync.
+    fn propose_all(&mut self, batch: Batch) {
         if batch.is_empty() {
-            return Ok(());
+            return;
+        }
+        if !self.core.is_ready() {
+            let leader = self.other_leader();
+            batch.into_iter().for_each(|(_, waiter)| waiter.decline(&leader));
+            return;
         }
         let proposed_at_ms = self.config.clock.wall().0;
-        let mut records = Vec::with_capacity(batch.len());
-        let mut waiters = Vec::with_capacity(batch.len());
-        for (body, waiter) in batch {
+        let (bodies, waiters): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
+        let changes = bodies.into_iter().map(|body| {
             let change = Change {
                 proposed_at_ms,
                 body: Some(body),
             };
-            records.push(Committed {
-                index: self.next_index,
-                change: Some(change),
-            });
-            waiters.push(waiter);
-            self.next_index += 1;
+            change.encode_to_vec().into()
+        });
+        let first = self.core.propose(changes.collect(), self.config.clock.now());
+        let term = self.core.term();
+        for (waiter, index) in waiters.into_iter().zip(first.unwrap_or_default()..) {
+            self.proposals.add(index, term, waiter);
         }
-        self.file.append(&records)?;
-        for (record, waiter) in records.iter().zip(waiters) {
-            self.apply(record, waiter);
+    }
+
+    /// Carries out what the core wants: writes, messages, applied changes and events.
+    fn carry_out(&mut self) {
+        let outputs = self.core.take_outputs();
+        self.writes.extend(outputs.writes);
+        self.write();
+        for envelope in outputs.messages {
+            if let Some(address) = self.address_of(envelope.to) {
+                self.post(address, &envelope);
+            }
+        }
+        for apply in outputs.applies {
+            match apply {
+                Apply::Entry(entry) => self.apply(&entry),
+                Apply::Snapshot(snapshot) => self.restore(&snapshot),
+            }
+        }
+        for event in outputs.events {
+            self.note_event(event);
+        }
+        let snapshot_index = self.core.log().snapshot_index();
+        if self.state.applied() >= snapshot_index + SNAPSHOT_ENTRIES {
+            self.core
+                .compact(self.state.applied(), self.state.to_image().into());
         }
-        self.history.extend(records);
-        let surplus = self.history.len().saturating_sub(HISTORY_MAX);
-        self.history.drain(..surplus);
-        Ok(())
     }
 
-    fn apply(&mut self, record: &Committed, waiter: Waiter) {
-        let Some(change) = &record.change else {
+    /// Hands all waiting writes to the disk together, so that they share a sync.
+    fn write(&mut self) {
+        let Some((last, _)) = self.writes.last().filter(|_| !self.disk_busy) else {
             return;
         };
-        let applied = self.state.apply(record.index, change);
-        self.view
-            .note(&self.state, record.index, &applied, self.config.clock.now());
-        self.note(&applied, change);
-        match (waiter, applied) {
-            (Waiter::OpenSession(tx), Applied::SessionOpened(session)) => {
-                drop(tx.send(OpenSessionAnswer {
-                    session,
-                    ..OpenSessionAnswer::default()
-                }));
-            }
-            (Waiter::OpenSession(tx), _) => drop(tx.send(OpenSessionAnswer {
-                holder: holder(&self.state, change),
-                ..OpenSessionAnswer::default()
-            })),
-            (Waiter::Propose(tx), Applied::Command(command)) => {
-                drop(tx.send(ProposeAnswer {
-                    index: record.index,
-                    leader: String::new(),
-                    command: Some(command),
-                }));
-            }
-            (Waiter::Propose(tx), _) => {
-                drop(tx.send(ProposeAnswer {
-                    index: record.index,
-                    ..ProposeAnswer::default()
-                }));
+        let last = *last;
+        let writes = self.writes.drain(..).map(|(_, write)| write).collect();
+        self.disk_busy = self.disk.try_send(WriteBatch { last, writes }).is_ok();
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let record = committed(entry);
+        let change = record.change.clone().unwrap_or_default();
+        let applied = self.state.apply(entry.index, &change);
+        let now = self.config.clock.now();
+        if let Some(view) = &mut self.view {
+            view.note(&self.state, entry.index, &applied, now);
+            note::note_applied(&self.config.log, &self.state, &applied, &change);
+        }
+        self.proposals
+            .committed(entry.index, entry.term, &change, &applied, &self.state);
+        self.watches.committed(record);
+    }
+
+    /// Replaces the state by that of a snapshot from the leader.
+    fn restore(&mut self, snapshot: &Snapshot) {
+        match restored(snapshot) {
+            Ok(state) => {
+                self.state = state;
+                self.watches.restart(snapshot.index);
             }
-            (Waiter::None, _) => {}
+            Err(e) => self.failure = Some(e.to_string()),
         }
     }
 
-    /// Logs what a change did.
-    fn note(&self, applied: &Applied, change: &Change) {
+    fn note_event(&mut self, event: CoreEvent) {
         let log = &self.config.log;
-        match applied {
-            Applied::SessionOpened(session) => {
-                let host = self.state.session(*session).map_or("", |s| s.open.host.as_str());
-                log_event!(log, Event::ControlSessionOpened; "session" => session, "host" => host);
+        match event {
+            CoreEvent::BecameLeader { term } => log_event!(log, Event::LeaderElected; "term" => term),
+            CoreEvent::SteppedDown { term } => {
+                log_event!(log, Event::LeaderSteppedDown; "term" => term);
+                self.view = None;
+                self.proposals.give_up();
+                self.own_until = 0;
+            }
+            CoreEvent::FollowsLeader { leader, term } => {
+                let leader = self.address_of(leader).unwrap_or_default();
+                log_event!(log, Event::LeaderFollowed; "leader" => leader, "term" => term);
             }
-            Applied::SessionEnded(session) => {
-                log_event!(log, Event::ControlSessionEnded; "session" => session);
+            CoreEvent::MembersChanged { index } => {
+                let members = self.core.membership().members.len();
+                log_event!(log, Event::MembersChanged; "index" => index, "members" => members);
             }
-            Applied::RangeAssigned { service, span, owner } => {
-                let reason = match &change.body {
-                    Some(change::Body::AssignRange(assign)) => assign.reason.as_str(),
-                    _ => "",
-                };
-                log_event!(
-                    log, Event::RangeAssigned;
-                    "service" => service, "range" => span.to_string(), "session" => owner.session,
-                    "server" => &owner.server, "epoch" => owner.epoch, "reason" => reason
-                );
+            CoreEvent::StaleDisk => {
+                log_event!(log, Event::DiskStale);
+                self.failure = Some("the data folder holds an older state than others have seen".into());
             }
-            Applied::Command(answer) => {
-                log_event!(log, Event::CommandDecided; "answer" => answer_word(answer), "revision" => self.state.revision().to_string());
+            CoreEvent::CommittedEntryContradicted { index } => {
+                self.failure = Some(format!("the leader contradicts the committed entry {index}"));
             }
-            Applied::ServersSet(_)
-            | Applied::ReleaseStarted { .. }
-            | Applied::RangeReleased { .. }
-            | Applied::Ignored(_) => {}
+        }
+        if self.core.leader().is_none() {
+            self.watches.decline_all();
         }
     }
 
-    /// Answers the watches for which there are changes or whose time is over.
-    fn answer_watches(&mut self) {
-        let now = self.config.clock.now();
-        let applied = self.state.applied();
-        let due = |w: &WaitingWatch| w.applied != applied || w.until <= now;
-        let (due, waiting): (Vec<_>, Vec<_>) = self.watches.drain(..).partition(due);
-        self.watches = waiting;
-        for watch in due {
-            drop(watch.tx.send(self.changes_after(watch.applied)));
-        }
+    /// Returns the peer address of the leader if it is another host; empty if none is known.
+    fn other_leader(&self) -> String {
+        let other = self.core.leader().filter(|id| *id != self.core.id());
+        other.and_then(|id| self.address_of(id)).unwrap_or_default()
     }
 
-    fn changes_after(&self, applied: u64) -> WatchAnswer {
-        let oldest = self.history.first().map_or(self.next_index, |c| c.index);
-        if applied + 1 < oldest || applied >= self.next_index {
-            return WatchAnswer {
-                changes: Vec::new(),
-                needs_state: true,
-            };
-        }
-        let from = (applied + 1 - oldest) as usize;
-        let changes = self.history[from..]
-            .iter()
-            .take(WATCH_CHANGES_MAX)
-            .cloned()
-            .collect();
-        WatchAnswer {
-            changes,
-            needs_state: false,
+    fn address_of(&self, id: u64) -> Option<String> {
+        if let Some(member) = self.core.membership().member(id) {
+            return Some(member.address.clone());
         }
+        let found = self.addresses.binary_search_by_key(&id, |a| a.0);
+        found.ok().map(|i| self.addresses[i].1.clone())
     }
 
-    fn state_part(&mut self, req: &StateRequest) -> StateAnswer {
-        if req.image == 0 || self.image.as_ref().is_none_or(|(index, _)| *index != req.image) {
-            self.image = Some((self.state.applied(), self.state.to_image()));
-        }
-        let Some((image, bytes)) = &self.image else {
-            return StateAnswer::default();
-        };
-        let offset = if *image == req.image {
-            (req.offset as usize).min(bytes.len())
-        } else {
-            0
-        };
-        let end = (offset + STATE_PART_BYTES).min(bytes.len());
-        StateAnswer {
-            image: *image,
-            offset: offset as u64,
-            total: bytes.len() as u64,
-            part: bytes[offset..end].to_vec().into(),
-        }
+    /// Sends a message to another control host. It is dropped if the ring is full.
+    fn post(&self, address: String, envelope: &Envelope) {
+        let bytes = envelope.encode_to_vec().into();
+        let _ = self.config.outbox.try_send((address, bytes));
     }
 }
 
-/// Returns the peer address of the process that holds the session that `change` wanted to open.
-fn holder(state: &State, change: &Change) -> String {
-    let Some(change::Body::OpenSession(open)) = &change.body else {
-        return String::new();
+/// Returns a committed entry as daemons get it. Entries of the agreement itself change nothing.
+fn committed(entry: &Entry) -> Committed {
+    let change = match &entry.body {
+        Some(entry::Body::Change(bytes)) => Change::decode(bytes.clone()).unwrap_or_default(),
+        Some(entry::Body::Membership(_)) | None => Change::default(),
     };
-    let session = state.session_of_host(&open.host);
-    session.map(|s| s.open.peer_address.clone()).unwrap_or_default()
+    Committed {
+        index: entry.index,
+        change: Some(change),
+    }
 }
 
-fn answer_word(answer: &CommandAnswer) -> &'static str {
-    match &answer.body {
-        Some(command_answer::Body::Accepted(_)) => "accepted",
-        Some(command_answer::Body::Conflict(_)) => "conflict",
-        Some(command_answer::Body::Refused(_)) => "refused",
-        Some(command_answer::Body::Unavailable(_)) | None => "unavailable",
-    }
+fn restored(snapshot: &Snapshot) -> Result<State, ControlError> {
+    let state = State::from_image(&snapshot.image).filter(|s| s.applied() == snapshot.index);
+    let damaged = StorageError::Incomplete("the snapshot holds no state");
+    state.ok_or(ControlError::Storage(damaged))
 }
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -1,7 +1,11 @@
 use {
-    crate::wire::peer::{
-        InForceAnswer, InForceRequest, OpenSessionAnswer, OpenSessionRequest, Propose, ProposeAnswer, Renew,
-        RenewAnswer, StateAnswer, StateRequest, Watch, WatchAnswer,
+    crate::wire::{
+        consensus::Envelope,
+        peer::{
+            InForceAnswer, InForceRequest, MembersAnswer, MembersRequest, OpenSessionAnswer,
+            OpenSessionRequest, Propose, ProposeAnswer, Renew, RenewAnswer, StateAnswer, StateRequest, Watch,
+            WatchAnswer,
+        },
     },
     crossbeam_channel::{Sender, TrySendError},
     tokio::sync::oneshot,
@@ -22,6 +26,14 @@
     State(StateRequest, oneshot::Sender<StateAnswer>),
     /// Asks which daemons lack a configuration.
     InForce(InForceRequest, oneshot::Sender<InForceAnswer>),
+    /// Asks for the members of the cell, or changes one.
+    Members(MembersRequest, oneshot::Sender<MembersAnswer>),
+    /// A message of another control host.
+    Message(Envelope),
+    /// All writes up to this number are synced.
+    Written(u64),
+    /// The disk failed.
+    DiskFailed(String),
     /// Ends the duty.
     Stop,
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,21 +5,27 @@
 mod command_id;
 mod control_duty;
 mod control_handle;
-mod log_file;
+mod disk_duty;
+mod founding;
+mod members;
+mod note;
 mod ownership_changes;
+mod proposals;
 mod range_table;
 mod revision;
 mod session;
+mod start;
 mod state;
 mod state_image;
+mod state_parts;
+mod watches;
 
 pub use {
     command_id::{CommandId, CommandIdError},
-    control_duty::{start_control, ControlConfig},
     control_handle::{ControlHandle, ControlInput},
-    log_file::{LogError, LogFile},
     range_table::{Owner, Range, RangeTable, Release, Vacancy},
     revision::{Revision, RevisionTextError},
     session::{Server, Session},
+    start::{start_control, ControlConfig, ControlError},
     state::{Applied, State},
 };
--- /dev/null
+++ b/src/control/note.rs
@@ -0,0 +1,49 @@
+use {
+    super::{Applied, State},
+    crate::{
+        event::Event,
+        log_event,
+        wire::control::{change, command_answer, Change, CommandAnswer},
+    },
+    slog::Logger,
+};
+
+/// Logs what a committed change did.
+pub(super) fn note_applied(log: &Logger, state: &State, applied: &Applied, change: &Change) {
+    match applied {
+        Applied::SessionOpened(session) => {
+            let host = state.session(*session).map_or("", |s| s.open.host.as_str());
+            log_event!(log, Event::ControlSessionOpened; "session" => session, "host" => host);
+        }
+        Applied::SessionEnded(session) => {
+            log_event!(log, Event::ControlSessionEnded; "session" => session);
+        }
+        Applied::RangeAssigned { service, span, owner } => {
+            let reason = match &change.body {
+                Some(change::Body::AssignRange(assign)) => assign.reason.as_str(),
+                _ => "",
+            };
+            log_event!(
+                log, Event::RangeAssigned;
+                "service" => service, "range" => span.to_string(), "session" => owner.session,
+                "server" => &owner.server, "epoch" => owner.epoch, "reason" => reason
+            );
+        }
+        Applied::Command(answer) => {
+            log_event!(log, Event::CommandDecided; "answer" => answer_word(answer), "revision" => state.revision().to_string());
+        }
+        Applied::ServersSet(_)
+        | Applied::ReleaseStarted { .. }
+        | Applied::RangeReleased { .. }
+        | Applied::Ignored(_) => {}
+    }
+}
+
+fn answer_word(answer: &CommandAnswer) -> &'static str {
+    match &answer.body {
+        Some(command_answer::Body::Accepted(_)) => "accepted",
+        Some(command_answer::Body::Conflict(_)) => "conflict",
+        Some(command_answer::Body::Refused(_)) => "refused",
+        Some(command_answer::Body::Unavailable(_)) | None => "unavailable",
+    }
+}
--- /dev/null
+++ b/src/control/watches.rs
@@ -0,0 +1,108 @@
+use {
+    crate::{
+        clock::Ms,
+        wire::{
+            control::Committed,
+            peer::{Watch, WatchAnswer},
+        },
+    },
+    tokio::sync::oneshot,
+};
+
+/// Longest time that a watch waits for changes.
+const WATCH_MAX: Ms = Ms(1000);
+/// Most changes in one answer to a watch.
+const WATCH_CHANGES_MAX: usize = 500;
+/// Most changes that are kept for daemons that lag.
+const HISTORY_MAX: usize = 10_000;
+
+/// A watch that waits for changes.
+struct WaitingWatch {
+    applied: u64,
+    until: Ms,
+    tx: oneshot::Sender<WatchAnswer>,
+}
+
+/// The latest committed changes and those who wait for the next ones.
+#[derive(Default)]
+pub(super) struct Watches {
+    /// Changes without gaps.
+    history: Vec<Committed>,
+    applied: u64,
+    waiting: Vec<WaitingWatch>,
+}
+
+impl Watches {
+    /// Takes a committed change that is not served yet.
+    pub fn committed(&mut self, change: Committed) {
+        self.applied = change.index;
+        self.history.push(change);
+        if self.history.len() >= 2 * HISTORY_MAX {
+            let surplus = self.history.len() - HISTORY_MAX;
+            self.history.drain(..surplus);
+        }
+    }
+
+    /// Forgets the history, since the state was replaced as of `applied`.
+    pub fn restart(&mut self, applied: u64) {
+        self.history.clear();
+        self.applied = applied;
+    }
+
+    /// Lets someone wait for the changes after `req.applied`.
+    pub fn wait(&mut self, req: &Watch, tx: oneshot::Sender<WatchAnswer>, now: Ms) {
+        self.waiting.push(WaitingWatch {
+            applied: req.applied,
+            until: now + WATCH_MAX,
+            tx,
+        });
+    }
+
+    /// Answers the watches for which there are changes or whose time is over.
+    pub fn answer(&mut self, now: Ms) {
+        let due = |w: &WaitingWatch| w.applied != self.applied || w.until <= now;
+        if !self.waiting.iter().any(due) {
+            return;
+        }
+        let (due, waiting): (Vec<_>, Vec<_>) = self.waiting.drain(..).partition(due);
+        self.waiting = waiting;
+        for watch in due {
+            drop(watch.tx.send(self.changes_after(watch.applied)));
+        }
+    }
+
+    /// Declines all who wait.
+    pub fn decline_all(&mut self) {
+        for watch in self.waiting.drain(..) {
+            drop(watch.tx.send(declined()));
+        }
+    }
+
+    fn changes_after(&self, applied: u64) -> WatchAnswer {
+        let oldest = self.history.first().map_or(self.applied + 1, |c| c.index);
+        if applied > self.applied {
+            // The watcher knows more than this host.
+            return declined();
+        }
+        if applied + 1 < oldest {
+            return WatchAnswer {
+                needs_state: true,
+                ..WatchAnswer::default()
+            };
+        }
+        let from = (applied + 1 - oldest) as usize;
+        let changes = self.history[from..].iter().take(WATCH_CHANGES_MAX);
+        WatchAnswer {
+            changes: changes.cloned().collect(),
+            ..WatchAnswer::default()
+        }
+    }
+}
+
+/// Returns the answer of a host that cannot serve a watch.
+pub(super) fn declined() -> WatchAnswer {
+    WatchAnswer {
+        declined: true,
+        ..WatchAnswer::default()
+    }
+}
--- /dev/null
+++ b/src/daemon/control_client.rs
@@ -0,0 +1,180 @@
+use {
+    super::node::Node,
+    crate::{
+        clock::Ms,
+        link::LinkError,
+        wire::{
+            control::{change, Change},
+            peer::{frame::Body, Propose, ProposeAnswer},
+        },
+    },
+    bytes::Bytes,
+    std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
+    tokio::{
+        sync::mpsc,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest time to wait for an answer of a control host.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest time to wait for the answer to a watch, which a control host holds back until there are changes.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause before the next control host is asked while none leads.
+const LEADER_PAUSE: Duration = Duration::from_millis(20);
+/// Messages that wait for the link to one control host before further ones are dropped.
+const PEER_RING_MESSAGES: usize = 1024;
+/// Pauses after a link to a control host could not be opened, shortest and longest.
+const LINK_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+
+impl Node {
+    /// Sends a request to the leader.
+    ///
+    /// # Errors
+    /// No answer came in time, or no host leads.
+    pub async fn ask_control(&self, body: Body) -> Result<Body, LinkError> {
+        self.ask_leader(body, CONTROL_TIMEOUT).await
+    }
+
+    /// Sends a request to the leader and gives up after a third of the time that a lease is good for.
+    ///
+    /// # Errors
+    /// No answer came in time, or no host leads.
+    pub async fn ask_in_lease(&self, body: Body) -> Result<Body, LinkError> {
+        let limit = Ms(self.settings.lease.ttl.0 / 3);
+        self.ask_leader(body, limit.as_duration()).await
+    }
+
+    /// Sends a request to a control host that need not lead. The daemons spread over all of them.
+    ///
+    /// # Errors
+    /// No answer came in time, or the host is out of touch with the leader.
+    pub async fn ask_any_control(&self, body: Body) -> Result<Body, LinkError> {
+        let hosts = &self.settings.control_hosts;
+        let position = (self.process as usize).wrapping_add(self.watched.get()) % hosts.len().max(1);
+        let Some(address) = hosts.get(position) else {
+            return Err(LinkError::NotSent("there is no control host".into()));
+        };
+        let answer = match timeout(WATCH_TIMEOUT, self.links.request(&address.to_string(), body)).await {
+            Ok(Ok(body)) if declined(&body).is_none() => Ok(body),
+            Ok(Ok(_)) => Err(LinkError::Lost("the control host has no leader".into())),
+            Ok(Err(e)) => Err(e),
+            Err(_) => Err(LinkError::Lost("no answer in time".into())),
+        };
+        if answer.is_err() {
+            self.watched.set(self.watched.get().wrapping_add(1));
+        }
+        answer
+    }
+
+    /// Asks the host that led last and follows the word of those that decline.
+    async fn ask_leader(&self, body: Body, limit: Duration) -> Result<Body, LinkError> {
+        let asked = RefCell::new(String::new());
+        let ask = async {
+            loop {
+                let address = self.leader.borrow().clone();
+                asked.replace(address.clone());
+                let answer = self.links.request(&address, body.clone()).await;
+                let leader = match &answer {
+                    Ok(body) => declined(body),
+                    Err(LinkError::NotSent(_)) => Some(""),
+                    Err(LinkError::Lost(_)) => {
+                        self.turn_to_next_control_host(&address);
+                        None
+                    }
+                };
+                let Some(leader) = leader else {
+                    return answer;
+                };
+                if leader.is_empty() || leader == address {
+                    self.turn_to_next_control_host(&address);
+                    sleep(LEADER_PAUSE).await;
+                } else {
+                    leader.clone_into(&mut self.leader.borrow_mut());
+                }
+            }
+        };
+        match timeout(limit, ask).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.turn_to_next_control_host(&asked.into_inner());
+                Err(LinkError::Lost("no answer in time".into()))
+            }
+        }
+    }
+
+    /// Proposes a change. `None`: it is not known whether it was committed.
+    pub async fn propose(&self, body: change::Body) -> Option<ProposeAnswer> {
+        let change = Change {
+            proposed_at_ms: 0,
+            body: Some(body),
+        };
+        match self
+            .ask_control(Body::Propose(Propose { change: Some(change) }))
+            .await
+        {
+            Ok(Body::ProposeAnswer(answer)) => (answer.index != 0).then_some(answer),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// Turns away from a host that failed, unless another request has done so already.
+    fn turn_to_next_control_host(&self, failed: &str) {
+        if *self.leader.borrow() != failed {
+            return;
+        }
+        let hosts = &self.settings.control_hosts;
+        let next = match hosts.iter().position(|a| a.to_string() == failed) {
+            Some(position) => position + 1,
+            None => 0,
+        };
+        if let Some(next) = hosts.get(next % hosts.len().max(1)) {
+            *self.leader.borrow_mut() = next.to_string();
+        }
+    }
+
+    /// Sends the messages of the control duty, over one task and one bounded ring for each control host.
+    pub async fn send_control_messages(self: Rc<Self>, mut outbox: mpsc::Receiver<(String, Bytes)>) {
+        let rings: RefCell<HashMap<String, mpsc::Sender<Bytes>>> = RefCell::default();
+        while let Some((address, message)) = outbox.recv().await {
+            let mut rings = rings.borrow_mut();
+            let ring = rings.entry(address).or_insert_with_key(|address| {
+                let (tx, rx) = mpsc::channel(PEER_RING_MESSAGES);
+                spawn_local(self.clone().send_to_control_host(address.clone(), rx));
+                tx
+            });
+            // What does not fit is dropped; the agreement sends again.
+            let _ = ring.try_send(message);
+        }
+    }
+
+    async fn send_to_control_host(self: Rc<Self>, address: String, mut ring: mpsc::Receiver<Bytes>) {
+        let (shortest, longest) = LINK_PAUSE;
+        let mut pause = shortest;
+        while let Some(message) = ring.recv().await {
+            if self.links.send(&address, Body::Control(message)).await.is_ok() {
+                pause = shortest;
+                continue;
+            }
+            sleep(pause).await;
+            pause = longest.min(pause * 2);
+            // Messages that waited so long are out of date.
+            while ring.try_recv().is_ok() {}
+        }
+    }
+}
+
+/// Returns the leader that a control host names as it declines a request; empty if it knows none.
+fn declined(body: &Body) -> Option<&str> {
+    match body {
+        Body::OpenSessionAnswer(a) if a.declined => Some(&a.leader),
+        Body::RenewAnswer(a) if a.declined => Some(&a.leader),
+        Body::ProposeAnswer(a) if a.declined => Some(&a.leader),
+        Body::InForceAnswer(a) if !a.known => Some(&a.leader),
+        Body::MembersAnswer(a) if a.declined => Some(&a.leader),
+        Body::WatchAnswer(a) if a.declined => Some(""),
+        Body::StateAnswer(a) if a.declined => Some(""),
+        _ => None,
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,8 @@
 //! One `clementined` process: its duties, and how they carry out the decisions.
 
 mod call_path;
+mod control_client;
+mod control_handler;
 mod grant_task;
 mod local_server;
 mod node;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -5,27 +5,20 @@
         control::{ControlHandle, Server, State},
         grant::Touched,
         lease::DaemonLease,
-        link::{KeyRing, LinkError, Links},
+        link::{KeyRing, Links},
         metrics::Metrics,
         settings::Settings,
-        wire::{
-            control::{change, Change, Committed},
-            peer::{frame::Body, Propose, ProposeAnswer},
-        },
+        wire::control::Committed,
     },
     rand::{rngs::SmallRng, RngCore, SeedableRng},
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
-        time::Duration,
     },
-    tokio::{sync::Notify, time::timeout},
+    tokio::sync::Notify,
 };
 
-/// Longest time to wait for an answer of a control host.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// What the tasks of the I/O duty share. All of them run on one thread.
 pub(super) struct Node {
     pub settings: Settings,
@@ -56,6 +49,8 @@
     pub servers_changed: Notify,
     /// Peer address of the control host that answered last.
     pub leader: RefCell<String>,
+    /// Control hosts that this daemon has turned away from as it follows the committed changes.
+    pub watched: Cell<usize>,
     pub stopping: Cell<bool>,
     /// Calls that are being served.
     pub running: Cell<usize>,
@@ -103,6 +98,7 @@
             lost_servers: RefCell::default(),
             servers_changed: Notify::new(),
             leader: RefCell::new(leader),
+            watched: Cell::new(0),
             stopping: Cell::new(false),
             running: Cell::new(0),
             rng: RefCell::new(rng),
@@ -187,50 +183,4 @@
         let ended = lost.iter().filter(|lost| lost.ended);
         ended.map(|lost| lost.announced.incarnation.clone()).collect()
     }
-
-    /// Sends a request to the control host that answered last, and turns to the next one after a failure.
-    pub async fn ask_control(&self, body: Body) -> Result<Body, LinkError> {
-        let address = self.leader.borrow().clone();
-        let answer = match timeout(CONTROL_TIMEOUT, self.links.request(&address, body)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(LinkError::Lost("no answer in time".into())),
-        };
-        if answer.is_err() {
-            self.turn_to_next_control_host(&address);
-        }
-        answer
-    }
-
-    /// Follows the word of a control host that another one leads.
-    pub fn follow_leader(&self, leader: &str) {
-        if !leader.is_empty() {
-            leader.clone_into(&mut self.leader.borrow_mut());
-        }
-    }
-
-    /// Proposes a change. `None`: it is not known whether it was committed.
-    pub async fn propose(&self, body: change::Body) -> Option<ProposeAnswer> {
-        let change = Change {
-            proposed_at_ms: 0,
-            body: Some(body),
-        };
-        match self
-            .ask_control(Body::Propose(Propose { change: Some(change) }))
-            .await
-        {
-            Ok(Body::ProposeAnswer(answer)) => {
-                self.follow_leader(&answer.leader);
-                (answer.index != 0).then_some(answer)
-            }
-            Ok(_) | Err(_) => None,
-        }
-    }
-
-    fn turn_to_next_control_host(&self, failed: &str) {
-        let hosts = &self.settings.control_hosts;
-        let position = hosts.iter().position(|a| a.to_string() == failed).unwrap_or(0);
-        if let Some(next) = hosts.get((position + 1) % hosts.len().max(1)) {
-            *self.leader.borrow_mut() = next.to_string();
-        }
-    }
 }
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -39,6 +39,7 @@
             ("GET", "in-force") => {
                 edge::json_response(StatusCode::OK, &self.in_force(request.uri.query()).await)
             }
+            ("GET" | "POST", "control") => self.control(&request.body).await,
             ("POST", name) => self.command(name, &request.body).await,
             _ => edge::plain_response(StatusCode::NOT_FOUND, "no such operation"),
         }
@@ -73,10 +74,7 @@
             index: revision.index,
         };
         let behind = match self.ask_control(Body::InForce(request)).await {
-            Ok(Body::InForceAnswer(answer)) => {
-                self.follow_leader(&answer.leader);
-                answer.known.then_some(answer.behind)
-            }
+            Ok(Body::InForceAnswer(answer)) => answer.known.then_some(answer.behind),
             Ok(_) | Err(_) => None,
         };
         let in_force = behind.as_ref().is_some_and(Vec::is_empty);
--- a/src/daemon/peer_handler.rs
+++ b/src/daemon/peer_handler.rs
@@ -1,6 +1,10 @@
 use {
     super::node::Node,
-    crate::{control::ControlInput, wire::peer::frame::Body},
+    crate::{
+        control::ControlInput,
+        wire::{consensus::Envelope, peer::frame::Body},
+    },
+    prost::Message,
     std::rc::Rc,
     tokio::sync::oneshot,
 };
@@ -39,6 +43,16 @@
                 .pass_to_control(|tx| ControlInput::InForce(req, tx))
                 .await
                 .map(Body::InForceAnswer),
+            Body::MembersRequest(req) => self
+                .pass_to_control(|tx| ControlInput::Members(req, tx))
+                .await
+                .map(Body::MembersAnswer),
+            Body::Control(bytes) => {
+                if let (Some(control), Ok(envelope)) = (&self.control, Envelope::decode(bytes)) {
+                    control.send(ControlInput::Message(envelope));
+                }
+                None
+            }
             _ => None,
         }
     }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -12,6 +12,7 @@
         wire::control::{change, EndSession},
     },
     anyhow::{Context, Result},
+    bytes::Bytes,
     signal_hook::{
         consts::{SIGINT, SIGTERM},
         iterator::Signals,
@@ -21,7 +22,7 @@
     tokio::{
         net::TcpListener,
         runtime::Builder,
-        sync::watch,
+        sync::{mpsc, watch},
         task::{spawn_local, LocalSet},
         time::sleep,
     },
@@ -30,6 +31,9 @@
 /// Time between two looks at the calls that still run while the daemon stops.
 const STOP_PAUSE: Duration = Duration::from_millis(10);
 
+/// Messages of the control duty that wait for the I/O duty before further ones are dropped.
+const CONTROL_RING_MESSAGES: usize = 4096;
+
 /// Runs a daemon until it is told to stop by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -42,21 +46,14 @@
             let _ = stop_tx.send(true);
         }
     })?;
-    let control = match &settings.control {
-        Some(control) => Some(start_control(ControlConfig {
-            data_dir: control.data_dir.clone(),
-            lease: settings.lease,
-            clock: Clock::System,
-            log: log.clone(),
-        })?),
-        None => None,
-    };
+    let (outbox, messages) = mpsc::channel(CONTROL_RING_MESSAGES);
+    let control = start_control_role(&settings, outbox, &log);
     let (handle, thread) = control.unzip();
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .context("starting the I/O duty")?;
-    let result = LocalSet::new().block_on(&runtime, serve(settings, log, handle.clone(), stop_rx));
+    let result = LocalSet::new().block_on(&runtime, serve(settings, log, handle.clone(), messages, stop_rx));
     if let (Some(handle), Some(thread)) = (handle, thread) {
         handle.send(ControlInput::Stop);
         let _ = thread.join();
@@ -64,11 +61,35 @@
     result
 }
 
+/// Starts the control role if this host has one. A host whose data folder cannot be used goes on without it.
+fn start_control_role(
+    settings: &Settings,
+    outbox: mpsc::Sender<(String, Bytes)>,
+    log: &Logger,
+) -> Option<(ControlHandle, thread::JoinHandle<()>)> {
+    let control = settings.control.as_ref()?;
+    let started = start_control(ControlConfig {
+        data_dir: control.data_dir.clone(),
+        address: settings.peer_address,
+        first_voters: control.first_voters.clone(),
+        control_hosts: settings.control_hosts.clone(),
+        lease: settings.lease,
+        clock: Clock::System,
+        outbox,
+        log: log.clone(),
+    });
+    if let Err(e) = &started {
+        log_event!(log, Event::ControlRefused; "error" => e.to_string());
+    }
+    started.ok()
+}
+
 /// The I/O duty: all sockets but those to backend servers, on one thread.
 async fn serve(
     settings: Settings,
     log: Logger,
     control: Option<ControlHandle>,
+    messages: mpsc::Receiver<(String, Bytes)>,
     stop: watch::Receiver<bool>,
 ) -> Result<()> {
     let identity = LinkIdentity {
@@ -120,6 +141,7 @@
         stop.clone(),
         move |request| for_operators.clone().serve_operator(request),
     ));
+    spawn_local(node.clone().send_control_messages(messages));
     spawn_local(node.clone().hold_session());
     spawn_local(node.clone().watch_clock());
     spawn_local(node.clone().publish_servers());
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -57,7 +57,6 @@
             .await
         {
             Ok(Body::OpenSessionAnswer(answer)) => {
-                self.follow_leader(&answer.leader);
                 if !answer.holder.is_empty() {
                     log_event!(self.log, Event::SessionRefused; "host" => &self.settings.host, "holder" => answer.holder);
                 }
@@ -102,9 +101,8 @@
             applied: self.state().applied(),
             loads: Vec::new(),
         };
-        match self.ask_control(Body::Renew(renew)).await {
+        match self.ask_in_lease(Body::Renew(renew)).await {
             Ok(Body::RenewAnswer(answer)) if answer.sent_at_ms == sent_at.0 && answer.session == session => {
-                self.follow_leader(&answer.leader);
                 Some(match (answer.renewed, answer.lagging) {
                     (true, _) => Renewal::Renewed,
                     (false, true) => Renewal::Lagging,
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -20,7 +20,7 @@
                 applied,
                 session: self.session.get().unwrap_or_default(),
             };
-            match self.ask_control(Body::Watch(watch)).await {
+            match self.ask_any_control(Body::Watch(watch)).await {
                 Ok(Body::WatchAnswer(answer)) if answer.needs_state => self.fetch_state().await,
                 Ok(Body::WatchAnswer(answer)) => {
                     if !answer.changes.is_empty() {
@@ -41,7 +41,7 @@
                 image,
                 offset: bytes.len() as u64,
             };
-            let Ok(Body::StateAnswer(part)) = self.ask_control(Body::StateRequest(request)).await else {
+            let Ok(Body::StateAnswer(part)) = self.ask_any_control(Body::StateRequest(request)).await else {
                 sleep(WATCH_PAUSE).await;
                 return;
             };
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -105,4 +105,19 @@
     RangeAssigned = "CF5005", Info, "range assigned";
     /// An operator's command was decided.
     CommandDecided = "CF5006", Info, "operator command decided";
+
+    /// The control role does not start on its data folder.
+    ControlRefused = "CF5101", Error, "control role refused its data folder";
+    /// The first members of a new cell were written.
+    CellFounded = "CF5102", Info, "cell founded";
+    /// This host leads the cell from here on.
+    LeaderElected = "CF5103", Info, "leader elected";
+    /// This host leads the cell no longer.
+    LeaderSteppedDown = "CF5104", Warning, "leader stepped down";
+    /// This host follows a leader.
+    LeaderFollowed = "CF5105", Info, "leader followed";
+    /// Other members are in force.
+    MembersChanged = "CF5106", Info, "members changed";
+    /// The data folder holds an older state than other members have seen.
+    DiskStale = "CF5107", Error, "old disk found";
 }
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -61,6 +61,7 @@
             lagging: renewal == Some(Renewal::Lagging),
             leader: String::new(),
             committed: state.applied(),
+            declined: false,
         }
     }
 
--- a/src/link/link_client.rs
+++ b/src/link/link_client.rs
@@ -89,17 +89,18 @@
             .map_err(|_| LinkError::Lost("the link was closed".into()))
     }
 
-    /// Sends a message that has no answer. It may be lost.
-    pub async fn send(&self, address: &str, body: Body) {
-        if let Ok(link) = self.link(address).await {
-            let _ = link
-                .tx
-                .send(Frame {
-                    correlation: 0,
-                    body: Some(body),
-                })
-                .await;
-        }
+    /// Sends a message that has no answer. It may still be lost after that.
+    ///
+    /// # Errors
+    /// No link could be opened, or it was closed (`NotSent`).
+    pub async fn send(&self, address: &str, body: Body) -> Result<(), LinkError> {
+        let link = self.link(address).await?;
+        let frame = Frame {
+            correlation: 0,
+            body: Some(body),
+        };
+        let sent = link.tx.send(frame).await;
+        sent.map_err(|_| LinkError::NotSent("the link was closed".into()))
     }
 
     async fn link(&self, address: &str) -> Result<LinkHandle, LinkError> {
--- a/tests/consensus_faults.rs
+++ b/tests/consensus_faults.rs
@@ -371,8 +371,11 @@
     assert!(overlap.is_err(), "no two leases overlapped");
 }
 
+/// A name and what is run with a seed.
+type Case = (&'static str, fn(u64));
+
 /// The named cases.
-const CASES: &[(&str, fn(u64))] = &[
+const CASES: &[Case] = &[
     ("leader killed before sync", killed_before_sync),
     (
         "leader killed after sync before sending",
@@ -404,7 +407,7 @@
 
 #[test]
 fn every_case_holds() {
-    let fails = |case: &&(&str, fn(u64))| (1..=5).any(|seed| catch_unwind(|| (case.1)(seed)).is_err());
+    let fails = |case: &&Case| (1..=5).any(|seed| catch_unwind(|| (case.1)(seed)).is_err());
     let failed: Vec<&str> = CASES.iter().filter(fails).map(|(name, _)| *name).collect();
     assert!(failed.is_empty(), "failed: {failed:?}");
 }
