--- a/tests/consensus_faults.rs
+++ b/tests/consensus_faults.rs
@@ -407,7 +407,7 @@
 
 #[test]
 fn every_case_holds() {
-    let fails = |case: &&(&str, fn(u64))| (1..=5).any(|seed| catch_unwind(|| (case.1)(seed)).is_err());
+    let fails = |case: &&Case| (1..=5).any(|seed| catch_unwind(|| (case.1)(seed)).is_err());
     let failed: Vec<&str> = CASES.iter().filter(fails).map(|(name, _)| *name).collect();
     assert!(failed.is_empty(), "failed: {failed:?}");
 }
