--- /dev/null
+++ b/tests/support/processes.rs
@@ -0,0 +1,84 @@
+use {
+    rustix::process::{kill_process, Pid, Signal},
+    std::{
+        fs::OpenOptions,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        path::Path,
+        process::{Child, Command, Stdio},
+        sync::atomic::{AtomicU16, Ordering},
+        thread::sleep,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between two looks at a condition.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
+/// First port of the addresses of a test process.
+const FIRST_PORT: u16 = 10_000;
+
+/// One process of a cluster. It is ended with its value.
+#[derive(Debug)]
+pub struct Process(Child);
+
+impl Process {
+    /// Starts a program that logs to `log`.
+    pub fn start(program: &str, args: &[String], folder: &Path, log: &str) -> Self {
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join(log))
+            .unwrap();
+        let child = Command::new(program)
+            .args(args)
+            .current_dir(folder)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        Self(child.unwrap())
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.0), signal).unwrap();
+    }
+
+    /// Waits for the end of the process. True: it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.0.wait().unwrap().success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended before.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Returns an address that no other process uses: each test process has loopback addresses of its own, and
+/// the ports lie below those that outgoing connections take.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let pid = std::process::id();
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let ip = Ipv4Addr::new(127, 1 + (pid >> 16) as u8 % 127, (pid >> 8) as u8, pid as u8);
+    SocketAddr::new(IpAddr::V4(ip), FIRST_PORT + number)
+}
+
+/// Waits until `condition` holds.
+///
+/// # Panics
+/// It does not hold within `patience`.
+pub fn wait_until(what: &str, patience: Duration, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(
+            started.elapsed() < patience,
+            "{what}: not seen within {patience:?}"
+        );
+        sleep(LOOK_PAUSE);
+    }
+}
