--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -127,6 +127,9 @@
     /// The data folder holds an older state than other members have seen.
     DiskStale = "CF5107", Error, "old disk found";
 
+    /// The planner starts a move of a range.
+    MovePlanned = "CF6101", Info, "range move planned";
+
     /// An operator's command was answered by this daemon.
     CommandAnswered = "CF7101", Info, "operator command answered";
 }
