--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -1,11 +1,11 @@
 use {
     super::{answers::Known, ownership_changes::key_range, CommandId, Release, Revision, Session, State},
     crate::{
-        clock::Ms,
         control::RangeTable,
         schema::Schema,
         wire::control::{
-            command_answer, operator_command, CommandAnswer, Drain, MoveSpan, OperatorCommand, Refused,
+            command_answer, operator_command, AnsweredCommand, CommandAnswer, Drain, MoveSpan,
+            OperatorCommand, Refused,
         },
     },
     prost::Message,
@@ -32,13 +32,23 @@
             Ok(id) => id,
             Err(e) => return refused_answer(&format!("{e}"), "command_id"),
         };
-        match self.answers.look_up(&id) {
+        let base = command.base.as_ref().map_or(0, |base| base.index);
+        match self.answers.look_up(&id, base, self.revision.index) {
             Known::Answered(answer) => return answer,
             Known::TooOld => return refused_answer("the command is too old to be decided", "command_id"),
+            Known::NoRoom => {
+                return refused_answer("too many commands since the last change of the configuration", "");
+            }
             Known::New => {}
         }
         let answer = self.decide_command(index, command);
-        self.answers.record(id, answer.clone(), Ms(now_ms));
+        let record = AnsweredCommand {
+            command_id: id.to_string(),
+            answer: Some(answer.clone()),
+            at_ms: now_ms,
+            base,
+        };
+        self.answers.record(record, self.revision.index);
         answer
     }
 
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,5 +1,8 @@
 use {
-    super::{answers::Answers, Owner, Range, RangeTable, Release, Revision, Session, State, Vacancy},
+    super::{
+        answers::{Answers, Horizon},
+        Owner, Range, RangeTable, Release, Revision, Session, State, Vacancy,
+    },
     crate::{
         clock::Ms,
         key::Key,
@@ -19,6 +22,7 @@
             id: s.id,
             open: Some(s.open.clone()),
             servers: s.servers.clone(),
+            servers_number: s.servers_number,
         });
         let services = self.services.iter().map(|t| ServiceImage {
             name: t.service.clone(),
@@ -31,8 +35,9 @@
             schema: self.schema_json.clone(),
             sessions: sessions.collect(),
             services: services.collect(),
-            answered: self.answers.records(),
-            answers_horizon_ms: self.answers.horizon().0,
+            answered: self.answers.records().to_vec(),
+            answers_horizon_ms: self.answers.horizon().made_at.0,
+            answers_horizon_base: self.answers.horizon().base,
             drains: self.drains.clone(),
         };
         image.encode_to_vec()
@@ -51,6 +56,7 @@
                 id: session.id,
                 open: session.open?,
                 servers: session.servers,
+                servers_number: session.servers_number,
             });
         }
         let tables = image.services.into_iter().map(|service| {
@@ -70,7 +76,13 @@
             schema_json: image.schema,
             sessions,
             services: tables.collect(),
-            answers: Answers::from_records(image.answered, Ms(image.answers_horizon_ms)),
+            answers: Answers::from_records(
+                image.answered,
+                Horizon {
+                    made_at: Ms(image.answers_horizon_ms),
+                    base: image.answers_horizon_base,
+                },
+            ),
             drains: image.drains,
         })
     }
