--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -14,14 +14,12 @@
 
 /// Heartbeats in one shortest election timeout.
 const HEARTBEATS_PER_ELECTION: u64 = 6;
-/// Entries before a snapshot that are kept for members and daemons that lag.
-const KEPT_ENTRIES: u64 = 10_000;
 
 /// Time for all other voters to confirm a disk after a start, in shortest election timeouts.
 const RETURN_GRACE_ELECTIONS: u64 = 4;
 
 /// What a core needs to start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CoreConfig {
     /// Peer address of this host.
     pub address: String,
@@ -29,6 +27,19 @@
     pub timing: LeaseSettings,
     /// Seed of election timeouts and of the process number.
     pub seed: u64,
+    /// Entries before a snapshot that are kept for members and daemons that lag.
+    pub kept_entries: u64,
+}
+
+impl Default for CoreConfig {
+    fn default() -> Self {
+        Self {
+            address: String::new(),
+            timing: LeaseSettings::default(),
+            seed: 0,
+            kept_entries: 10_000,
+        }
+    }
 }
 
 /// Where a member stands.
@@ -92,15 +103,15 @@
     /// Until then all other voters have to confirm this disk, after it a quorum.
     pub(super) grace_ends_at: Ms,
     pub(super) process: u64,
-    handed_out: u64,
-    written: u64,
-    last_write: u64,
-    hard_write: u64,
+    pub(super) handed_out: u64,
+    pub(super) written: u64,
+    pub(super) last_write: u64,
+    pub(super) hard_write: u64,
     /// Numbers of writes under way with the last index that each leaves in the log.
-    log_writes: VecDeque<(u64, u64)>,
-    held: VecDeque<(u64, Envelope)>,
+    pub(super) log_writes: VecDeque<(u64, u64)>,
+    pub(super) held: VecDeque<(u64, Envelope)>,
     rng: SmallRng,
-    outputs: Outputs,
+    pub(super) outputs: Outputs,
 }
 
 impl Core {
@@ -276,30 +287,6 @@
         Some(first)
     }
 
-    /// Reports that all writes up to `number` are synced.
-    pub fn written(&mut self, number: u64, now: Ms) {
-        if self.is_stopped() {
-            return;
-        }
-        self.written = self.written.max(number);
-        while let Some((write, end)) = self.log_writes.front().copied() {
-            if write > self.written {
-                break;
-            }
-            self.synced_index = end;
-            self.log_writes.pop_front();
-        }
-        while self.held.front().is_some_and(|(write, _)| *write <= self.written) {
-            if let Some((_, envelope)) = self.held.pop_front() {
-                self.outputs.messages.push(envelope);
-            }
-        }
-        if matches!(self.role, Role::Candidate(_)) {
-            self.count_own_vote(now);
-        }
-        self.advance_commit(now);
-    }
-
     /// Reports that the disk failed. This member takes no part any more.
     pub fn disk_failed(&mut self) {
         self.stop();
@@ -316,7 +303,7 @@
             membership: Some(self.log.membership_at(index)),
             image,
         });
-        self.log.compact(snapshot.clone(), KEPT_ENTRIES);
+        self.log.compact(snapshot.clone(), self.cfg.kept_entries);
         self.write_log(Write::Snapshot {
             snapshot,
             head: self.log.head(),
@@ -380,51 +367,6 @@
         self.outputs.events.push(event);
     }
 
-    pub(super) fn install(&mut self, snapshot: Arc<Snapshot>) {
-        self.log.install(snapshot.clone());
-        self.write_log(Write::Snapshot {
-            snapshot: snapshot.clone(),
-            head: self.log.head(),
-            entries: Vec::new(),
-        });
-        self.commit = self.commit.max(snapshot.index);
-        self.handed_out = snapshot.index;
-        self.outputs.applies.push(Apply::Snapshot(snapshot));
-    }
-
-    pub(super) fn append_own(&mut self, entries: Vec<Entry>) {
-        let members = entries
-            .iter()
-            .find(|e| matches!(e.body, Some(entry::Body::Membership(_))));
-        if let Some(index) = members.map(|e| e.index) {
-            self.outputs.events.push(CoreEvent::MembersChanged { index });
-        }
-        self.log.append(entries.clone());
-        self.write_log(Write::Append(entries));
-    }
-
-    pub(super) fn write_hard(&mut self) {
-        self.last_write += 1;
-        self.hard_write = self.last_write;
-        self.outputs
-            .writes
-            .push((self.last_write, Write::Hard(self.hard.clone())));
-    }
-
-    /// Sends a message once the hard state is synced.
-    pub(super) fn send(&mut self, to: u64, body: Body) {
-        self.send_after(self.hard_write, to, body);
-    }
-
-    /// Sends a message once everything that was written so far is synced.
-    pub(super) fn send_synced(&mut self, to: u64, body: Body) {
-        self.send_after(self.last_write, to, body);
-    }
-
-    pub(super) fn is_hard_synced(&self) -> bool {
-        self.written >= self.hard_write
-    }
-
     /// States to the other voters that this member has started, until each has answered.
     fn announce_return(&mut self) {
         for id in self.other_voters() {
@@ -460,39 +402,6 @@
         true
     }
 
-    fn send_after(&mut self, write: u64, to: u64, body: Body) {
-        let envelope = Envelope {
-            cell: self.hard.cell,
-            from: self.hard.id,
-            to,
-            term: self.hard.term,
-            from_address: self.cfg.address.clone(),
-            body: Some(body),
-        };
-        if write <= self.written {
-            self.outputs.messages.push(envelope);
-        } else {
-            let at = self.held.partition_point(|(other, _)| *other <= write);
-            self.held.insert(at, (write, envelope));
-        }
-    }
-
-    pub(super) fn write_log(&mut self, write: Write) {
-        let end = self.log.last_index();
-        let first_changed = match &write {
-            Write::Append(entries) => entries.first().map_or(u64::MAX, |e| e.index),
-            Write::Snapshot { .. } | Write::Hard(_) => u64::MAX,
-        };
-        let still_synced = first_changed.saturating_sub(1).min(end);
-        self.synced_index = self.synced_index.min(still_synced);
-        for (_, synced) in &mut self.log_writes {
-            *synced = (*synced).min(still_synced);
-        }
-        self.last_write += 1;
-        self.log_writes.push_back((self.last_write, end));
-        self.outputs.writes.push((self.last_write, write));
-    }
-
     /// A disk that belongs to no cell takes the first one that names its incarnation.
     fn takes_cell(&mut self, cell: u64) -> bool {
         if self.hard.cell == 0 && cell != 0 {
--- /dev/null
+++ b/src/consensus/core_writes.rs
@@ -0,0 +1,112 @@
+use {
+    super::{core::Role, Apply, Core, CoreEvent, Write},
+    crate::{
+        clock::Ms,
+        wire::consensus::{entry, envelope::Body, Entry, Envelope, Snapshot},
+    },
+    std::sync::Arc,
+};
+
+impl Core {
+    /// Reports that all writes up to `number` are synced.
+    pub fn written(&mut self, number: u64, now: Ms) {
+        if self.is_stopped() {
+            return;
+        }
+        self.written = self.written.max(number);
+        while let Some((write, end)) = self.log_writes.front().copied() {
+            if write > self.written {
+                break;
+            }
+            self.synced_index = end;
+            self.log_writes.pop_front();
+        }
+        while self.held.front().is_some_and(|(write, _)| *write <= self.written) {
+            if let Some((_, envelope)) = self.held.pop_front() {
+                self.outputs.messages.push(envelope);
+            }
+        }
+        if matches!(self.role, Role::Candidate(_)) {
+            self.count_own_vote(now);
+        }
+        self.advance_commit(now);
+    }
+
+    pub(super) fn install(&mut self, snapshot: Arc<Snapshot>) {
+        self.log.install(snapshot.clone());
+        self.write_log(Write::Snapshot {
+            snapshot: snapshot.clone(),
+            head: self.log.head(),
+            entries: Vec::new(),
+        });
+        self.commit = self.commit.max(snapshot.index);
+        self.handed_out = snapshot.index;
+        self.outputs.applies.push(Apply::Snapshot(snapshot));
+    }
+
+    pub(super) fn append_own(&mut self, entries: Vec<Entry>) {
+        let members = entries
+            .iter()
+            .find(|e| matches!(e.body, Some(entry::Body::Membership(_))));
+        if let Some(index) = members.map(|e| e.index) {
+            self.outputs.events.push(CoreEvent::MembersChanged { index });
+        }
+        self.log.append(entries.clone());
+        self.write_log(Write::Append(entries));
+    }
+
+    pub(super) fn write_hard(&mut self) {
+        self.last_write += 1;
+        self.hard_write = self.last_write;
+        self.outputs
+            .writes
+            .push((self.last_write, Write::Hard(self.hard.clone())));
+    }
+
+    pub(super) fn write_log(&mut self, write: Write) {
+        let end = self.log.last_index();
+        let first_changed = match &write {
+            Write::Append(entries) => entries.first().map_or(u64::MAX, |e| e.index),
+            Write::Snapshot { .. } | Write::Hard(_) => u64::MAX,
+        };
+        let still_synced = first_changed.saturating_sub(1).min(end);
+        self.synced_index = self.synced_index.min(still_synced);
+        for (_, synced) in &mut self.log_writes {
+            *synced = (*synced).min(still_synced);
+        }
+        self.last_write += 1;
+        self.log_writes.push_back((self.last_write, end));
+        self.outputs.writes.push((self.last_write, write));
+    }
+
+    /// Sends a message once the hard state is synced.
+    pub(super) fn send(&mut self, to: u64, body: Body) {
+        self.send_after(self.hard_write, to, body);
+    }
+
+    /// Sends a message once everything that was written so far is synced.
+    pub(super) fn send_synced(&mut self, to: u64, body: Body) {
+        self.send_after(self.last_write, to, body);
+    }
+
+    fn send_after(&mut self, write: u64, to: u64, body: Body) {
+        let envelope = Envelope {
+            cell: self.hard.cell,
+            from: self.hard.id,
+            to,
+            term: self.hard.term,
+            from_address: self.cfg.address.clone(),
+            body: Some(body),
+        };
+        if write <= self.written {
+            self.outputs.messages.push(envelope);
+        } else {
+            let at = self.held.partition_point(|(other, _)| *other <= write);
+            self.held.insert(at, (write, envelope));
+        }
+    }
+
+    pub(super) fn is_hard_synced(&self) -> bool {
+        self.written >= self.hard_write
+    }
+}
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -1,6 +1,7 @@
 //! Agreement of the control hosts on one replicated log, without I/O but for its storage.
 
 mod core;
+mod core_writes;
 mod election;
 mod follower;
 mod member_change;
--- a/src/consensus/replica_log.rs
+++ b/src/consensus/replica_log.rs
@@ -22,8 +22,8 @@
             memberships: Vec::new(),
             snapshot,
         };
-        log.memberships.extend(log.snapshot_membership());
         log.append(entries);
+        log.start_memberships();
         log
     }
 
@@ -131,10 +131,8 @@
             self.entries.drain(..(head - self.head.index) as usize);
             self.head = LogHead { index: head, term };
         }
-        self.memberships.retain(|(index, _)| *index > snapshot.index);
         self.snapshot = Some(snapshot);
-        let first = self.snapshot_membership();
-        self.memberships.splice(0..0, first);
+        self.start_memberships();
     }
 
     /// Replaces the whole log by a snapshot from the leader.
@@ -151,6 +149,14 @@
         &self.entries
     }
 
+    /// Has the members of the snapshot stand for all earlier ones.
+    fn start_memberships(&mut self) {
+        if let Some(first) = self.snapshot_membership() {
+            self.memberships.retain(|(index, _)| *index > first.0);
+            self.memberships.insert(0, first);
+        }
+    }
+
     fn snapshot_membership(&self) -> Option<(u64, Membership)> {
         let snapshot = self.snapshot.as_ref()?;
         Some((snapshot.index, snapshot.membership.clone()?))
--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        disk_duty::WriteBatch,
+        disk_duty::{DiskDuty, WriteBatch},
         founding::Founding,
         members::members_answer,
         note,
@@ -24,7 +24,7 @@
             },
         },
     },
-    crossbeam_channel::{Receiver, RecvTimeoutError, Sender},
+    crossbeam_channel::{Receiver, RecvTimeoutError},
     prost::Message,
     std::time::Duration,
     tokio::sync::oneshot,
@@ -46,7 +46,7 @@
     core: Core,
     state: State,
     founding: Founding,
-    disk: Sender<WriteBatch>,
+    disk: DiskDuty,
     /// Writes that wait for the disk, which takes one batch at a time.
     writes: Vec<(u64, Write)>,
     disk_busy: bool,
@@ -66,7 +66,7 @@
     pub fn new(
         config: ControlConfig,
         saved: SavedState,
-        disk: Sender<WriteBatch>,
+        disk: DiskDuty,
         seed: u64,
     ) -> Result<Self, ControlError> {
         let snapshot = saved.snapshot.clone();
@@ -88,6 +88,7 @@
             address: config.address.to_string(),
             timing: config.lease,
             seed,
+            ..CoreConfig::default()
         };
         let core = Core::new(core_config, saved, config.clock.now());
         log_event!(config.log, Event::ControlStarted; "applied" => state.applied());
@@ -109,30 +110,39 @@
         })
     }
 
-    pub fn run(mut self, rx: &Receiver<ControlInput>) {
-        while self.failure.is_none() {
-            let mut batch = Vec::new();
-            match rx.recv_timeout(TICK) {
-                Ok(ControlInput::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(input) => self.take(input, &mut batch),
-                Err(RecvTimeoutError::Timeout) => {}
-            }
-            for input in rx.try_iter().take(BATCH_MAX) {
-                if matches!(input, ControlInput::Stop) {
-                    return;
-                }
-                self.take(input, &mut batch);
+    /// Runs until it is told to stop or fails, and gives the data folder back.
+    pub fn run(mut self, rx: Receiver<ControlInput>) {
+        while self.failure.is_none() && self.step(&rx) {}
+        // The disk must not wait for room in the ring.
+        drop(rx);
+        if let Some(error) = &self.failure {
+            log_event!(self.config.log, Event::ControlFailed; "error" => error);
+        }
+        self.disk.finish();
+    }
+
+    /// Takes the inputs that wait and does what follows from them. False: the duty is told to stop.
+    fn step(&mut self, rx: &Receiver<ControlInput>) -> bool {
+        let mut batch = Vec::new();
+        match rx.recv_timeout(TICK) {
+            Ok(ControlInput::Stop) | Err(RecvTimeoutError::Disconnected) => return false,
+            Ok(input) => self.take(input, &mut batch),
+            Err(RecvTimeoutError::Timeout) => {}
+        }
+        for input in rx.try_iter().take(BATCH_MAX) {
+            if matches!(input, ControlInput::Stop) {
+                return false;
             }
-            self.propose_all(batch);
-            self.core.tick(self.config.clock.now());
-            self.form_cell();
-            self.carry_out();
-            self.lead();
-            self.carry_out();
-            self.watches.answer(self.config.clock.now());
-        }
-        let error = self.failure.unwrap_or_default();
-        log_event!(self.config.log, Event::ControlFailed; "error" => error);
+            self.take(input, &mut batch);
+        }
+        self.propose_all(batch);
+        self.core.tick(self.config.clock.now());
+        self.form_cell();
+        self.carry_out();
+        self.lead();
+        self.carry_out();
+        self.watches.answer(self.config.clock.now());
+        true
     }
 
     fn take(&mut self, input: ControlInput, batch: &mut Batch) {
@@ -370,7 +380,7 @@
         };
         let last = *last;
         let writes = self.writes.drain(..).map(|(_, write)| write).collect();
-        self.disk_busy = self.disk.try_send(WriteBatch { last, writes }).is_ok();
+        self.disk_busy = self.disk.write(WriteBatch { last, writes });
     }
 
     fn apply(&mut self, entry: &Entry) {
--- a/src/control/disk_duty.rs
+++ b/src/control/disk_duty.rs
@@ -11,12 +11,18 @@
     pub writes: Vec<Write>,
 }
 
+/// The near end of the ring to the thread of the disk.
+pub(super) struct DiskDuty {
+    ring: Sender<WriteBatch>,
+    thread: thread::JoinHandle<()>,
+}
+
 /// Starts the thread that writes and syncs. It reports each batch to the control duty and ends after the
 /// first failure.
 pub(super) fn start_disk_duty(
     mut storage: Storage<DiskFolder>,
     reports: Sender<ControlInput>,
-) -> io::Result<Sender<WriteBatch>> {
+) -> io::Result<DiskDuty> {
     let (tx, rx): (_, Receiver<WriteBatch>) = crossbeam_channel::bounded(1);
     let work = move || {
         for batch in rx {
@@ -31,6 +37,19 @@
             }
         }
     };
-    thread::Builder::new().name("control-disk".into()).spawn(work)?;
-    Ok(tx)
+    let thread = thread::Builder::new().name("control-disk".into()).spawn(work)?;
+    Ok(DiskDuty { ring: tx, thread })
+}
+
+impl DiskDuty {
+    /// Hands a batch to the disk. False: it is busy or has ended.
+    pub fn write(&self, batch: WriteBatch) -> bool {
+        self.ring.try_send(batch).is_ok()
+    }
+
+    /// Waits until the disk has done what it has begun and is no longer in use.
+    pub fn finish(self) {
+        drop(self.ring);
+        let _ = self.thread.join();
+    }
 }
--- a/src/control/start.rs
+++ b/src/control/start.rs
@@ -72,7 +72,7 @@
     let duty = ControlDuty::new(config, saved, disk, seed)?;
     let thread = thread::Builder::new()
         .name("control".into())
-        .spawn(move || duty.run(&rx))
+        .spawn(move || duty.run(rx))
         .map_err(system)?;
     Ok((ControlHandle::new(tx), thread))
 }
--- /dev/null
+++ b/tests/control_log.rs
@@ -0,0 +1,132 @@
+//! What the control duty has committed is there after a restart, also past a snapshot.
+
+use {
+    clementinefold::{
+        clock::Clock,
+        control::{start_control, ControlConfig, ControlHandle, ControlInput, State},
+        settings::LeaseSettings,
+        wire::{
+            control::{change, Change, EndSession},
+            peer::{Propose, StateRequest, Watch, WatchAnswer},
+        },
+    },
+    std::{net::SocketAddr, path::Path, thread::JoinHandle, time::Duration},
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// Changes past the first snapshot.
+const CHANGES: u64 = 10_500;
+
+fn start(dir: &Path) -> (ControlHandle, JoinHandle<()>) {
+    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let (outbox, _) = mpsc::channel(1);
+    let config = ControlConfig {
+        data_dir: dir.to_owned(),
+        address,
+        first_voters: vec![address],
+        control_hosts: vec![address],
+        lease: LeaseSettings::default(),
+        clock: Clock::System,
+        outbox,
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+    };
+    start_control(config).unwrap()
+}
+
+/// Sends requests until one is not declined; none of them waits for long.
+fn ask<T>(
+    control: &ControlHandle,
+    input: impl Fn(oneshot::Sender<T>) -> ControlInput,
+    done: impl Fn(&T) -> bool,
+) -> T {
+    for _ in 0..3000 {
+        let (tx, rx) = oneshot::channel();
+        assert!(control.send(input(tx)));
+        match rx.blocking_recv() {
+            Ok(answer) if done(&answer) => return answer,
+            Ok(_) | Err(_) => std::thread::sleep(Duration::from_millis(10)),
+        }
+    }
+    panic!("always declined");
+}
+
+fn change() -> Propose {
+    let end = EndSession {
+        session: 1,
+        ..EndSession::default()
+    };
+    Propose {
+        change: Some(Change {
+            proposed_at_ms: 0,
+            body: Some(change::Body::EndSession(end)),
+        }),
+    }
+}
+
+fn watch(control: &ControlHandle, applied: u64) -> WatchAnswer {
+    let req = Watch { applied, session: 0 };
+    ask(control, |tx| ControlInput::Watch(req, tx), |a| !a.declined)
+}
+
+fn state(control: &ControlHandle) -> State {
+    let part = ask(
+        control,
+        |tx| ControlInput::State(StateRequest::default(), tx),
+        |a| !a.declined,
+    );
+    assert_eq!(part.total, part.part.len() as u64);
+    State::from_image(&part.part).unwrap()
+}
+
+#[test]
+fn restart_keeps_all() {
+    let dir = tempfile::tempdir().unwrap();
+    let (control, thread) = start(dir.path());
+    let first = ask(
+        &control,
+        |tx| ControlInput::Propose(change(), tx),
+        |a| !a.declined,
+    );
+    let waiting: Vec<_> = (1..CHANGES)
+        .map(|_| {
+            let (tx, rx) = oneshot::channel();
+            assert!(
+                control.send(ControlInput::Propose(change(), tx)),
+                "the ring is full"
+            );
+            rx
+        })
+        .collect();
+    let indices: Vec<u64> = waiting
+        .into_iter()
+        .map(|rx| rx.blocking_recv().unwrap().index)
+        .collect();
+    assert!(indices.windows(2).all(|pair| pair[0] < pair[1]));
+    let last = *indices.last().unwrap();
+    assert_eq!(last - first.index, CHANGES - 1);
+    assert_eq!(state(&control).applied(), last);
+    ask(
+        &control,
+        |tx| ControlInput::State(StateRequest::default(), tx),
+        |_| dir.path().join("snapshot").exists(),
+    );
+    control.send(ControlInput::Stop);
+    thread.join().unwrap();
+
+    let (control, thread) = start(dir.path());
+    ask(
+        &control,
+        |tx| ControlInput::Propose(change(), tx),
+        |a| a.index > last,
+    );
+    assert!(state(&control).applied() > last);
+    let answer = watch(&control, last - 300);
+    let served: Vec<u64> = answer.changes.iter().map(|c| c.index).collect();
+    assert_eq!(served[..300], (last - 299..=last).collect::<Vec<u64>>()[..]);
+    assert!(
+        watch(&control, 1).needs_state,
+        "the history does not reach back that far"
+    );
+    control.send(ControlInput::Stop);
+    thread.join().unwrap();
+}
