--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,8 +1,12 @@
 use {
-    super::local_server::{LocalServer, LostServer},
+    super::{
+        decisions::Decisions,
+        local_server::{LocalServer, LostServer},
+    },
     crate::{
         clock::Clock,
         control::{ControlHandle, Server, State},
+        event::RateLimit,
         grant::Touched,
         lease::DaemonLease,
         link::{KeyRing, Links},
@@ -27,6 +31,10 @@
     pub metrics: Metrics,
     pub links: Links,
     pub operator_keys: KeyRing,
+    /// Limit of the log lines on refused requests of operators and servers.
+    pub refusals: RefCell<RateLimit>,
+    /// The last decisions that this daemon saw committed.
+    pub decisions: RefCell<Decisions>,
     /// The near end of the control duty on a control host.
     pub control: Option<ControlHandle>,
     /// Random number of this process.
@@ -85,6 +93,8 @@
             metrics: parts.metrics,
             links: parts.links,
             operator_keys: parts.operator_keys,
+            refusals: RefCell::default(),
+            decisions: RefCell::default(),
             control: parts.control,
             process: rng.next_u64(),
             lease: DaemonLease::default(),
@@ -128,6 +138,7 @@
                 let follows = committed.index == state.applied() + 1;
                 if let (true, Some(change)) = (follows, &committed.change) {
                     let applied = state.apply(committed.index, change);
+                    self.decisions.borrow_mut().note(committed, &applied);
                     touched.note(&applied, self.session.get());
                 }
             }
@@ -163,16 +174,13 @@
         let now = self.clock.now();
         let servers = self.servers.borrow();
         let lost = self.lost_servers.borrow();
-        let live = servers.iter().map(|s| Server {
-            leaving: s.leaving.get(),
-            ..s.announced.clone()
-        });
+        let live = servers.iter().map(|server| server.published());
         let held = lost
             .iter()
-            .filter(|lost| !lost.ended && now < lost.leases_end_at)
+            .filter(|lost| !lost.ended && now < lost.orders.leases_end_at())
             .map(|lost| Server {
                 leaving: true,
-                ..lost.announced.clone()
+                ..lost.published.clone()
             });
         live.chain(held).collect()
     }
@@ -180,7 +188,14 @@
     /// Returns the incarnations of the servers that have certainly ended and are still to be published.
     pub fn ended_servers(&self) -> Vec<String> {
         let lost = self.lost_servers.borrow();
-        let ended = lost.iter().filter(|lost| lost.ended);
+        // A process whose successor may still have its calls has not ended in every respect.
+        let is_held = |incarnation: &str| {
+            lost.iter()
+                .any(|l| !l.ended && l.published.incarnation == incarnation)
+        };
+        let ended = lost
+            .iter()
+            .filter(|l| l.ended && !is_held(&l.announced.incarnation));
         ended.map(|lost| lost.announced.incarnation.clone()).collect()
     }
 }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -14,7 +14,7 @@
     anyhow::{Context, Result},
     bytes::Bytes,
     signal_hook::{
-        consts::{SIGINT, SIGTERM},
+        consts::{SIGHUP, SIGINT, SIGTERM},
         iterator::Signals,
     },
     slog::Logger,
@@ -40,10 +40,15 @@
 /// A key file, an address or the data folder cannot be used.
 pub fn run_daemon(settings: Settings, log: Logger) -> Result<()> {
     let (stop_tx, stop_rx) = watch::channel(false);
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context("handling signals")?;
+    let (reload_tx, reload_rx) = watch::channel(0_u64);
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("handling signals")?;
     thread::Builder::new().name("signals".into()).spawn(move || {
-        for _ in signals.forever() {
-            let _ = stop_tx.send(true);
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                reload_tx.send_modify(|count| *count += 1);
+            } else {
+                let _ = stop_tx.send(true);
+            }
         }
     })?;
     let (outbox, messages) = mpsc::channel(CONTROL_RING_MESSAGES);
@@ -53,7 +58,8 @@
         .enable_all()
         .build()
         .context("starting the I/O duty")?;
-    let result = LocalSet::new().block_on(&runtime, serve(settings, log, handle.clone(), messages, stop_rx));
+    let served = serve(settings, log, handle.clone(), messages, stop_rx, reload_rx);
+    let result = LocalSet::new().block_on(&runtime, served);
     if let (Some(handle), Some(thread)) = (handle, thread) {
         handle.send(ControlInput::Stop);
         let _ = thread.join();
@@ -91,6 +97,7 @@
     control: Option<ControlHandle>,
     messages: mpsc::Receiver<(String, Bytes)>,
     stop: watch::Receiver<bool>,
+    reload: watch::Receiver<u64>,
 ) -> Result<()> {
     let identity = LinkIdentity {
         cluster: settings.cluster.clone(),
@@ -113,6 +120,7 @@
     let servers = listen(node.settings.server_address, &log).await?;
     let operators = listen(node.settings.operator_address, &log).await?;
 
+    spawn_local(node.clone().reload_keys(identity.keys.clone(), reload));
     let for_peers = node.clone();
     spawn_local(serve_links(peers, identity, log.clone(), move |body| {
         for_peers.clone().serve_peer(body)
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -19,13 +19,13 @@
     pub schema: Option<serde_json::Value>,
     /// Name of the host, for `drain`, `undrain` and `move`.
     pub host: String,
-    /// Address of one server of the host; empty for all, or for the one with the fewest ranges.
+    /// Address of one server of the host; empty for all, or for any with `move`.
     pub server: String,
     /// Name of the service, for `move`.
     pub service: String,
-    /// Text of the first key, for `move`.
+    /// First key of the span in its text form, for `move`; empty for the lowest key.
     pub start: String,
-    /// Text of the first key after the span, for `move`. `None`: no upper bound.
+    /// First key after the span, for `move`; absent for no upper bound.
     pub end: Option<String>,
 }
 
@@ -40,14 +40,21 @@
         .parse()
         .map_err(|e| format!("command_id: {e}"))?;
     let base: Revision = request.base.parse().map_err(|e| format!("base: {e}"))?;
+    let drain = || Drain {
+        host: request.host.clone(),
+        server: request.server.clone(),
+    };
     let body = match name {
         "apply" => {
-            let schema = request.schema.ok_or("schema: the schema file is needed")?;
+            let schema = request
+                .schema
+                .as_ref()
+                .ok_or("schema: the schema file is needed")?;
             operator_command::Body::ApplySchema(schema.to_string())
         }
-        "drain" => operator_command::Body::Drain(drain(request)),
-        "undrain" => operator_command::Body::Undrain(drain(request)),
-        "move" => operator_command::Body::Move(move_span(request)?),
+        "drain" => operator_command::Body::Drain(drain()),
+        "undrain" => operator_command::Body::Undrain(drain()),
+        "move" => operator_command::Body::Move(move_span(&request)?),
         other => return Err(format!("{other:?} is not a command")),
     };
     Ok(OperatorCommand {
@@ -57,24 +64,18 @@
     })
 }
 
-fn drain(request: CommandRequest) -> Drain {
-    Drain {
-        host: request.host,
-        server: request.server,
+fn move_span(request: &CommandRequest) -> Result<MoveSpan, String> {
+    let key = |field: &str, text: &str| Key::from_text(text).map_err(|e| format!("{field}: {e}"));
+    let end = request.end.as_deref().map(|end| key("end", end)).transpose()?;
+    let start = key("start", &request.start)?;
+    if end.as_ref().is_some_and(|end| *end <= start) {
+        return Err("end: it must be above the start".into());
     }
-}
-
-fn move_span(request: CommandRequest) -> Result<MoveSpan, String> {
-    let start = Key::from_text(&request.start).map_err(|e| format!("start: {e}"))?;
-    let end = match &request.end {
-        Some(end) => Some(Key::from_text(end).map_err(|e| format!("end: {e}"))?),
-        None => None,
-    };
     Ok(MoveSpan {
-        service: request.service,
+        service: request.service.clone(),
         start: start.to_bytes(),
-        end: end.map(|e| e.to_bytes()),
-        to_host: request.host,
-        to_server: request.server,
+        end: end.map(|end| end.to_bytes()),
+        to_host: request.host.clone(),
+        to_server: request.server.clone(),
     })
 }
--- a/tests/consensus_faults.rs
+++ b/tests/consensus_faults.rs
@@ -419,7 +419,7 @@
     assert!(overlap.is_err(), "no two leases overlapped");
 }
 
-/// A name and what is run with a seed.
+/// Name of a case, and what runs it with a seed.
 type Case = (&'static str, fn(u64));
 
 /// The named cases.
