--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -1,10 +1,28 @@
-//! Calls of callers: their outcomes and the words for them.
+//! Calls of callers: their outcomes, limits, retries, and what keeps them from running twice.
 
 mod call_result;
+mod fingerprint;
+mod guard;
+mod guard_wire;
 mod outcome;
 mod reason;
+mod retry;
+mod retry_budget;
+mod server_queue;
+mod tenure;
 
-pub use {call_result::CallResult, outcome::Outcome, reason::Reason};
+pub use {
+    call_result::CallResult,
+    fingerprint::Fingerprint,
+    guard::{Guard, GuardEntry, GuardId, GuardLimits, GuardPhase, GuardVerdict},
+    guard_wire::GuardChange,
+    outcome::Outcome,
+    reason::Reason,
+    retry::{after_attempt, NextStep, RetryView},
+    retry_budget::RetryBudget,
+    server_queue::{Admission, Demand, Refusal, ServerQueue, Turn},
+    tenure::{Role, Tenure, Tenures},
+};
 
 /// A call on its way to a server, in the form that daemons pass it on.
 pub type Call = crate::wire::peer::CallRequest;
--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -78,8 +78,14 @@
     DeadlineTooShort = "deadline-too-short", 503, NotRun;
     /// No connection to the server could be made.
     ServerUnreachable = "server-unreachable", 503, NotRun;
-    /// The server refused the call before any work.
+    /// The server refused the call before any work, since it does not own the key.
     ServerRefused = "server-refused", 503, NotRun;
+    /// The server refused the call before any work, since it takes no new work.
+    ServerDraining = "server-draining", 503, NotRun;
+    /// The request crashed servers and is refused everywhere.
+    Quarantined = "quarantined", 503, NotRun;
+    /// The guard that keeps the call from running twice is not whole now.
+    GuardNotReady = "guard-not-ready", 503, NotRun;
     /// No connection to the owner's daemon could be made.
     PeerUnreachable = "peer-unreachable", 503, NotRun;
     /// The server was lost while the call ran.
@@ -88,6 +94,12 @@
     BadAnswer = "bad-answer", 502, Unknown;
     /// The owner's daemon was lost while the call ran.
     PeerLost = "peer-lost", 502, Unknown;
+    /// The guard was lost with two hosts, so that an earlier run cannot be ruled out.
+    GuardLost = "guard-lost", 502, Unknown;
+    /// The call has run, but its answer is no longer kept.
+    AnswerNotKept = "answer-not-kept", 502, Unknown;
+    /// A call of the same request id still runs.
+    StillRunning = "still-running", 504, Unknown;
     /// The deadline was over while the call ran.
     ServerLate = "server-late", 504, Unknown;
 }
--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -307,7 +307,14 @@
             Applied::Command(answer) => {
                 log_event!(log, Event::CommandDecided; "answer" => answer_word(answer), "revision" => self.state.revision().to_string());
             }
+            Applied::CrashCounted(quarantined) => {
+                for fingerprint in quarantined {
+                    log_event!(log, Event::RequestQuarantined; "fingerprint" => fingerprint.to_text());
+                }
+            }
             Applied::ServersSet(_)
+            | Applied::GuardReady(_)
+            | Applied::SuspectsCleared
             | Applied::ReleaseStarted { .. }
             | Applied::RangeReleased { .. }
             | Applied::Ignored(_) => {}
--- a/src/control/range_table.rs
+++ b/src/control/range_table.rs
@@ -102,6 +102,15 @@
         &mut self.ranges[position]
     }
 
+    /// Returns the owners of the ranges that share keys with `span`.
+    pub fn owners_within<'a>(&'a self, span: &'a KeyRange) -> impl Iterator<Item = Option<&'a Owner>> {
+        let first = self.position(&span.start);
+        let shared = self.ranges[first..]
+            .iter()
+            .take_while(|range| span.end.as_ref().is_none_or(|end| range.start < *end));
+        shared.map(|range| range.owner.as_ref())
+    }
+
     /// Makes one range of the ranges at `positions`.
     pub fn join(&mut self, positions: std::ops::Range<usize>) {
         self.ranges.drain(positions.start + 1..positions.end);
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,13 +1,14 @@
 use {
-    super::{Owner, RangeTable, Revision, Server, Session},
+    super::{id_boundaries, GuardTable, Owner, RangeTable, Revision, Server, Session, SuspectList},
     crate::{
+        call::Fingerprint,
         clock::Ms,
         key::{Key, KeyRange},
-        schema::Schema,
+        schema::{Schema, Service},
         wire::control::{
             change, command_answer, operator_command, AnsweredCommand, AssignRange, Change, CommandAnswer,
-            Drain, EndSession, OpenSession, OperatorCommand, RangeReleased, Refused, ReleaseRange,
-            SetServers,
+            Drain, EndSession, GuardReady, OpenSession, OperatorCommand, RangeReleased, Refused,
+            ReleaseRange, SetServers,
         },
     },
     prost::Message,
@@ -30,6 +31,8 @@
     pub(super) services: Vec<RangeTable>,
     pub(super) answered: Vec<AnsweredCommand>,
     pub(super) drains: Vec<Drain>,
+    pub(super) guards: Vec<GuardTable>,
+    pub(super) suspects: SuspectList,
 }
 
 /// What a change did to the state.
@@ -64,6 +67,12 @@
         /// First key of the span.
         start: Key,
     },
+    /// The guard of a span is whole, and its copy is in place.
+    GuardReady(u64),
+    /// A crash was counted; these requests are quarantined by it.
+    CrashCounted(Vec<Fingerprint>),
+    /// Requests are no longer suspected.
+    SuspectsCleared,
     /// An operator's command was decided.
     Command(CommandAnswer),
     /// The change no longer fits the state and did nothing.
@@ -114,6 +123,16 @@
         found.ok().map(|i| &self.services[i])
     }
 
+    /// Returns where the guards of a service are.
+    pub fn guard_table(&self, service: &str) -> Option<&GuardTable> {
+        self.guards.iter().find(|table| table.service == service)
+    }
+
+    /// Returns the requests that were running when a server crashed.
+    pub fn suspects(&self) -> &SuspectList {
+        &self.suspects
+    }
+
     /// Returns the hosts and servers that are being drained.
     pub fn drains(&self) -> &[Drain] {
         &self.drains
@@ -136,6 +155,14 @@
             Some(change::Body::AssignRange(assign)) => self.assign_range(index, assign),
             Some(change::Body::ReleaseRange(release)) => self.release_range(release),
             Some(change::Body::RangeReleased(released)) => self.range_released(released),
+            Some(change::Body::GuardReady(ready)) => self.guard_ready(ready),
+            Some(change::Body::ServerCrashed(crash)) => {
+                Applied::CrashCounted(self.suspects.crashed(crash, change.proposed_at_ms))
+            }
+            Some(change::Body::SuspectsCleared(cleared)) => {
+                self.suspects.clear(&cleared.fingerprints, false);
+                Applied::SuspectsCleared
+            }
             Some(change::Body::OperatorCommand(command)) => {
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
             }
@@ -287,6 +314,24 @@
         }
     }
 
+    /// Only the present owner of the whole span can hold its guard.
+    fn guard_ready(&mut self, ready: &GuardReady) -> Applied {
+        let span = key_range(&ready.start, ready.end.as_ref());
+        let Some(table) = self.table(&ready.service) else {
+            return Applied::Ignored("the service is gone");
+        };
+        let owned = table
+            .owners_within(&span)
+            .all(|o| o.is_some_and(|o| o.epoch == ready.epoch));
+        if span.is_empty() || !owned {
+            return Applied::Ignored("the owner has changed");
+        }
+        if let Some(guards) = self.guards.iter_mut().find(|g| g.service == ready.service) {
+            guards.set(ready);
+        }
+        Applied::GuardReady(ready.epoch)
+    }
+
     /// Decides a command once: a resend gets the recorded answer.
     fn operator_command(&mut self, index: u64, at_ms: u64, command: &OperatorCommand) -> CommandAnswer {
         if let Some(known) = self.answered.iter().find(|a| a.command_id == command.command_id) {
@@ -315,6 +360,9 @@
             Some(operator_command::Body::ApplySchema(json)) => self.apply_schema(json),
             Some(operator_command::Body::Drain(drain)) => self.add_drain(drain),
             Some(operator_command::Body::Undrain(drain)) => self.remove_drain(drain),
+            Some(operator_command::Body::ReleaseQuarantine(fingerprint)) => {
+                self.release_quarantine(fingerprint)
+            }
             Some(operator_command::Body::Move(_)) | None => Err(refused("the command is not known", "")),
         };
         match result {
@@ -332,13 +380,17 @@
         if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
             return Err(refused("the schema is for another cluster", "cluster"));
         }
-        self.services
-            .retain(|t| schema.service(&t.service).is_some_and(|s| s.divided_by_key));
-        for service in schema.services.iter().filter(|s| s.divided_by_key) {
+        let before = self.schema.clone();
+        let stays = |name: &str| match (before.service(name), schema.service(name)) {
+            (Some(old), Some(new)) => old.divided_by_key == new.divided_by_key,
+            _ => false,
+        };
+        self.services.retain(|t| stays(&t.service));
+        self.guards.retain(|t| stays(&t.service));
+        let needed = |s: &&Service| s.divided_by_key || s.calls.iter().any(|kind| !kind.idempotent);
+        for service in schema.services.iter().filter(needed) {
             if self.table(&service.name).is_none() {
-                self.services
-                    .push(RangeTable::new(&service.name, &service.boundaries));
-                self.services.sort_by(|a, b| a.service.cmp(&b.service));
+                self.add_table(service);
             }
         }
         self.schema = Arc::new(schema);
@@ -346,6 +398,25 @@
         Ok(())
     }
 
+    /// The ranges of an undivided service are ranges of request ids; they say where its guards live.
+    fn add_table(&mut self, service: &Service) {
+        let table = if service.divided_by_key {
+            RangeTable::new(&service.name, &service.boundaries)
+        } else {
+            RangeTable::new(&service.name, &id_boundaries())
+        };
+        self.services.push(table);
+        self.services.sort_by(|a, b| a.service.cmp(&b.service));
+        self.guards.push(GuardTable::new(&service.name));
+    }
+
+    fn release_quarantine(&mut self, fingerprint: &bytes::Bytes) -> Result<(), Refused> {
+        if self.suspects.clear(std::slice::from_ref(fingerprint), true) == 0 {
+            return Err(refused("no such request is quarantined", "fingerprint"));
+        }
+        Ok(())
+    }
+
     fn add_drain(&mut self, drain: &Drain) -> Result<(), Refused> {
         if !self.sessions.iter().any(|s| s.open.host == drain.host) {
             return Err(refused("no such host has a session", "host"));
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Owner, Range, RangeTable, Revision, Session, State},
+    super::{GuardTable, Owner, Range, RangeTable, Revision, Session, State, SuspectList},
     crate::{
         key::Key,
         schema::Schema,
@@ -29,6 +29,8 @@
             services: services.collect(),
             answered: self.answered.clone(),
             drains: self.drains.clone(),
+            guards: self.guards.iter().map(GuardTable::to_image).collect(),
+            suspects: self.suspects.list().to_vec(),
         };
         image.encode_to_vec()
     }
@@ -65,6 +67,8 @@
             services: tables.collect(),
             answered: image.answered,
             drains: image.drains,
+            guards: image.guards.into_iter().map(GuardTable::from_image).collect(),
+            suspects: SuspectList::from_list(image.suspects),
         })
     }
 }
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -1,51 +1,66 @@
 use {
-    super::{local_server::RunningCall, node::Node},
+    super::{dispatch::Dispatch, node::Node},
     crate::{
-        call::{Call, CallResult, Outcome, Reason},
+        call::{after_attempt, Call, CallResult, NextStep, Outcome, Reason, RetryView},
         clock::Ms,
+        control::Suspicion,
         edge::{self, HttpFault, HttpRequest, HttpResponse},
         event::Event,
         key::Key,
         link::LinkError,
         log_event,
-        route::{self, Route},
-        schema::Service,
+        route::{self, Candidate, Route, Signal},
+        schema::{CallKind, Service},
         wire::peer::frame::Body,
     },
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
 };
 
-/// Time between two looks for an owner while a call waits for one.
-const OWNER_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time between two looks for an owner while a call waits for one.
+const OWNER_PAUSE: Duration = Duration::from_millis(50);
 /// Time that an answer of the owner's daemon may come after the deadline.
 const FORWARD_GRACE: Ms = Ms(20);
-/// Time after which a caller should come back when a key has no owner.
+/// Time after which a caller should come back when nothing better is known.
 const RETRY_AFTER: Ms = Ms(1000);
 
+/// Counts a call among those that run, until it is dropped.
+pub(super) struct Counted(Rc<Node>);
+
+impl Counted {
+    pub fn new(node: &Rc<Node>) -> Self {
+        node.running.set(node.running.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
 impl Node {
     /// Serves a caller's request from its first byte to its answer.
     pub async fn serve_caller(self: Rc<Self>, request: Result<HttpRequest, HttpFault>) -> HttpResponse {
         let started = self.clock.now();
-        self.running.set(self.running.get() + 1);
+        let _counted = Counted::new(&self);
         let (result, request_id) = match request {
             Ok(request) => self.read_and_run(request).await,
             Err(HttpFault::BodyTooLarge) => (CallResult::failed(Reason::TooLarge), String::new()),
             Err(HttpFault::BodyIncomplete) => (CallResult::failed(Reason::IncompleteRequest), String::new()),
         };
-        self.running.set(self.running.get() - 1);
         self.metrics
             .call(result.outcome.word(), self.clock.now() - started);
         edge::caller_response(result, &request_id)
     }
 
-    async fn read_and_run(&self, request: HttpRequest) -> (CallResult, String) {
+    async fn read_and_run(self: &Rc<Self>, request: HttpRequest) -> (CallResult, String) {
         let state = self.state();
         match edge::read_call(request, state.schema()) {
             Ok(call) => {
-                let request_id = call.request_id.clone();
-                let result = self.run_call(call).await;
-                (result, request_id)
+                let result = self.run_call(&call).await;
+                (result, call.request_id)
             }
             Err(reason) => {
                 log_event!(self.log, Event::CallNotRun; "reason" => reason.word());
@@ -55,46 +70,80 @@
     }
 
     /// Runs a call as its entry daemon, with retries where they are safe.
-    async fn run_call(&self, call: Call) -> CallResult {
+    async fn run_call(self: &Rc<Self>, call: &Call) -> CallResult {
         let started = self.clock.now();
         let deadline = started + Ms::from(call.deadline_ms);
+        self.retry_budget.borrow_mut().earn();
         let mut attempts = 1;
+        let mut call = call.clone();
         loop {
             let state = self.state();
-            let Some(service) = state.schema().service(&call.service) else {
+            let Some((service, kind)) = find_kind(state.schema(), &call) else {
                 return CallResult::failed(Reason::UnknownService);
             };
-            let mut result = self.attempt(&call, service, deadline).await;
+            let mut result = self.attempt(&call, service, kind, deadline).await;
             self.log_result(&call, &result);
-            let now = self.clock.now();
-            let kind = service.calls.iter().find(|kind| kind.name == call.kind);
-            let may_repeat = match result.outcome {
-                Outcome::Answered => false,
-                Outcome::NotRun => result.reason.is_some_and(waits_for_owner) && now < started + service.park,
-                Outcome::Unknown => kind.is_some_and(|kind| kind.idempotent && attempts < kind.attempts),
+            let view = RetryView {
+                now: self.clock.now(),
+                started,
+                deadline,
+                park: service.park,
+                any_server: kind.idempotent && !service.divided_by_key,
+                idempotent: kind.idempotent,
+                attempts,
+                attempts_max: kind.attempts,
             };
-            if !may_repeat || now >= deadline {
-                if result.outcome == Outcome::NotRun {
-                    result.retry_after = RETRY_AFTER;
+            let step = after_attempt(&result, view, &mut self.retry_budget.borrow_mut());
+            match step {
+                NextStep::End => {
+                    if result.outcome == Outcome::NotRun && result.retry_after == Ms::ZERO {
+                        result.retry_after = RETRY_AFTER;
+                    }
+                    return result;
                 }
-                return result;
-            }
-            if result.outcome == Outcome::Unknown {
-                attempts += 1;
-            } else {
-                let _ = timeout(OWNER_PAUSE, self.state_changed.notified()).await;
+                NextStep::AwaitChange => self.await_ownership_change().await,
+                NextStep::Retry => attempts += 1,
             }
+            call.alone |= result.reason == Some(Reason::ServerLost);
         }
     }
 
-    async fn attempt(&self, call: &Call, service: &Service, deadline: Ms) -> CallResult {
-        let key = Key::new(call.key.clone());
-        let route = {
-            let mut rng = self.rng.borrow_mut();
-            route::route(&self.state(), self.session.get(), service, &key, &mut *rng)
+    async fn await_ownership_change(&self) {
+        let changed = async {
+            tokio::select! {
+                () = self.state_changed.notified() => {}
+                () = self.ownership_changed.notified() => {}
+            }
         };
-        match route {
-            Route::Local { server, epoch } => self.call_server(call, service, &server, epoch, deadline).await,
+        let _ = timeout(OWNER_PAUSE, changed).await;
+    }
+
+    async fn attempt(
+        self: &Rc<Self>,
+        call: &Call,
+        service: &Service,
+        kind: &CallKind,
+        deadline: Ms,
+    ) -> CallResult {
+        if self.suspicion(call) == Suspicion::Quarantined {
+            return CallResult::failed(Reason::Quarantined);
+        }
+        if kind.idempotent && !service.divided_by_key {
+            return self.call_any(call, service, kind, deadline).await;
+        }
+        let key = owner_key(call, service);
+        match route::route_by_key(&self.state(), self.session.get(), &service.name, &key) {
+            Route::Local { epoch, .. } if !kind.idempotent => self.run_guarded(call, epoch, deadline).await,
+            Route::Local { server, epoch } => {
+                let dispatch = Dispatch {
+                    call,
+                    service,
+                    kind,
+                    epoch,
+                    deadline,
+                };
+                self.call_server(&server, dispatch).await
+            }
             Route::Forward {
                 session,
                 peer_address,
@@ -109,7 +158,53 @@
         }
     }
 
-    async fn forward(&self, call: &Call, peer_address: &str, deadline: Ms) -> CallResult {
+    /// Sends a call of an undivided service to the better of two servers.
+    pub(super) async fn call_any(
+        self: &Rc<Self>,
+        call: &Call,
+        service: &Service,
+        kind: &CallKind,
+        deadline: Ms,
+    ) -> CallResult {
+        let candidates = self.candidates(&service.name);
+        let sent_at = self.clock.now();
+        let chosen = {
+            let mut rng = self.rng.borrow_mut();
+            self.balancer.borrow_mut().choose(&candidates, sent_at, &mut *rng)
+        };
+        let Some(Candidate {
+            target, peer_address, ..
+        }) = chosen.map(|i| &candidates[i])
+        else {
+            return CallResult::failed(Reason::NoServer);
+        };
+        let in_flight = InFlight::new(self, target, sent_at);
+        let result = if self.session.get() == Some(target.session) {
+            let dispatch = Dispatch {
+                call,
+                service,
+                kind,
+                epoch: 0,
+                deadline,
+            };
+            self.call_server(&target.server, dispatch).await
+        } else {
+            log_event!(
+                self.log, Event::CallForwarded;
+                "service" => &call.service, "session" => target.session, "peer" => peer_address,
+                "server" => &target.server
+            );
+            let call = Call {
+                server: target.server.clone(),
+                ..call.clone()
+            };
+            self.forward(&call, peer_address, deadline).await
+        };
+        in_flight.end(&result);
+        result
+    }
+
+    pub(super) async fn forward(&self, call: &Call, peer_address: &str, deadline: Ms) -> CallResult {
         let left = deadline - self.clock.now();
         if left == Ms::ZERO {
             return CallResult::failed(Reason::DeadlineTooShort);
@@ -129,82 +224,61 @@
         }
     }
 
-    /// Runs a call that another daemon forwarded. It is never forwarded again.
-    pub async fn run_forwarded(&self, call: Call) -> CallResult {
+    /// Runs a call that another daemon forwarded. It is never routed again.
+    pub async fn run_forwarded(self: &Rc<Self>, call: Call) -> CallResult {
+        let _counted = Counted::new(self);
         let deadline = self.clock.now() + Ms::from(call.deadline_ms);
+        if self.state().applied() < call.revision {
+            self.await_applied(call.revision).await;
+        }
         let state = self.state();
-        let Some(service) = state.schema().service(&call.service) else {
+        let Some((service, kind)) = find_kind(state.schema(), &call) else {
             return CallResult::failed(Reason::UnknownService);
         };
-        let key = Key::new(call.key.clone());
-        let result = match self.local_target(service, &key) {
-            Some((server, epoch)) => self.call_server(&call, service, &server, epoch, deadline).await,
-            None => CallResult::failed(Reason::NotOwner),
-        };
+        let result = self.run_as_owner(&call, service, kind, deadline).await;
         self.log_result(&call, &result);
         result
     }
 
-    /// Returns the local server and the epoch for a forwarded call.
-    fn local_target(&self, service: &Service, key: &Key) -> Option<(String, u64)> {
-        let state = self.state();
-        if service.divided_by_key {
-            let owner = state.table(&service.name)?.range_of(key).owner.clone()?;
-            return (Some(owner.session) == self.session.get()).then_some((owner.server, owner.epoch));
-        }
-        let servers = self.servers.borrow();
-        let of_service = servers
-            .iter()
-            .filter(|s| s.announced.service == service.name && !s.leaving.get());
-        let least_busy = of_service.min_by_key(|s| s.running.borrow().len())?;
-        Some((least_busy.announced.address.clone(), 0))
-    }
-
-    /// Sends a call to a local server, if this daemon may.
-    async fn call_server(
-        &self,
+    async fn run_as_owner(
+        self: &Rc<Self>,
         call: &Call,
         service: &Service,
-        address: &str,
-        epoch: u64,
+        kind: &CallKind,
         deadline: Ms,
     ) -> CallResult {
-        let key = Key::new(call.key.clone());
-        let Some(server) = self.server(&service.name, address) else {
-            return CallResult::failed(Reason::NoServer);
+        let mut dispatch = Dispatch {
+            call,
+            service,
+            kind,
+            epoch: 0,
+            deadline,
         };
-        if !self.lease.is_valid(self.clock.now()) {
-            return CallResult::failed(Reason::NoLease);
-        }
-        if service.divided_by_key && (!server.is_granted(&key, epoch) || self.is_released(service, &key)) {
-            return CallResult::failed(Reason::NoOwner);
+        // Only a call that no guard has to decide on may go to any server.
+        if !service.divided_by_key && (kind.idempotent || call.let_through) {
+            return self.call_server(&call.server, dispatch).await;
         }
-        let id = self.new_call_id();
-        log_event!(
-            self.log, Event::CallRoutedLocally;
-            "service" => &call.service, "key" => key.to_string(), "server" => address, "epoch" => epoch, "call" => &id
-        );
-        server
-            .running
-            .borrow_mut()
-            .push(RunningCall { id: id.clone(), key });
-        let reply = server
-            .client
-            .call(call.clone(), id.clone(), epoch, deadline)
-            .await;
-        server.running.borrow_mut().retain(|running| running.id != id);
-        if reply.server_gone {
-            self.remove_server(&server, "its address refuses connections");
+        let key = owner_key(call, service);
+        match route::route_by_key(&self.state(), self.session.get(), &service.name, &key) {
+            Route::Local { epoch, .. } if !kind.idempotent => self.run_guarded(call, epoch, deadline).await,
+            Route::Local { server, epoch } => {
+                dispatch.epoch = epoch;
+                self.call_server(&server, dispatch).await
+            }
+            Route::Forward { .. } | Route::Nowhere(_) => CallResult::failed(Reason::NotOwner),
         }
-        reply.result
     }
 
-    /// Tells if the range of `key` is being given up.
-    fn is_released(&self, service: &Service, key: &Key) -> bool {
-        let state = self.state();
-        state
-            .table(&service.name)
-            .is_some_and(|t| t.range_of(key).release.is_some())
+    /// Returns the servers that can take calls of an undivided service.
+    fn candidates(&self, service: &str) -> Rc<Vec<Candidate>> {
+        let mut cache = self.candidates.borrow_mut();
+        if let Ok(i) = cache.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
+            return cache[i].1.clone();
+        }
+        let candidates = Rc::new(route::candidates(&self.state(), service));
+        cache.push((service.to_owned(), candidates.clone()));
+        cache.sort_by(|a, b| a.0.cmp(&b.0));
+        candidates
     }
 
     fn log_result(&self, call: &Call, result: &CallResult) {
@@ -221,15 +295,57 @@
     }
 }
 
-/// Tells if a call that was not run should wait for an owner and try again.
-fn waits_for_owner(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::NoOwner
-            | Reason::NotOwner
-            | Reason::NoLease
-            | Reason::NoServer
-            | Reason::PeerUnreachable
-            | Reason::ServerUnreachable
-    )
+/// Counts a call against a server while it is in flight.
+struct InFlight<'a> {
+    node: &'a Node,
+    candidate: &'a route::Target,
+    sent_at: Ms,
+    signal: Signal,
+}
+
+impl<'a> InFlight<'a> {
+    fn new(node: &'a Node, candidate: &'a route::Target, sent_at: Ms) -> Self {
+        node.balancer.borrow_mut().sent(candidate, sent_at);
+        Self {
+            node,
+            candidate,
+            sent_at,
+            signal: Signal::None,
+        }
+    }
+
+    fn end(mut self, result: &CallResult) {
+        let overloaded = result.reason == Some(Reason::Overloaded);
+        let took = self.node.clock.now() - self.sent_at;
+        self.signal = Signal::of(result.outcome, overloaded, took);
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        let mut balancer = self.node.balancer.borrow_mut();
+        if balancer.ended(self.candidate, self.signal, now) {
+            log_event!(self.node.log, Event::ServerAvoided; "server" => &self.candidate.server);
+        }
+    }
+}
+
+/// Returns the service and the kind of a call, as the schema has them.
+pub(super) fn find_kind<'a>(
+    schema: &'a crate::schema::Schema,
+    call: &Call,
+) -> Option<(&'a Service, &'a CallKind)> {
+    let service = schema.service(&call.service)?;
+    let kind = service.calls.iter().find(|kind| kind.name == call.kind)?;
+    Some((service, kind))
+}
+
+/// Returns the key whose owner decides on a call.
+pub(super) fn owner_key(call: &Call, service: &Service) -> Key {
+    if service.divided_by_key {
+        Key::new(call.key.clone())
+    } else {
+        Key::new(crate::call::Fingerprint::id_key(&call.request_id).to_vec())
+    }
 }
--- /dev/null
+++ b/src/daemon/dispatch.rs
@@ -0,0 +1,297 @@
+use {
+    super::{
+        local_server::{LocalServer, RunningCall},
+        node::Node,
+        slot_gate::Slot,
+    },
+    crate::{
+        call::{Call, CallResult, Demand, Fingerprint, Outcome, Reason, Refusal},
+        clock::Ms,
+        control::Suspicion,
+        edge::{Attempt, Order},
+        event::Event,
+        key::Key,
+        log_event,
+        route::{Signal, Target},
+        schema::{CallKind, Service},
+        wire::control::{change, ServerCrashed, SuspectsCleared},
+    },
+    std::{rc::Rc, time::Duration},
+    tokio::{net::TcpStream, task::spawn_local, time::timeout},
+};
+
+/// Longest time to find out whether a server still listens.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest time that a result waits for a crash to be counted everywhere.
+const COUNT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Calls that were lost this long before a crash was seen are suspects of it.
+const LOST_BEFORE_CRASH: Ms = Ms(10_000);
+
+/// A call that was lost with its server.
+#[derive(Clone, Debug)]
+pub(super) struct LostCall {
+    pub fingerprints: Vec<Fingerprint>,
+    pub at: Ms,
+}
+
+/// Where and under what terms a call is sent.
+#[derive(Clone, Copy)]
+pub(super) struct Dispatch<'a> {
+    pub call: &'a Call,
+    pub service: &'a Service,
+    pub kind: &'a CallKind,
+    pub epoch: u64,
+    pub deadline: Ms,
+}
+
+/// Removes a running call from its server's list. If it did not end, its work is cancelled.
+struct Running {
+    node: Rc<Node>,
+    server: Rc<LocalServer>,
+    id: String,
+    ended: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.server.running.borrow_mut().retain(|r| r.id != self.id);
+        if !self.ended {
+            let (server, call) = (self.server.clone(), std::mem::take(&mut self.id));
+            log_event!(
+                self.node.log, Event::CallCancelled;
+                "service" => &server.announced.service, "server" => &server.announced.address, "call" => &call
+            );
+            spawn_local(async move { drop(server.orders.give(Order::Cancel { call }).await) });
+        }
+    }
+}
+
+impl Node {
+    /// Sends a call to a local server, if this daemon may.
+    pub(super) async fn call_server(self: &Rc<Self>, address: &str, dispatch: Dispatch<'_>) -> CallResult {
+        let Some(server) = self.server(&dispatch.service.name, address) else {
+            return CallResult::failed(Reason::NoServer);
+        };
+        let suspicion = self.suspicion(dispatch.call);
+        if suspicion == Suspicion::Quarantined {
+            return CallResult::failed(Reason::Quarantined);
+        }
+        let demand = Demand {
+            priority: dispatch.kind.priority,
+            deadline: dispatch.deadline,
+            alone: suspicion == Suspicion::Alone || dispatch.call.alone,
+        };
+        if let Err(reason) = self.may_dispatch(&server, dispatch) {
+            return CallResult::failed(reason);
+        }
+        let slot = match server.gate.enter(demand).await {
+            Ok(slot) => slot,
+            Err(refusal) => return refused(refusal),
+        };
+        // The ownership may have ended while the call waited.
+        if let Err(reason) = self.may_dispatch(&server, dispatch) {
+            return CallResult::failed(reason);
+        }
+        let result = self.send_to_server(&server, dispatch, &slot).await;
+        if result.outcome == Outcome::Answered {
+            slot.answered();
+            if demand.alone {
+                self.clear_suspect(dispatch.call);
+            }
+        }
+        result
+    }
+
+    /// Tells if this daemon may send the call now.
+    fn may_dispatch(&self, server: &LocalServer, dispatch: Dispatch<'_>) -> Result<(), Reason> {
+        if !self.lease.is_valid(self.clock.now()) {
+            return Err(Reason::NoLease);
+        }
+        if server.client.is_stopped() {
+            return Err(Reason::NoServer);
+        }
+        let service = dispatch.service;
+        let key = Key::new(dispatch.call.key.clone());
+        if service.divided_by_key && !server.is_granted(&key, dispatch.epoch) {
+            return Err(Reason::NoOwner);
+        }
+        if service.divided_by_key && self.is_released(service, &key) {
+            return Err(Reason::NoOwner);
+        }
+        Ok(())
+    }
+
+    async fn send_to_server(
+        self: &Rc<Self>,
+        server: &Rc<LocalServer>,
+        dispatch: Dispatch<'_>,
+        slot: &Slot,
+    ) -> CallResult {
+        let call = dispatch.call;
+        let key = Key::new(call.key.clone());
+        let id = self.new_call_id();
+        log_event!(
+            self.log, Event::CallRoutedLocally;
+            "service" => &call.service, "key" => key.to_string(), "server" => &server.announced.address,
+            "epoch" => dispatch.epoch, "call" => &id
+        );
+        server
+            .running
+            .borrow_mut()
+            .push(RunningCall { id: id.clone(), key });
+        let mut running = Running {
+            node: self.clone(),
+            server: server.clone(),
+            id: id.clone(),
+            ended: false,
+        };
+        let attempt = Attempt {
+            call,
+            call_id: &id,
+            epoch: dispatch.epoch,
+            deadline: dispatch.deadline,
+        };
+        let reply = server.client.attempt(attempt).await;
+        running.ended = reply.result.reason != Some(Reason::ServerLate);
+        drop(running);
+        self.note_signal(server, &reply.result, slot.age());
+        if reply.result.reason == Some(Reason::ServerLost) {
+            self.note_lost_call(server, call, dispatch.kind.idempotent).await;
+        }
+        if reply.server_gone {
+            self.remove_server(server, "its address refuses connections");
+            self.note_crash(server).await;
+        }
+        reply.result
+    }
+
+    /// Takes out a server that fails call after call.
+    fn note_signal(self: &Rc<Self>, server: &Rc<LocalServer>, result: &CallResult, took: Ms) {
+        let target = Target {
+            session: 0,
+            server: server.announced.address.clone(),
+        };
+        let overloaded = result.reason == Some(Reason::Overloaded);
+        let signal = Signal::of(result.outcome, overloaded, took);
+        let now = self.clock.now();
+        if self.local_view.borrow_mut().ended(&target, signal, now) {
+            log_event!(
+                self.log, Event::ServerTakenOut;
+                "service" => &server.announced.service, "server" => &server.announced.address
+            );
+            self.remove_server(server, "it does not answer its calls");
+        }
+    }
+
+    /// Tells if a server that announces itself is still taken out.
+    pub(super) fn is_taken_out(&self, address: &str) -> bool {
+        let target = Target {
+            session: 0,
+            server: address.to_owned(),
+        };
+        self.local_view.borrow().is_ejected(&target, self.clock.now())
+    }
+
+    /// Returns how a call may be sent.
+    pub(super) fn suspicion(&self, call: &Call) -> Suspicion {
+        let state = self.state();
+        if state.suspects().is_empty() {
+            return Suspicion::Clear;
+        }
+        let wall = self.clock.wall();
+        let of = |f| state.suspects().suspicion(f, wall);
+        let fingerprints = Fingerprint::of_suspect(call).into_iter();
+        fingerprints.map(of).max().unwrap_or(Suspicion::Clear)
+    }
+
+    /// Notes a call that was lost, and finds out whether its server is still there. A call that may be
+    /// repeated waits until a crash has been counted.
+    async fn note_lost_call(self: &Rc<Self>, server: &Rc<LocalServer>, call: &Call, repeats: bool) {
+        server.lost.borrow_mut().push(LostCall {
+            fingerprints: Fingerprint::of_suspect(call),
+            at: self.clock.now(),
+        });
+        let (node, server) = (self.clone(), server.clone());
+        let probe = spawn_local(async move {
+            let connect = TcpStream::connect(&server.announced.address);
+            if let Ok(Err(_)) = timeout(PROBE_TIMEOUT, connect).await {
+                node.remove_server(&server, "its address refuses connections");
+                node.note_crash(&server).await;
+            }
+        });
+        if repeats {
+            let _ = timeout(COUNT_TIMEOUT, probe).await;
+        }
+    }
+
+    /// Counts a crash of a server against the calls that were lost with it.
+    pub(super) async fn note_crash(self: &Rc<Self>, server: &LocalServer) {
+        let since = self.clock.now() - LOST_BEFORE_CRASH;
+        let lost = server.lost.take();
+        let mut fingerprints: Vec<_> = lost
+            .into_iter()
+            .filter(|lost| lost.at >= since)
+            .flat_map(|lost| lost.fingerprints)
+            .collect();
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        if fingerprints.is_empty() {
+            return;
+        }
+        log_event!(
+            self.log, Event::ServerCrashed;
+            "service" => &server.announced.service, "server" => &server.announced.address,
+            "suspects" => fingerprints.len()
+        );
+        let crash = ServerCrashed {
+            service: server.announced.service.clone(),
+            server: server.announced.address.clone(),
+            fingerprints: fingerprints.iter().map(|f| f.0.to_vec().into()).collect(),
+        };
+        if let Some(answer) = self.propose(change::Body::ServerCrashed(crash)).await {
+            self.await_applied(answer.index).await;
+        }
+    }
+
+    /// Clears a suspect that a server survived.
+    fn clear_suspect(self: &Rc<Self>, call: &Call) {
+        if self.suspicion(call) != Suspicion::Alone {
+            return;
+        }
+        let fingerprints = Fingerprint::of_suspect(call).into_iter();
+        let cleared = SuspectsCleared {
+            fingerprints: fingerprints.map(|f| f.0.to_vec().into()).collect(),
+        };
+        let node = self.clone();
+        spawn_local(async move { drop(node.propose(change::Body::SuspectsCleared(cleared)).await) });
+    }
+
+    /// Waits for a bounded time until the state has the change at `index`.
+    pub(super) async fn await_applied(&self, index: u64) {
+        let applied = async {
+            loop {
+                let changed = self.state_changed.notified();
+                if self.state().applied() >= index {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        let _ = timeout(COUNT_TIMEOUT, applied).await;
+    }
+
+    /// Tells if the range of `key` is being given up.
+    fn is_released(&self, service: &Service, key: &Key) -> bool {
+        let state = self.state();
+        state
+            .table(&service.name)
+            .is_some_and(|t| t.range_of(key).release.is_some())
+    }
+}
+
+fn refused(refusal: Refusal) -> CallResult {
+    CallResult {
+        retry_after: refusal.retry_after,
+        ..CallResult::failed(refusal.reason)
+    }
+}
--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -85,7 +85,7 @@
             epoch,
             lease,
         };
-        match server.orders.give(order).await {
+        match self.give(server, order).await {
             Ok(()) => {
                 log_event!(
                     self.log, Event::RangeGranted;
@@ -96,6 +96,7 @@
                     span: range.span,
                     epoch,
                 });
+                self.ownership_changed.notify_waiters();
             }
             Err(e) => self.order_failed(server, &e),
         }
@@ -120,7 +121,7 @@
                 span: range.span.clone(),
                 epoch,
             };
-            match server.orders.give(order).await {
+            match node.give(&server, order).await {
                 Ok(()) => {
                     log_event!(
                         node.log, Event::RangeRevoked;
@@ -140,6 +141,17 @@
         });
     }
 
+    /// Gives an order about a range to a server. The ranges of an undivided service are ranges of request
+    /// ids, which servers know nothing of.
+    async fn give(&self, server: &LocalServer, order: Order) -> Result<(), OrderError> {
+        let state = self.state();
+        let service = state.schema().service(&server.announced.service);
+        if service.is_some_and(|s| !s.divided_by_key) {
+            return Ok(());
+        }
+        server.orders.give(order).await
+    }
+
     fn revoke_later(&self, server: Rc<LocalServer>, grant: Grant) {
         let log = self.log.clone();
         spawn_local(async move {
--- /dev/null
+++ b/src/daemon/guard_holder.rs
@@ -0,0 +1,96 @@
+use {
+    super::node::Node,
+    crate::{
+        call::{Guard, GuardChange, GuardLimits, Role, Tenure},
+        clock::Ms,
+        key::{Key, KeyRange},
+        wire::peer::{GuardCopy, GuardCopyAnswer, GuardFetch, GuardFetchAnswer},
+    },
+};
+
+/// Most entries in one answer to a fetch.
+pub(super) const PART_ENTRIES: usize = 500;
+
+impl Node {
+    /// Keeps a part of the copy of another daemon's guard.
+    pub(super) fn keep_copy(&self, copy: GuardCopy) -> GuardCopyAnswer {
+        let now = self.clock.now();
+        let span = KeyRange {
+            start: Key::new(copy.start),
+            end: copy.end.map(Key::new),
+        };
+        let mut tenures = self.tenures.borrow_mut();
+        if copy.first {
+            let known = tenures.get(&copy.service, &span.start, copy.epoch);
+            if known.is_some_and(|t| t.sealed) {
+                return GuardCopyAnswer { kept: false };
+            }
+            tenures.put(Tenure {
+                service: copy.service.clone(),
+                span: span.clone(),
+                epoch: copy.epoch,
+                role: Role::Copy { whole: false },
+                sealed: false,
+                guard: Guard::new(GuardLimits::default()),
+            });
+        }
+        let Some(tenure) = tenures.get(&copy.service, &span.start, copy.epoch) else {
+            return GuardCopyAnswer { kept: false };
+        };
+        let Role::Copy { whole } = &mut tenure.role else {
+            return GuardCopyAnswer { kept: false };
+        };
+        if tenure.sealed {
+            return GuardCopyAnswer { kept: false };
+        }
+        *whole |= copy.last;
+        tenure.guard.note_hole(hole_end(copy.hole_ms, now));
+        for image in copy.entries {
+            match GuardChange::from_wire(image, now) {
+                Some(GuardChange::Put(entry)) => tenure.guard.copy(entry),
+                Some(GuardChange::Removed(id, sequence)) => tenure.guard.copy_removal(&id, sequence),
+                None => return GuardCopyAnswer { kept: false },
+            }
+        }
+        GuardCopyAnswer { kept: true }
+    }
+
+    /// Hands a part of a guard to a later owner. From the first part on, the guard takes no further calls.
+    pub(super) fn hand_out_guard(&self, fetch: &GuardFetch) -> GuardFetchAnswer {
+        let now = self.clock.now();
+        let span = KeyRange {
+            start: Key::new(fetch.start.clone()),
+            end: fetch.end.clone().map(Key::new),
+        };
+        let mut tenures = self.tenures.borrow_mut();
+        let Some(tenure) = tenures
+            .get(&fetch.service, &span.start, fetch.epoch)
+            .filter(|t| t.is_whole())
+        else {
+            return GuardFetchAnswer::default();
+        };
+        tenure.sealed = true;
+        let mut entries = tenure.guard.entries_of(&span);
+        entries.sort_by(|a, b| a.id.cmp(&b.id));
+        let total = entries.len() as u64;
+        let part = entries
+            .into_iter()
+            .skip(usize::try_from(fetch.offset).unwrap_or(usize::MAX))
+            .take(PART_ENTRIES);
+        GuardFetchAnswer {
+            known: true,
+            entries: part.map(|e| GuardChange::Put(e).to_wire(now)).collect(),
+            total,
+            hole_ms: (tenure.guard.hole_until() - now).0,
+        }
+    }
+}
+
+/// Returns the end of a hole that lasts `left_ms` from now; zero if there is none.
+pub(super) fn hole_end(left_ms: u64, now: Ms) -> Ms {
+    if left_ms == 0 {
+        Ms::ZERO
+    } else {
+        now + Ms(left_ms)
+    }
+}
--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -1,11 +1,15 @@
 use {
+    super::{dispatch::LostCall, slot_gate::SlotGate},
     crate::{
         clock::Ms,
         control::Server,
         edge::{ServerClient, ServerOrders},
         key::{Key, KeyRange},
     },
-    std::cell::{Cell, RefCell},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
 };
 
 /// A span that the server confirmed to own.
@@ -27,6 +31,9 @@
 pub(super) struct LocalServer {
     pub announced: Server,
     pub client: ServerClient,
+    pub gate: Rc<SlotGate>,
+    /// Calls that were lost since the last crash.
+    pub lost: RefCell<Vec<LostCall>>,
     pub orders: ServerOrders,
     pub last_announce: Cell<Ms>,
     pub leaving: Cell<bool>,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,7 +1,11 @@
 //! One `clementined` process: its duties, and how they carry out the decisions.
 
 mod call_path;
+mod dispatch;
 mod grant_task;
+mod guard_holder;
+mod guard_task;
+mod guarded_call;
 mod local_server;
 mod node;
 mod operator_handler;
@@ -9,6 +13,7 @@
 mod run;
 mod server_handler;
 mod session_task;
+mod slot_gate;
 mod watch_task;
 
 pub use run::run_daemon;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,11 +1,14 @@
 use {
     super::local_server::LocalServer,
     crate::{
+        call::{RetryBudget, Tenures},
         clock::Clock,
         control::{ControlHandle, Server, State},
+        key::Key,
         lease::DaemonLease,
         link::{KeyRing, LinkError, Links},
         metrics::Metrics,
+        route::{Balancer, Candidate},
         settings::Settings,
         wire::{
             control::{change, Change},
@@ -51,6 +54,23 @@
     /// Calls that are being served.
     pub running: Cell<usize>,
     pub rng: RefCell<SmallRng>,
+    /// What was seen of the servers of undivided services, anywhere.
+    pub balancer: RefCell<Balancer>,
+    /// What was seen of the servers behind this daemon.
+    pub local_view: RefCell<Balancer>,
+    pub retry_budget: RefCell<RetryBudget>,
+    /// Servers of undivided services by service, as the present state has them.
+    pub candidates: RefCell<Vec<(String, Rc<Vec<Candidate>>)>>,
+    /// The guards that this daemon holds as owner or as copy.
+    pub tenures: RefCell<Tenures>,
+    /// Guards that are being brought here, by epoch and first key.
+    pub establishing: RefCell<Vec<(u64, Key)>>,
+    /// Woken whenever a guarded call has ended.
+    pub guard_finished: Notify,
+    /// Woken when a copy could not be reached.
+    pub guard_copy_failed: Notify,
+    /// Woken when this daemon can serve a range that it could not serve before.
+    pub ownership_changed: Notify,
     next_call: Cell<u64>,
 }
 
@@ -93,6 +113,15 @@
             stopping: Cell::new(false),
             running: Cell::new(0),
             rng: RefCell::new(rng),
+            balancer: RefCell::default(),
+            local_view: RefCell::default(),
+            retry_budget: RefCell::default(),
+            candidates: RefCell::default(),
+            tenures: RefCell::default(),
+            establishing: RefCell::default(),
+            guard_finished: Notify::new(),
+            guard_copy_failed: Notify::new(),
+            ownership_changed: Notify::new(),
             next_call: Cell::new(0),
         }
     }
@@ -105,6 +134,7 @@
     /// Replaces the state and wakes those who wait for a change.
     pub fn set_state(&self, state: State) {
         *self.state.borrow_mut() = Rc::new(state);
+        self.candidates.borrow_mut().clear();
         self.state_changed.notify_waiters();
     }
 
--- a/src/daemon/peer_handler.rs
+++ b/src/daemon/peer_handler.rs
@@ -10,11 +10,11 @@
     pub async fn serve_peer(self: Rc<Self>, body: Body) -> Option<Body> {
         match body {
             Body::CallRequest(call) => {
-                self.running.set(self.running.get() + 1);
                 let result = self.run_forwarded(call).await;
-                self.running.set(self.running.get() - 1);
                 Some(Body::CallAnswer(result.into_wire(self.state().applied())))
             }
+            Body::GuardCopy(copy) => Some(Body::GuardCopyAnswer(self.keep_copy(copy))),
+            Body::GuardFetch(fetch) => Some(Body::GuardFetchAnswer(self.hand_out_guard(&fetch))),
             Body::OpenSession(req) => self
                 .pass_to_control(|tx| ControlInput::OpenSession(req, tx))
                 .await
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -124,6 +124,7 @@
     spawn_local(node.clone().publish_servers());
     spawn_local(node.clone().watch_state());
     spawn_local(node.clone().keep_grants());
+    spawn_local(node.clone().keep_guards());
     spawn_local(node.clone().extend_leases());
     spawn_local(node.clone().watch_announcements());
     log_event!(log, Event::DaemonStarted; "host" => &node.settings.host, "callers" => node.settings.caller_address.to_string());
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -1,9 +1,9 @@
 use {
-    super::{local_server::LocalServer, node::Node},
+    super::{local_server::LocalServer, node::Node, slot_gate::SlotGate},
     crate::{
         clock::Ms,
         control::Server,
-        edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerOrders},
+        edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerLimits, ServerOrders},
         event::Event,
         log_event,
     },
@@ -13,7 +13,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// A server that has not announced itself for this long is taken for lost.
@@ -49,7 +49,7 @@
         }
     }
 
-    fn announce(&self, announced: Server) -> Result<(), String> {
+    fn announce(self: &Rc<Self>, announced: Server) -> Result<(), String> {
         let now = self.clock.now();
         if let Some(known) = self.server(&announced.service, &announced.address) {
             let unchanged = Server {
@@ -61,16 +61,20 @@
                 return Ok(());
             }
             self.remove_server(&known, "it was started anew");
+            let (node, known) = (self.clone(), known.clone());
+            spawn_local(async move { node.note_crash(&known).await });
         }
-        let client = ServerClient::start(
-            &announced.address,
-            announced.slots,
-            self.settings.caller_limits.answer_bytes,
-            self.clock.clone(),
-            self.lease.clone(),
-        );
+        if self.is_taken_out(&announced.address) {
+            return Ok(());
+        }
+        let limits = ServerLimits {
+            answer_bytes: self.settings.caller_limits.answer_bytes,
+            idle_connections: announced.slots.min(announced.connections.saturating_sub(1)) as usize,
+        };
         let server = LocalServer {
-            client: client.map_err(|e| e.to_string())?,
+            client: ServerClient::new(&announced.address, limits, self.clock.clone(), self.lease.clone()),
+            gate: SlotGate::new(announced.slots, self.clock.clone()),
+            lost: RefCell::default(),
             orders: ServerOrders::start(&announced.address).map_err(|e| e.to_string())?,
             last_announce: Cell::new(now),
             leaving: Cell::new(false),
@@ -102,6 +106,7 @@
 
     /// Forgets a local server that is lost.
     pub fn remove_server(&self, lost: &Rc<LocalServer>, reason: &str) {
+        lost.client.stop();
         let count = self.servers.borrow().len();
         self.servers
             .borrow_mut()
--- /dev/null
+++ b/src/daemon/slot_gate.rs
@@ -0,0 +1,145 @@
+use {
+    crate::{
+        call::{Admission, Demand, Reason, Refusal, ServerQueue},
+        clock::{Clock, Ms},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
+    tokio::{sync::oneshot, time::timeout},
+};
+
+/// A waiting call, with the way to hand it its slot.
+type Waiter = (u64, oneshot::Sender<Result<Slot, Refusal>>);
+
+/// Lets calls through to one backend server as its queue decides.
+#[derive(Debug)]
+pub(super) struct SlotGate {
+    clock: Clock,
+    queue: RefCell<ServerQueue>,
+    waiters: RefCell<Vec<Waiter>>,
+}
+
+/// A slot of a backend server. It is free again when this is dropped.
+#[derive(Debug)]
+pub(super) struct Slot {
+    gate: Rc<SlotGate>,
+    since: Ms,
+    /// True if the time of the call tells how long calls take.
+    counts: Cell<bool>,
+}
+
+impl Slot {
+    /// Notes that the call was answered, so that its time counts.
+    pub fn answered(&self) {
+        self.counts.set(true);
+    }
+
+    /// Returns the time since the slot was taken.
+    pub fn age(&self) -> Ms {
+        self.gate.clock.now() - self.since
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let took = self.counts.get().then(|| self.age());
+        self.gate.queue.borrow_mut().finish(took);
+        self.gate.clone().give_turns();
+    }
+}
+
+/// Takes a waiting call out of the queue when its caller goes away.
+struct Place<'a> {
+    gate: &'a SlotGate,
+    ticket: u64,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.gate.queue.borrow_mut().forget(self.ticket);
+        self.gate.waiters.borrow_mut().retain(|w| w.0 != self.ticket);
+    }
+}
+
+impl SlotGate {
+    pub fn new(slots: u32, clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            queue: RefCell::new(ServerQueue::new(slots as usize)),
+            waiters: RefCell::default(),
+        })
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    /// Why the call is refused; it was not sent.
+    pub async fn enter(self: &Rc<Self>, demand: Demand) -> Result<Slot, Refusal> {
+        let now = self.clock.now();
+        let admission = self.queue.borrow_mut().admit(now, demand);
+        let (ticket, shed) = match admission {
+            Admission::Run => return Ok(self.slot()),
+            Admission::Refused(refusal) => return Err(refusal),
+            Admission::Wait { ticket, shed } => (ticket, shed),
+        };
+        if let Some(shed) = shed {
+            self.refuse(shed, Reason::Overloaded);
+        }
+        let (tx, rx) = oneshot::channel();
+        self.waiters.borrow_mut().push((ticket, tx));
+        let _place = Place { gate: self, ticket };
+        // A suspect call that waits for an idle server must not be overlooked.
+        self.clone().give_turns();
+        match timeout((demand.deadline - now).as_duration(), rx).await {
+            Ok(Ok(turn)) => turn,
+            Ok(Err(_)) | Err(_) => Err(self.refusal(Reason::DeadlineTooShort)),
+        }
+    }
+
+    fn slot(self: &Rc<Self>) -> Slot {
+        Slot {
+            gate: self.clone(),
+            since: self.clock.now(),
+            counts: Cell::new(false),
+        }
+    }
+
+    /// Hands out the slots that are free.
+    fn give_turns(self: Rc<Self>) {
+        loop {
+            let turn = self.queue.borrow_mut().turn(self.clock.now());
+            for ticket in turn.expired {
+                self.refuse(ticket, Reason::DeadlineTooShort);
+            }
+            let Some(next) = turn.next else {
+                return;
+            };
+            let slot = self.slot();
+            if let Some(tx) = self.take_waiter(next) {
+                // A slot that cannot be handed over is dropped, and so is free again.
+                let _ = tx.send(Ok(slot));
+            }
+        }
+    }
+
+    fn refuse(&self, ticket: u64, reason: Reason) {
+        if let Some(tx) = self.take_waiter(ticket) {
+            let _ = tx.send(Err(self.refusal(reason)));
+        }
+    }
+
+    fn refusal(&self, reason: Reason) -> Refusal {
+        Refusal {
+            reason,
+            retry_after: self.queue.borrow().retry_after(),
+        }
+    }
+
+    fn take_waiter(&self, ticket: u64) -> Option<oneshot::Sender<Result<Slot, Refusal>>> {
+        let mut waiters = self.waiters.borrow_mut();
+        let position = waiters.iter().position(|w| w.0 == ticket)?;
+        Some(waiters.swap_remove(position).1)
+    }
+}
--- a/src/edge/caller_edge.rs
+++ b/src/edge/caller_edge.rs
@@ -61,7 +61,7 @@
         deadline_ms: u32::try_from(deadline.0).unwrap_or(u32::MAX),
         kind: kind.name.clone(),
         body: request.body,
-        revision: 0,
+        ..Call::default()
     })
 }
 
--- /dev/null
+++ b/src/edge/counted_stream.rs
@@ -0,0 +1,121 @@
+use {
+    crate::{clock::Clock, lease::DaemonLease},
+    hyper::rt::{Read, ReadBufCursor, Write},
+    hyper_util::rt::TokioIo,
+    std::{
+        cell::Cell,
+        io::{self, IoSlice},
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+    },
+    tokio::net::TcpStream,
+};
+
+/// What is known about the bytes of the present request on one connection.
+#[derive(Debug)]
+pub(super) struct SendMeter {
+    sent: Cell<u64>,
+    closed: Cell<bool>,
+    clock: Clock,
+    lease: DaemonLease,
+    stopped: Rc<Cell<bool>>,
+}
+
+impl SendMeter {
+    /// Returns the meter of a new connection. No byte leaves before [`Self::begin`].
+    pub fn new(clock: Clock, lease: DaemonLease, stopped: Rc<Cell<bool>>) -> Self {
+        Self {
+            sent: Cell::new(0),
+            closed: Cell::new(true),
+            clock,
+            lease,
+            stopped,
+        }
+    }
+
+    /// Starts to count the bytes of a new request.
+    pub fn begin(&self) {
+        self.sent.set(0);
+        self.closed.set(false);
+    }
+
+    /// Lets no further byte leave and returns how many bytes of the request left before.
+    pub fn close(&self) -> u64 {
+        self.closed.set(true);
+        self.sent.get()
+    }
+
+    /// Tells if bytes may leave now. The lease counts for the first byte of a request.
+    fn check(&self) -> io::Result<()> {
+        let may_begin = || !self.stopped.get() && self.lease.is_valid(self.clock.now());
+        if self.closed.get() || self.sent.get() == 0 && !may_begin() {
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
+        Ok(())
+    }
+
+    fn count(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(n)) = written {
+            self.sent.set(self.sent.get() + *n as u64);
+        }
+    }
+}
+
+/// A connection to a backend server that counts the bytes that left.
+#[derive(Debug)]
+pub(super) struct CountedStream {
+    stream: TokioIo<TcpStream>,
+    meter: Rc<SendMeter>,
+}
+
+impl CountedStream {
+    pub fn new(stream: TcpStream, meter: Rc<SendMeter>) -> Self {
+        Self {
+            stream: TokioIo::new(stream),
+            meter,
+        }
+    }
+}
+
+impl Read for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl Write for CountedStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.meter.check()?;
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.meter.count(&written);
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.meter.check()?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.meter.count(&written);
+        written
+    }
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP to callers, backend servers and operators.
 
 mod caller_edge;
+mod counted_stream;
 mod http_server;
 mod operator_edge;
 mod server_client;
@@ -12,7 +13,7 @@
     caller_edge::read_call,
     http_server::{json_response, plain_response, serve_http, HttpFault, HttpRequest, HttpResponse},
     operator_edge::{operator_command, CommandRequest},
-    server_client::{ServerClient, ServerReply},
+    server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
     server_edge::{read_announce, read_leave, LeaveRequest},
     server_orders::{Order, OrderError, ServerOrders},
 };
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -1,21 +1,34 @@
 use {
-    super::caller_edge::passed_on,
+    super::{
+        caller_edge::passed_on,
+        counted_stream::{CountedStream, SendMeter},
+    },
     crate::{
         call::{Call, CallResult, Reason},
         clock::{Clock, Ms},
         lease::DaemonLease,
     },
     bytes::Bytes,
-    crossbeam_channel::{Receiver, Sender, TrySendError},
-    http::{Request, Response},
+    http::{header, Method, Request, Response, StatusCode},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        body::Incoming,
+        client::conn::http1::{self, SendRequest},
+    },
     percent_encoding::{percent_encode, NON_ALPHANUMERIC},
-    std::{io, thread, time::Duration},
-    tokio::sync::oneshot,
-    ureq::{Agent, Body, Error, Timeout},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        task::{spawn_local, AbortHandle},
+        time::timeout,
+    },
 };
 
-/// Calls that wait for a connection, for each slot of the server.
-const WAITING_PER_SLOT: usize = 4;
 /// Longest time to connect to a local server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -28,175 +41,242 @@
     pub server_gone: bool,
 }
 
-/// One call on its way to a server.
-struct Job {
-    call: Call,
-    call_id: String,
-    epoch: u64,
-    deadline: Ms,
-    tx: oneshot::Sender<ServerReply>,
+/// One attempt at a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// The call.
+    pub call: &'a Call,
+    /// Id of the attempt; no other attempt has it.
+    pub call_id: &'a str,
+    /// Epoch of the ownership; 0 where the service is not divided by key.
+    pub epoch: u64,
+    /// When the caller stops waiting.
+    pub deadline: Ms,
 }
 
-/// The connections to one backend server: a thread for each of its slots.
-#[derive(Debug)]
-pub struct ServerClient {
-    ring: Sender<Job>,
+/// Limits of the connections to one backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Most bytes of an answer's body.
+    pub answer_bytes: usize,
+    /// Most connections that are kept open between calls.
+    pub idle_connections: usize,
 }
 
-/// What a thread needs to send calls.
-#[derive(Clone)]
-struct Worker {
+/// The connections to one backend server. They belong to one thread.
+#[derive(Debug)]
+pub struct ServerClient {
     address: String,
-    agent: Agent,
+    limits: ServerLimits,
     clock: Clock,
     lease: DaemonLease,
-    answer_bytes: u64,
+    idle: RefCell<Vec<Connection>>,
+    stopped: Rc<Cell<bool>>,
+}
+
+/// One open connection. It is closed when it is dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    meter: Rc<SendMeter>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.meter.close();
+        self.task.abort();
+    }
 }
 
 impl ServerClient {
-    /// Starts the threads for the server at `address`.
-    ///
-    /// # Errors
-    /// A thread could not be started.
-    pub fn start(
-        address: &str,
-        slots: u32,
-        answer_bytes: usize,
-        clock: Clock,
-        lease: DaemonLease,
-    ) -> io::Result<Self> {
-        let slots = slots as usize;
-        let (ring, jobs) = crossbeam_channel::bounded(slots * WAITING_PER_SLOT);
-        for slot in 0..slots {
-            let worker = Worker {
-                address: address.to_owned(),
-                agent: agent(),
-                clock: clock.clone(),
-                lease: lease.clone(),
-                answer_bytes: answer_bytes as u64,
-            };
-            let jobs = jobs.clone();
-            thread::Builder::new()
-                .name(format!("call-{slot}"))
-                .spawn(move || worker.run(&jobs))?;
+    /// Returns a client without connections for the server at `address`.
+    pub fn new(address: &str, limits: ServerLimits, clock: Clock, lease: DaemonLease) -> Self {
+        Self {
+            address: address.to_owned(),
+            limits,
+            clock,
+            lease,
+            idle: RefCell::default(),
+            stopped: Rc::default(),
         }
-        Ok(Self { ring })
     }
 
-    /// Sends a call to the server and waits for the end of this attempt.
-    pub async fn call(&self, call: Call, call_id: String, epoch: u64, deadline: Ms) -> ServerReply {
-        let (tx, rx) = oneshot::channel();
-        match self.ring.try_send(Job {
-            call,
-            call_id,
-            epoch,
-            deadline,
-            tx,
-        }) {
-            Ok(()) => rx.await.unwrap_or_else(|_| failed(Reason::ServerLost)),
-            Err(TrySendError::Full(_)) => failed(Reason::Overloaded),
-            Err(TrySendError::Disconnected(_)) => failed(Reason::NoServer),
-        }
+    /// Sends nothing more: no byte of a call that has not been sent leaves from here on.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+        self.idle.borrow_mut().clear();
     }
-}
 
-impl Worker {
-    fn run(&self, jobs: &Receiver<Job>) {
-        for job in jobs {
-            let reply = self.attempt(&job);
-            // The caller may have gone away.
-            let _ = job.tx.send(reply);
-        }
+    /// Tells if nothing more is sent.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.get()
     }
 
-    fn attempt(&self, job: &Job) -> ServerReply {
-        let now = self.clock.now();
-        if now >= job.deadline {
+    /// Sends a call to the server once and waits for the end of this attempt. The connection of an
+    /// attempt that fails, or that is dropped, is closed.
+    pub async fn attempt(&self, attempt: Attempt<'_>) -> ServerReply {
+        let Ok(request) = self.request(attempt) else {
+            return failed(Reason::BadHeader);
+        };
+        let left = attempt.deadline - self.clock.now();
+        if left == Ms::ZERO {
             return failed(Reason::DeadlineTooShort);
         }
-        let left = job.deadline - now;
-        let Ok(request) = self.request(job, left) else {
-            return failed(Reason::BadHeader);
+        let mut connection = match self.connection(left).await {
+            Ok(connection) => connection,
+            Err(reply) => return reply,
         };
-        let request = self
-            .agent
-            .configure_request(request)
-            .timeout_global(Some(left.as_duration()))
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .build();
-        // The last look at the lease comes right before the first byte leaves.
+        // Time went by while the connection was made.
+        let left = attempt.deadline - self.clock.now();
         if !self.lease.is_valid(self.clock.now()) {
             return failed(Reason::NoLease);
         }
-        match self.agent.run(request) {
-            Ok(response) => self.read_answer(response, &job.call_id),
-            Err(e) => failed_with(&e),
+        connection.meter.begin();
+        let exchange = self.exchange(&mut connection, request, attempt);
+        match timeout(left.as_duration(), exchange).await {
+            Ok(Ok(reply)) => {
+                self.keep(connection);
+                reply
+            }
+            Ok(Err(reason)) => failed(settle(connection.meter.close(), reason)),
+            Err(_) => failed(settle(connection.meter.close(), Reason::ServerLate)),
         }
     }
 
-    fn request(&self, job: &Job, left: Ms) -> Result<Request<Vec<u8>>, http::Error> {
-        let call = &job.call;
-        let uri = format!("http://{}{}", self.address, call.path);
-        let mut request = Request::builder().method(call.method.as_str()).uri(uri);
-        for header in &call.headers {
-            request = request.header(header.name.as_str(), header.value.as_ref());
+    /// Takes an idle connection, or else opens one.
+    async fn connection(&self, left: Ms) -> Result<Connection, ServerReply> {
+        while let Some(idle) = self.idle.borrow_mut().pop() {
+            if idle.sender.is_ready() {
+                return Ok(idle);
+            }
         }
+        let longest = left.as_duration().min(CONNECT_TIMEOUT);
+        let stream = match timeout(longest, TcpStream::connect(&self.address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => {
+                return Err(ServerReply {
+                    result: CallResult::failed(Reason::ServerUnreachable),
+                    server_gone: e.kind() == io::ErrorKind::ConnectionRefused,
+                })
+            }
+            Err(_) => return Err(failed(Reason::ServerUnreachable)),
+        };
+        let _ = stream.set_nodelay(true);
+        let meter = Rc::new(SendMeter::new(
+            self.clock.clone(),
+            self.lease.clone(),
+            self.stopped.clone(),
+        ));
+        let stream = CountedStream::new(stream, meter.clone());
+        let Ok((sender, connection)) = http1::handshake(stream).await else {
+            return Err(failed(Reason::ServerUnreachable));
+        };
+        let task = spawn_local(async move { drop(connection.await) }).abort_handle();
+        Ok(Connection { sender, meter, task })
+    }
+
+    fn keep(&self, connection: Connection) {
+        connection.meter.close();
+        let mut idle = self.idle.borrow_mut();
+        if !connection.sender.is_closed() && idle.len() < self.limits.idle_connections {
+            idle.push(connection);
+        }
+    }
+
+    /// Sends the request and reads the answer.
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+        attempt: Attempt<'_>,
+    ) -> Result<ServerReply, Reason> {
+        let answer = connection.sender.send_request(request).await;
+        let answer = answer.map_err(|_| Reason::ServerLost)?;
+        self.read_answer(answer, attempt).await
+    }
+
+    /// Only a whole answer that names this call counts.
+    async fn read_answer(
+        &self,
+        answer: Response<Incoming>,
+        attempt: Attempt<'_>,
+    ) -> Result<ServerReply, Reason> {
+        let (parts, body) = answer.into_parts();
+        let names_call = parts
+            .headers
+            .get("fold-call")
+            .is_some_and(|id| id.as_bytes() == attempt.call_id.as_bytes());
+        if !names_call || !has_end(&parts, &attempt.call.method) {
+            return Err(Reason::BadAnswer);
+        }
+        let body = Limited::new(body, self.limits.answer_bytes).collect().await;
+        let body = body.map_err(|_| Reason::BadAnswer)?.to_bytes();
+        let refused = parts.headers.get("fold-refused");
+        if let (StatusCode::CONFLICT, Some(word)) = (parts.status, refused) {
+            return refusal(word.as_bytes()).map(failed);
+        }
+        Ok(ServerReply {
+            result: CallResult::answered(parts.status.as_u16(), passed_on(&parts.headers), body),
+            server_gone: false,
+        })
+    }
+
+    fn request(&self, attempt: Attempt<'_>) -> Result<Request<Full<Bytes>>, http::Error> {
+        let call = attempt.call;
+        let mut request = Request::builder()
+            .method(call.method.as_str())
+            .uri(call.path.as_str())
+            .header(header::HOST, &self.address);
+        for passed in &call.headers {
+            request = request.header(passed.name.as_str(), passed.value.as_ref());
+        }
+        let left = attempt.deadline - self.clock.now();
         request = request
             .header(
                 "fold-key",
                 percent_encode(&call.key, NON_ALPHANUMERIC).to_string(),
             )
-            .header("fold-epoch", job.epoch)
-            .header("fold-call", &job.call_id)
+            .header("fold-epoch", attempt.epoch)
+            .header("fold-call", attempt.call_id)
             .header("fold-deadline-ms", left.0);
         if !call.request_id.is_empty() {
             request = request.header("fold-request-id", &call.request_id);
         }
-        request.body(call.body.to_vec())
+        request.body(Full::new(call.body.clone()))
     }
+}
 
-    /// Only a whole answer that names this call counts.
-    fn read_answer(&self, response: Response<Body>, call_id: &str) -> ServerReply {
-        let (parts, mut body) = response.into_parts();
-        let names_call = parts
-            .headers
-            .get("fold-call")
-            .is_some_and(|id| id.as_bytes() == call_id.as_bytes());
-        if !names_call {
-            return failed(Reason::BadAnswer);
-        }
-        if parts.status.as_u16() == 409 && parts.headers.contains_key("fold-refused") {
-            return failed(Reason::ServerRefused);
-        }
-        match body.with_config().limit(self.answer_bytes).read_to_vec() {
-            Ok(bytes) => ServerReply {
-                result: CallResult::answered(
-                    parts.status.as_u16(),
-                    passed_on(&parts.headers),
-                    Bytes::from(bytes),
-                ),
-                server_gone: false,
-            },
-            Err(Error::Timeout(_)) => failed(Reason::ServerLate),
-            Err(_) => failed(Reason::BadAnswer),
-        }
+/// Tells if the end of an answer is marked by its length, its last chunk or its kind. An answer that ends
+/// with the connection may have been cut.
+fn has_end(parts: &http::response::Parts, method: &str) -> bool {
+    let bodiless = method == Method::HEAD.as_str()
+        || parts.status == StatusCode::NO_CONTENT
+        || parts.status == StatusCode::NOT_MODIFIED;
+    let marked = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    bodiless || marked.iter().any(|name| parts.headers.contains_key(name))
+}
+
+/// Returns the reason of a refusal with this word.
+///
+/// # Errors
+/// A word that the contract does not know proves nothing.
+fn refusal(word: &[u8]) -> Result<Reason, Reason> {
+    match word {
+        b"stale-epoch" | b"not-owner" => Ok(Reason::ServerRefused),
+        b"draining" => Ok(Reason::ServerDraining),
+        b"overloaded" => Ok(Reason::Overloaded),
+        _ => Err(Reason::BadAnswer),
     }
 }
 
-/// Returns an agent that keeps one connection and follows nothing on its own.
-fn agent() -> Agent {
-    Agent::config_builder()
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .max_idle_connections(1)
-        .max_idle_connections_per_host(1)
-        .allow_non_standard_methods(true)
-        .proxy(None)
-        .user_agent("")
-        .accept("")
-        .accept_encoding("")
-        .build()
-        .into()
+/// Returns why an attempt failed. Without a byte sent it was certainly not run.
+fn settle(sent: u64, reason: Reason) -> Reason {
+    match (sent, reason) {
+        (0, Reason::ServerLate) => Reason::DeadlineTooShort,
+        (0, _) => Reason::ServerUnreachable,
+        (_, reason) => reason,
+    }
 }
 
 fn failed(reason: Reason) -> ServerReply {
@@ -205,18 +285,3 @@
         server_gone: false,
     }
 }
-
-/// Only an error from before the connection stood proves that nothing was sent.
-fn failed_with(error: &Error) -> ServerReply {
-    match error {
-        Error::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => ServerReply {
-            result: CallResult::failed(Reason::ServerUnreachable),
-            server_gone: true,
-        },
-        Error::ConnectionFailed | Error::Timeout(Timeout::Connect | Timeout::Resolve) => {
-            failed(Reason::ServerUnreachable)
-        }
-        Error::Timeout(_) => failed(Reason::ServerLate),
-        _ => failed(Reason::ServerLost),
-    }
-}
--- a/src/edge/server_orders.rs
+++ b/src/edge/server_orders.rs
@@ -44,6 +44,11 @@
         /// Epoch of the ownership.
         epoch: u64,
     },
+    /// Stop a call whose caller no longer waits.
+    Cancel {
+        /// Id of the attempt.
+        call: String,
+    },
     /// Take no new work.
     Drain,
 }
@@ -126,6 +131,7 @@
         Order::Revoke { service, span, epoch } => {
             ("revoke", span_json(service, span, *epoch), REVOKE_TIMEOUT)
         }
+        Order::Cancel { call } => ("cancel", json!({ "call": call }), ORDER_TIMEOUT),
         Order::Drain => ("drain", json!({}), ORDER_TIMEOUT),
     };
     let response = agent
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -57,6 +57,24 @@
     CallUnknown = "CF2004", Warning, "call outcome unknown";
     /// A call was answered by its server.
     CallAnswered = "CF2005", Debug, "call answered";
+    /// A call whose caller no longer waits is stopped.
+    CallCancelled = "CF2101", Info, "call cancelled";
+    /// A recorded answer was given again.
+    AnswerReplayed = "CF2102", Info, "answer replayed";
+    /// The guard of a span is in place here, with its copy.
+    GuardReady = "CF2103", Info, "guard placed";
+    /// The copy of a guard could not be placed.
+    GuardCopyFailed = "CF2104", Warning, "guard copy failed";
+    /// The guard of a span was lost with both of its daemons.
+    GuardLost = "CF2105", Error, "guard lost";
+    /// A server was taken out, since its calls fail.
+    ServerTakenOut = "CF2106", Warning, "server taken out";
+    /// This daemon sends no calls to a server for a while, since they fail.
+    ServerAvoided = "CF2107", Warning, "server avoided";
+    /// A server crashed while calls ran on it.
+    ServerCrashed = "CF2108", Warning, "server crashed";
+    /// A request is quarantined, since servers crash on it.
+    RequestQuarantined = "CF2109", Error, "request quarantined";
 
     /// A link to another daemon was opened.
     LinkOpened = "CF3001", Info, "link opened";
--- /dev/null
+++ b/src/route/balancer.rs
@@ -0,0 +1,225 @@
+use {
+    super::Candidate,
+    crate::{call::Outcome, clock::Ms},
+    rand::Rng,
+};
+
+/// Failures in a row after which a server is taken out.
+const FAILURES_MAX: u32 = 3;
+/// Time that a server is taken out for the first time. It doubles with each further time.
+const EJECTION: Ms = Ms(1_000);
+/// Longest time that a server is taken out.
+const EJECTION_MAX: Ms = Ms(30_000);
+/// Time in which a server that is new or came back is given its full share.
+const SLOW_START: Ms = Ms(5_000);
+/// Share of the load that a server gets at the start.
+const SLOW_START_SHARE: f64 = 0.1;
+/// Share of the latest call in the mean time of a call.
+const MEAN_SHARE: f64 = 0.2;
+/// A failure by lateness counts if the call had at least this time.
+const LATE_MIN: Ms = Ms(200);
+/// Time after which a server that is no longer seen is forgotten.
+const FORGET: Ms = Ms(120_000);
+
+/// A server of an undivided service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Target {
+    /// Session of the daemon in front of the server.
+    pub session: u64,
+    /// Address of the server.
+    pub server: String,
+}
+
+/// How a call to a server has ended, as far as it tells something about the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// It answered after this time.
+    Answered(Ms),
+    /// It was lost, or late although it had this time.
+    Failed(Ms),
+    /// It said that it has no room.
+    Refused,
+    /// Nothing is known about the server.
+    None,
+}
+
+impl Signal {
+    /// Returns what an attempt that took `took` tells about the server.
+    pub fn of(outcome: Outcome, overloaded: bool, took: Ms) -> Self {
+        match outcome {
+            Outcome::Answered => Self::Answered(took),
+            Outcome::NotRun if overloaded => Self::Refused,
+            Outcome::NotRun => Self::None,
+            Outcome::Unknown => Self::Failed(took),
+        }
+    }
+}
+
+/// What this daemon has seen of one server.
+#[derive(Clone, Debug)]
+struct Seen {
+    target: Target,
+    in_flight: u32,
+    mean_ms: f64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Ms,
+    /// Start of the slow start.
+    fresh_since: Ms,
+    last_used: Ms,
+}
+
+impl Seen {
+    fn new(target: Target, now: Ms) -> Self {
+        Self {
+            target,
+            in_flight: 0,
+            mean_ms: 0.0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: Ms::ZERO,
+            fresh_since: now,
+            last_used: now,
+        }
+    }
+
+    /// Returns the share of the full load that the server gets.
+    fn share(&self, now: Ms) -> f64 {
+        let age = (now - self.fresh_since).0 as f64 / SLOW_START.0 as f64;
+        age.clamp(SLOW_START_SHARE, 1.0)
+    }
+
+    /// Returns the expected time of one more call, relative to other servers.
+    fn cost(&self, slots: u32, now: Ms) -> f64 {
+        let busy = f64::from(self.in_flight + 1) / f64::from(slots.max(1));
+        busy * (1.0 + self.mean_ms) / self.share(now)
+    }
+}
+
+/// Chooses servers by what this daemon has seen of them: calls in flight, their time, their failures.
+#[derive(Clone, Debug, Default)]
+pub struct Balancer {
+    /// Sorted by target.
+    seen: Vec<Seen>,
+    /// When the first server was seen. Servers seen then are not fresh.
+    started: Option<Ms>,
+}
+
+impl Balancer {
+    /// Returns the position of the better of two random candidates. Servers that are taken out are passed
+    /// over unless there is no other.
+    pub fn choose(&mut self, candidates: &[Candidate], now: Ms, rng: &mut impl Rng) -> Option<usize> {
+        let first = self.draw(candidates, None, now, rng)?;
+        let Some(second) = self.draw(candidates, Some(first), now, rng) else {
+            return Some(first);
+        };
+        let mut rank = |i: usize| {
+            let Candidate { target, slots, .. } = &candidates[i];
+            let ejected = self.is_ejected(target, now);
+            (ejected, self.seen(target, now).cost(*slots, now))
+        };
+        let (first_rank, second_rank) = (rank(first), rank(second));
+        Some(if second_rank < first_rank { second } else { first })
+    }
+
+    /// Draws a candidate other than `not`, if possible one that is not taken out.
+    fn draw(
+        &self,
+        candidates: &[Candidate],
+        not: Option<usize>,
+        now: Ms,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let count = candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let start = rng.random_range(0..count);
+        let others = (0..count)
+            .map(|step| (start + step) % count)
+            .filter(|i| Some(*i) != not);
+        let usable = others
+            .clone()
+            .find(|i| !self.is_ejected(&candidates[*i].target, now));
+        usable.or_else(|| others.clone().next())
+    }
+
+    /// Counts a call that is sent to a server.
+    pub fn sent(&mut self, target: &Target, now: Ms) {
+        let seen = self.seen(target, now);
+        seen.in_flight += 1;
+        seen.last_used = now;
+    }
+
+    /// Counts the end of a call. True: the server is taken out from now on.
+    pub fn ended(&mut self, target: &Target, signal: Signal, now: Ms) -> bool {
+        let seen = self.seen(target, now);
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        match signal {
+            Signal::Answered(took) => {
+                seen.mean_ms += (took.0 as f64 - seen.mean_ms) * MEAN_SHARE;
+                seen.failures = 0;
+                if now > seen.ejected_until + SLOW_START {
+                    seen.ejections = 0;
+                }
+                false
+            }
+            Signal::Failed(took) if took >= LATE_MIN.max(Ms(seen.mean_ms as u64 * 4)) => seen.fail(now),
+            Signal::Failed(_) | Signal::Refused | Signal::None => false,
+        }
+    }
+
+    /// Tells if a server is taken out.
+    pub fn is_ejected(&self, target: &Target, now: Ms) -> bool {
+        match self.position(target) {
+            Ok(i) => now < self.seen[i].ejected_until,
+            Err(_) => false,
+        }
+    }
+
+    /// Forgets servers that have not been used for long.
+    pub fn forget_unused(&mut self, now: Ms) {
+        self.seen
+            .retain(|seen| seen.in_flight > 0 || now < seen.last_used + FORGET);
+    }
+
+    fn position(&self, target: &Target) -> Result<usize, usize> {
+        self.seen.binary_search_by(|seen| seen.target.cmp(target))
+    }
+
+    fn seen(&mut self, target: &Target, now: Ms) -> &mut Seen {
+        let started = *self.started.get_or_insert(now);
+        let i = match self.position(target) {
+            Ok(i) => i,
+            Err(i) => {
+                // A daemon that has just started knows no server, which does not make them new.
+                let is_new = now > started + SLOW_START;
+                let fresh_since = if is_new { now } else { Ms::ZERO };
+                let seen = Seen {
+                    fresh_since,
+                    ..Seen::new(target.clone(), now)
+                };
+                self.seen.insert(i, seen);
+                i
+            }
+        };
+        &mut self.seen[i]
+    }
+}
+
+impl Seen {
+    /// Counts a failure. True: the server is taken out, and starts slowly when it comes back.
+    fn fail(&mut self, now: Ms) -> bool {
+        self.failures += 1;
+        if self.failures < FAILURES_MAX || now < self.ejected_until {
+            return false;
+        }
+        let span = Ms(EJECTION.0 << self.ejections.min(8)).min(EJECTION_MAX);
+        self.ejections += 1;
+        self.ejected_until = now + span;
+        self.fresh_since = self.ejected_until;
+        // One more failure after the return takes it out again.
+        self.failures = FAILURES_MAX - 1;
+        true
+    }
+}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -1,21 +1,20 @@
 use {
+    super::Target,
     crate::{
         call::Reason,
         control::{Session, State},
         key::Key,
-        schema::Service,
     },
-    rand::Rng,
 };
 
-/// Where a call goes.
+/// Where a call with a key goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Route {
-    /// To a server behind this daemon.
+    /// To this daemon, for a server behind it.
     Local {
         /// Address of the server.
         server: String,
-        /// Epoch of the ownership; 0 for a service that is not divided by key.
+        /// Epoch of the ownership.
         epoch: u64,
     },
     /// To the daemon of another session.
@@ -29,23 +28,21 @@
     Nowhere(Reason),
 }
 
-/// Decides where a call goes. `own_session` is the session of this daemon, if it has one.
-pub fn route(
-    state: &State,
-    own_session: Option<u64>,
-    service: &Service,
-    key: &Key,
-    rng: &mut impl Rng,
-) -> Route {
-    if service.divided_by_key {
-        route_by_key(state, own_session, service, key)
-    } else {
-        route_to_any(state, own_session, service, rng)
-    }
+/// A server that can take calls of an undivided service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Which server.
+    pub target: Target,
+    /// Its slots.
+    pub slots: u32,
+    /// Peer address of the daemon in front of it.
+    pub peer_address: String,
 }
 
-fn route_by_key(state: &State, own_session: Option<u64>, service: &Service, key: &Key) -> Route {
-    let Some(table) = state.table(&service.name) else {
+/// Decides where a call goes that only the owner of `key` may take. `own_session` is the session of this
+/// daemon, if it has one.
+pub fn route_by_key(state: &State, own_session: Option<u64>, service: &str, key: &Key) -> Route {
+    let Some(table) = state.table(service) else {
         return Route::Nowhere(Reason::UnknownService);
     };
     let Some(owner) = &table.range_of(key).owner else {
@@ -63,30 +60,25 @@
     }
 }
 
-/// Any server will do: one of them is taken at random.
-fn route_to_any(state: &State, own_session: Option<u64>, service: &Service, rng: &mut impl Rng) -> Route {
-    let usable = |session: &'_ Session| -> Vec<String> {
-        let servers = session.servers_of(&service.name);
-        let servers = servers.filter(|server| !state.is_drained(session, server));
-        servers.map(|server| server.address.clone()).collect()
-    };
-    let mut targets = Vec::new();
+/// Returns the servers that can take calls of an undivided service.
+pub fn candidates(state: &State, service: &str) -> Vec<Candidate> {
+    let mut candidates = Vec::new();
     for session in state.sessions() {
-        for server in usable(session) {
-            targets.push((session, server));
+        for server in session.servers_of(service) {
+            if state.is_drained(session, server) {
+                continue;
+            }
+            candidates.push(Candidate {
+                target: Target {
+                    session: session.id,
+                    server: server.address.clone(),
+                },
+                slots: server.slots,
+                peer_address: session.open.peer_address.clone(),
+            });
         }
     }
-    if targets.is_empty() {
-        return Route::Nowhere(Reason::NoServer);
-    }
-    let (session, server) = &targets[rng.random_range(0..targets.len())];
-    if own_session == Some(session.id) {
-        return Route::Local {
-            server: server.clone(),
-            epoch: 0,
-        };
-    }
-    forward(session)
+    candidates
 }
 
 fn forward(session: &Session) -> Route {
--- a/src/schema/service.rs
+++ b/src/schema/service.rs
@@ -30,6 +30,12 @@
         self.calls.iter().find(|kind| kind.matches(method, path))
     }
 
+    /// Returns the longest time that the answer of a non-idempotent call is kept.
+    pub fn longest_kept(&self) -> Ms {
+        let guarded = self.calls.iter().filter(|kind| !kind.idempotent);
+        guarded.map(|kind| kind.answer_kept).max().unwrap_or_default()
+    }
+
     /// Returns the longest deadline of the calls that may still run after a lease has ended.
     pub fn longest_deadline(&self) -> Ms {
         self.calls
