--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,11 +4,13 @@
 #![allow(dead_code, unused_imports)]
 
 mod cluster;
+mod fake_server;
 mod ownership_check;
 mod processes;
 
 pub use {
     cluster::{Answer, Cluster, ClusterPlan, Host, Standin, StandinPlan},
+    fake_server::{good_answer, FakeServer, Script},
     ownership_check::{overlaps, Tenure},
     processes::wait_until,
 };
