--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -64,8 +64,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Ms,
-    /// Start of the slow start.
-    fresh_since: Ms,
+    /// Start of the slow start. `None`: the server is known to be warm.
+    fresh_since: Option<Ms>,
     last_used: Ms,
 }
 
@@ -78,14 +78,17 @@
             failures: 0,
             ejections: 0,
             ejected_until: Ms::ZERO,
-            fresh_since: now,
+            fresh_since: None,
             last_used: now,
         }
     }
 
     /// Returns the share of the full load that the server gets.
     fn share(&self, now: Ms) -> f64 {
-        let age = (now - self.fresh_since).0 as f64 / SLOW_START.0 as f64;
+        let Some(since) = self.fresh_since else {
+            return 1.0;
+        };
+        let age = (now - since).0 as f64 / SLOW_START.0 as f64;
         age.clamp(SLOW_START_SHARE, 1.0)
     }
 
@@ -194,9 +197,8 @@
             Err(i) => {
                 // A daemon that has just started knows no server, which does not make them new.
                 let is_new = now > started + SLOW_START;
-                let fresh_since = if is_new { now } else { Ms::ZERO };
                 let seen = Seen {
-                    fresh_since,
+                    fresh_since: is_new.then_some(now),
                     ..Seen::new(target.clone(), now)
                 };
                 self.seen.insert(i, seen);
@@ -217,7 +219,7 @@
         let span = Ms(EJECTION.0 << self.ejections.min(8)).min(EJECTION_MAX);
         self.ejections += 1;
         self.ejected_until = now + span;
-        self.fresh_since = self.ejected_until;
+        self.fresh_since = Some(self.ejected_until);
         // One more failure after the return takes it out again.
         self.failures = FAILURES_MAX - 1;
         true
--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,216 @@
+//! Non-idempotent calls run at most once, with real processes: resends to any daemon, and lost hosts.
+
+mod support;
+
+use {
+    rustix::process::Signal,
+    serde_json::{json, Value},
+    std::{thread, time::Duration},
+    support::{wait_until, Answer, Cluster, ClusterPlan, StandinPlan},
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A service that is divided by key, and one that is not.
+const SERVICES: [&str; 2] = ["ledger", "orders"];
+
+fn cluster(hosts: usize, work_ms: u32) -> Cluster {
+    let mut cluster = Cluster::start(&ClusterPlan {
+        hosts,
+        services: SERVICES.map(str::to_owned).to_vec(),
+        ..ClusterPlan::default()
+    });
+    for host in 0..hosts {
+        for service in SERVICES {
+            cluster.start_server(StandinPlan {
+                host,
+                service: service.into(),
+                work_ms,
+                ..StandinPlan::default()
+            });
+        }
+    }
+    wait_until("all servers are announced", PATIENCE, || {
+        let status = cluster.ask(0, "status").unwrap_or_default();
+        let sessions = status["sessions"].as_array().cloned().unwrap_or_default();
+        let announced = |s: &Value| s["servers"].as_array().is_some_and(|s| s.len() == 2);
+        sessions.len() == hosts && sessions.iter().all(announced)
+    });
+    cluster.apply(0, &schema());
+    for (number, service) in SERVICES.into_iter().enumerate() {
+        wait_until("calls run", PATIENCE, || {
+            pay(&cluster, 0, service, &format!("warm-{number}"), "x").is_some_and(|a| a.outcome == "answered")
+        });
+    }
+    cluster
+}
+
+fn schema() -> Value {
+    let calls = json!([{
+        "name": "pay", "method": "POST", "path": "/pay", "idempotent": false,
+        "deadline_ms": 3000, "max_deadline_ms": 5000
+    }]);
+    json!({
+        "cluster": "test",
+        "services": [
+            { "name": "ledger", "divided_by_key": true, "boundaries": ["m"], "checks_fencing": true, "calls": calls },
+            { "name": "orders", "divided_by_key": false, "calls": calls },
+        ]
+    })
+}
+
+fn pay(cluster: &Cluster, host: usize, service: &str, id: &str, path: &str) -> Option<Answer> {
+    let headers = [("fold-key", "alpha"), ("fold-request-id", id)];
+    cluster.call(host, "POST", &format!("/{service}/pay/{path}"), &headers)
+}
+
+/// Returns how often the servers ran a request id.
+fn runs(cluster: &Cluster, id: &str) -> u64 {
+    let reports = (0..cluster.servers.len()).filter_map(|server| cluster.report(server));
+    reports.filter_map(|report| report["runs"][id].as_u64()).sum()
+}
+
+#[test]
+fn resends_to_any_daemon() {
+    let cluster = cluster(3, 300);
+    for service in SERVICES {
+        let id = format!("{service}-1");
+        let answers: Vec<Answer> = thread::scope(|scope| {
+            let send = |host| {
+                scope.spawn({
+                    let (cluster, id) = (&cluster, &id);
+                    move || pay(cluster, host, service, id, "a").unwrap()
+                })
+            };
+            let senders: Vec<_> = [0, 1, 2, 0].into_iter().map(send).collect();
+            senders.into_iter().map(|sender| sender.join().unwrap()).collect()
+        });
+        assert!(
+            answers.iter().all(|a| a.outcome == "answered"),
+            "{service}: {answers:?}"
+        );
+        assert!(
+            answers.iter().all(|a| a.body == answers[0].body),
+            "{service}: {answers:?}"
+        );
+        let again = pay(&cluster, 1, service, &id, "a").unwrap();
+        assert_eq!(again, answers[0], "{service}: after finishing");
+        let other = pay(&cluster, 2, service, &id, "b").unwrap();
+        assert_eq!(
+            (other.status, other.reason.as_str()),
+            (409, "request-id-reused"),
+            "{service}"
+        );
+        assert_eq!(runs(&cluster, &id), 1, "{service}");
+    }
+}
+
+#[test]
+fn caller_goes_away() {
+    let cluster = cluster(3, 300);
+    for service in SERVICES {
+        let id = format!("{service}-1");
+        let mut stream = std::net::TcpStream::connect(cluster.hosts[0].caller).unwrap();
+        let request = format!(
+            "POST /{service}/pay/a HTTP/1.1\r\nhost: a\r\nfold-key: alpha\r\nfold-request-id: {id}\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        std::io::Write::write_all(&mut stream, request.as_bytes()).unwrap();
+        wait_until("the call runs", PATIENCE, || runs(&cluster, &id) == 1);
+        drop(stream);
+        let answer = pay(&cluster, 1, service, &id, "a").unwrap();
+        assert_eq!(answer.outcome, "answered", "{service}: {answer:?}");
+        assert_eq!(runs(&cluster, &id), 1, "{service}");
+    }
+}
+
+/// Sends calls one after the other and resends each until it has an end, while `disturb` runs once. Returns
+/// the ids with their last outcomes.
+fn send_through(
+    cluster: &mut Cluster,
+    disturb: impl FnOnce(&mut Cluster),
+) -> Vec<(String, &'static str, String)> {
+    let mut ids = Vec::new();
+    let mut disturb = Some(disturb);
+    for number in 0..30 {
+        if number == 10 {
+            disturb.take().unwrap()(cluster);
+        }
+        for service in SERVICES {
+            let id = format!("{service}-{number}");
+            let first = pay(cluster, 0, service, &id, "a").unwrap();
+            ids.push((id, service, first.outcome));
+        }
+    }
+    ids
+}
+
+#[test]
+fn owner_lost() {
+    for lost in [1, 2] {
+        let mut cluster = cluster(3, 5);
+        let ids = send_through(&mut cluster, |cluster| cluster.kill_host(lost));
+        assert_truth(&cluster, &ids);
+        // Answers that were recorded before the loss are still known.
+        let again = |id: &str, service| pay(&cluster, 0, service, id, "a").unwrap();
+        for (id, service, outcome) in &ids {
+            if outcome == "answered" {
+                wait_until("the guard is back", PATIENCE, || {
+                    again(id, service).outcome != "not-run"
+                });
+            }
+            assert!(runs(&cluster, id) <= 1, "{id}");
+        }
+    }
+}
+
+#[test]
+fn owner_frozen_and_back() {
+    let mut cluster = cluster(3, 5);
+    let ids = send_through(&mut cluster, |cluster| {
+        cluster.signal_host(1, Signal::STOP);
+        thread::sleep(Duration::from_millis(1500));
+    });
+    cluster.signal_host(1, Signal::CONT);
+    assert_truth(&cluster, &ids);
+    for (id, service, _) in &ids {
+        pay(&cluster, 0, service, id, "a").unwrap();
+        assert!(runs(&cluster, id) <= 1, "{id}");
+    }
+}
+
+/// The hosts with the guard of a call and with its copy are lost together: nothing runs again.
+#[test]
+fn both_lost() {
+    let mut cluster = cluster(5, 5);
+    let mut ids = Vec::new();
+    for number in 0..20 {
+        for service in SERVICES {
+            let id = format!("{service}-{number}");
+            let answer = pay(&cluster, 0, service, &id, "a").unwrap();
+            assert_eq!(answer.outcome, "answered");
+            ids.push((id, service));
+        }
+    }
+    (1..5).for_each(|host| cluster.kill_host(host));
+    for (id, service) in &ids {
+        let mut last = String::new();
+        wait_until("the call ends", PATIENCE, || {
+            last = pay(&cluster, 0, service, id, "a").unwrap().outcome;
+            last != "not-run"
+        });
+        assert!(["answered", "unknown"].contains(&last.as_str()));
+        assert_eq!(runs(&cluster, id), 1, "{id}");
+    }
+}
+
+/// What a caller was told agrees with what the servers ran.
+fn assert_truth(cluster: &Cluster, ids: &[(String, &'static str, String)]) {
+    for (id, _, outcome) in ids {
+        match (outcome.as_str(), runs(cluster, id)) {
+            ("answered", 1) | ("not-run", 0) | ("unknown", 0 | 1) => {}
+            (outcome, runs) => panic!("{id}: told {outcome}, ran {runs} times"),
+        }
+    }
+    assert!(ids.iter().any(|(_, _, outcome)| outcome == "answered"));
+}
--- /dev/null
+++ b/tests/retry_rules.rs
@@ -0,0 +1,171 @@
+//! What follows an attempt: the end, a wait for another owner, or a retry.
+
+use clementinefold::{
+    call::{after_attempt, CallResult, NextStep, Outcome, Reason, RetryBudget, RetryView},
+    clock::Ms,
+};
+
+const VIEW: RetryView = RetryView {
+    now: Ms(100),
+    started: Ms(0),
+    deadline: Ms(1000),
+    park: Ms(500),
+    any_server: false,
+    idempotent: false,
+    attempts: 1,
+    attempts_max: 3,
+};
+
+struct Row {
+    name: &'static str,
+    reason: Reason,
+    view: RetryView,
+    expected: NextStep,
+}
+
+const fn row(name: &'static str, reason: Reason, view: RetryView, expected: NextStep) -> Row {
+    Row {
+        name,
+        reason,
+        view,
+        expected,
+    }
+}
+
+const IDEMPOTENT: RetryView = RetryView {
+    idempotent: true,
+    ..VIEW
+};
+const ANY_SERVER: RetryView = RetryView {
+    any_server: true,
+    ..IDEMPOTENT
+};
+
+const ROWS: &[Row] = &[
+    row("owner missing", Reason::NoOwner, VIEW, NextStep::AwaitChange),
+    row(
+        "owner missing, park time over",
+        Reason::NoOwner,
+        RetryView { now: Ms(500), ..VIEW },
+        NextStep::End,
+    ),
+    row(
+        "owner missing, deadline over",
+        Reason::NoOwner,
+        RetryView {
+            now: Ms(1000),
+            ..VIEW
+        },
+        NextStep::End,
+    ),
+    row(
+        "guard not ready",
+        Reason::GuardNotReady,
+        VIEW,
+        NextStep::AwaitChange,
+    ),
+    row("overloaded owner", Reason::Overloaded, IDEMPOTENT, NextStep::End),
+    row(
+        "overloaded, other servers",
+        Reason::Overloaded,
+        ANY_SERVER,
+        NextStep::Retry,
+    ),
+    row(
+        "unreachable, other servers",
+        Reason::ServerUnreachable,
+        ANY_SERVER,
+        NextStep::Retry,
+    ),
+    row("quarantined", Reason::Quarantined, ANY_SERVER, NextStep::End),
+    row("bad header", Reason::BadHeader, ANY_SERVER, NextStep::End),
+    row("lost", Reason::ServerLost, VIEW, NextStep::End),
+    row(
+        "lost, idempotent",
+        Reason::ServerLost,
+        IDEMPOTENT,
+        NextStep::Retry,
+    ),
+    row(
+        "lost, last attempt",
+        Reason::ServerLost,
+        RetryView {
+            attempts: 3,
+            ..IDEMPOTENT
+        },
+        NextStep::End,
+    ),
+    row("bad answer", Reason::BadAnswer, VIEW, NextStep::End),
+    row("guard lost", Reason::GuardLost, VIEW, NextStep::End),
+    row("answer not kept", Reason::AnswerNotKept, VIEW, NextStep::End),
+    row(
+        "link to the owner lost: its guard knows the call",
+        Reason::PeerLost,
+        VIEW,
+        NextStep::Retry,
+    ),
+    row(
+        "late",
+        Reason::ServerLate,
+        RetryView {
+            now: Ms(1000),
+            ..IDEMPOTENT
+        },
+        NextStep::End,
+    ),
+];
+
+#[test]
+fn next_step() {
+    for row in ROWS {
+        let result = CallResult::failed(row.reason);
+        let step = after_attempt(&result, row.view, &mut RetryBudget::default());
+        assert_eq!(step, row.expected, "{}", row.name);
+    }
+}
+
+#[test]
+fn answer_is_final() {
+    let result = CallResult::answered(500, Vec::new(), bytes::Bytes::new());
+    let step = after_attempt(&result, ANY_SERVER, &mut RetryBudget::default());
+    assert_eq!(step, NextStep::End);
+}
+
+#[test]
+fn recorded_loss_is_final() {
+    let result = CallResult {
+        replayed: true,
+        ..CallResult::failed(Reason::PeerLost)
+    };
+    let step = after_attempt(&result, VIEW, &mut RetryBudget::default());
+    assert_eq!(step, NextStep::End);
+}
+
+/// No reason that may have run is repeated for a non-idempotent call, but for one that its guard recognises.
+#[test]
+fn never_repeated_blindly() {
+    for reason in Reason::ALL.iter().filter(|r| r.outcome() == Outcome::Unknown) {
+        let step = after_attempt(&CallResult::failed(*reason), VIEW, &mut RetryBudget::default());
+        let expected = if *reason == Reason::PeerLost {
+            NextStep::Retry
+        } else {
+            NextStep::End
+        };
+        assert_eq!(step, expected, "{reason:?}");
+    }
+}
+
+#[test]
+fn budget_bounds_retries() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        let result = CallResult::failed(Reason::ServerLost);
+        retries += u32::from(after_attempt(&result, IDEMPOTENT, &mut budget) == NextStep::Retry);
+    }
+    assert!(
+        (1000..1030).contains(&retries),
+        "{retries} retries of 10,000 failing calls"
+    );
+}
--- /dev/null
+++ b/tests/server_choice.rs
@@ -0,0 +1,116 @@
+//! Which server of an undivided service gets a call.
+
+use {
+    clementinefold::{
+        call::Outcome,
+        clock::Ms,
+        route::{Balancer, Candidate, Signal, Target},
+    },
+    rand::{rngs::SmallRng, SeedableRng},
+};
+
+const SEED: u64 = 7;
+
+fn candidates(count: u64) -> Vec<Candidate> {
+    let candidate = |session| Candidate {
+        target: Target {
+            session,
+            server: format!("10.0.0.{session}:80"),
+        },
+        slots: 12,
+        peer_address: format!("10.0.0.{session}:90"),
+    };
+    (1..=count).map(candidate).collect()
+}
+
+/// Sends `calls` calls that stay in flight, and returns how many each server got.
+fn spread(balancer: &mut Balancer, candidates: &[Candidate], calls: u32, now: Ms) -> Vec<u32> {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut counts = vec![0; candidates.len()];
+    for _ in 0..calls {
+        let i = balancer.choose(candidates, now, &mut rng).unwrap();
+        balancer.sent(&candidates[i].target, now);
+        counts[i] += 1;
+    }
+    counts
+}
+
+#[test]
+fn nobody_there() {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    assert_eq!(Balancer::default().choose(&[], Ms(1), &mut rng), None);
+}
+
+#[test]
+fn evenly_in_flight() {
+    let counts = spread(&mut Balancer::default(), &candidates(3), 300, Ms(10_000));
+    assert!(counts.iter().all(|n| (90..=110).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn failing_server_taken_out() {
+    let candidates = candidates(3);
+    let mut balancer = Balancer::default();
+    let bad = &candidates[0].target;
+    let mut out = Vec::new();
+    for _ in 0..3 {
+        balancer.sent(bad, Ms(1));
+        out.push(balancer.ended(bad, Signal::Failed(Ms(500)), Ms(1)));
+    }
+    assert_eq!(out, [false, false, true]);
+    let counts = spread(&mut balancer, &candidates, 100, Ms(2));
+    assert_eq!(counts[0], 0);
+    for (candidate, count) in candidates.iter().zip(counts) {
+        for _ in 0..count {
+            balancer.ended(&candidate.target, Signal::None, Ms(3));
+        }
+    }
+    assert!(!balancer.is_ejected(bad, Ms(1001)));
+    let back = spread(&mut balancer, &candidates, 100, Ms(1001))[0];
+    assert!((1..=15).contains(&back), "slow start: {back}");
+    // One more failure takes it out again, for longer.
+    assert!(balancer.ended(bad, Signal::Failed(Ms(500)), Ms(1001)));
+    assert!(balancer.is_ejected(bad, Ms(2900)));
+}
+
+#[test]
+fn every_server_out() {
+    let candidates = candidates(1);
+    let mut balancer = Balancer::default();
+    for _ in 0..3 {
+        balancer.ended(&candidates[0].target, Signal::Failed(Ms(500)), Ms(1));
+    }
+    assert_eq!(
+        spread(&mut balancer, &candidates, 5, Ms(2)),
+        [5],
+        "a bad server is better than none"
+    );
+}
+
+#[test]
+fn short_deadlines_prove_nothing() {
+    let candidates = candidates(2);
+    let mut balancer = Balancer::default();
+    for _ in 0..50 {
+        assert!(!balancer.ended(&candidates[0].target, Signal::Failed(Ms(5)), Ms(1)));
+    }
+}
+
+#[test]
+fn new_server_starts_slowly() {
+    let two = candidates(2);
+    let mut balancer = Balancer::default();
+    spread(&mut balancer, &two, 2, Ms(1));
+    let three = candidates(3);
+    let counts = spread(&mut balancer, &three, 90, Ms(20_000));
+    assert!(counts[2] < 15, "{counts:?}");
+}
+
+#[test]
+fn signals() {
+    let took = Ms(9);
+    assert_eq!(Signal::of(Outcome::Answered, false, took), Signal::Answered(took));
+    assert_eq!(Signal::of(Outcome::Unknown, false, took), Signal::Failed(took));
+    assert_eq!(Signal::of(Outcome::NotRun, true, took), Signal::Refused);
+    assert_eq!(Signal::of(Outcome::NotRun, false, took), Signal::None);
+}
