--- a/src/cli/standin_cli.rs
+++ b/src/cli/standin_cli.rs
@@ -24,6 +24,10 @@
             number("slots", "12", "Calls that run at once"),
             number("connections", "130", "Most connections"),
             number("work-ms", "1", "Time that a call takes, in ms"),
+            Arg::new("crash-on")
+                .long("crash-on")
+                .value_name("TEXT")
+                .help("Crash on a call whose path or body holds this text"),
             Arg::new("checks-fencing")
                 .long("checks-fencing")
                 .action(ArgAction::SetTrue)
@@ -43,6 +47,7 @@
         slots: number("slots"),
         connections: number("connections"),
         work: Ms::from(number("work-ms")),
+        crash_on: matches.get_one("crash-on").cloned(),
         checks_fencing: matches.get_flag("checks-fencing"),
     };
     match run(settings) {
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,10 +1,11 @@
 use {
+    super::fold_stream::FoldStream,
     crate::{clock::Ms, event::Event, log_event, settings::CallerLimits},
     bytes::Bytes,
     http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioTimer,
     serde::Serialize,
     slog::Logger,
     std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
@@ -100,7 +101,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle.as_duration())
         .max_buf_size(limits.head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(FoldStream::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => {}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller_edge;
 mod counted_stream;
+mod fold_stream;
 mod http_server;
 mod operator_edge;
 mod server_client;
--- a/src/standin/standin_server.rs
+++ b/src/standin/standin_server.rs
@@ -40,6 +40,8 @@
     pub connections: u32,
     /// Time that a call takes.
     pub work: Ms,
+    /// A call whose body or path holds this text ends the process, as a crash would.
+    pub crash_on: Option<String>,
     /// True: calls with an epoch that was not granted are refused.
     pub checks_fencing: bool,
 }
@@ -159,7 +161,7 @@
     };
     let path = request.uri.path().to_owned();
     match (&request.method, path.as_str()) {
-        (&Method::POST, "/fold/grant" | "/fold/lease" | "/fold/revoke" | "/fold/drain") => {
+        (&Method::POST, "/fold/grant" | "/fold/lease" | "/fold/revoke" | "/fold/drain" | "/fold/cancel") => {
             carry_out(&shared, &path, &request.body).await
         }
         (&Method::GET, "/fold/health") => plain_response(StatusCode::OK, r#"{"status":"ok"}"#),
@@ -193,6 +195,8 @@
             }
         }
         "/fold/drain" => shared.inner().ownership.drain(),
+        // A call is so short that it ends by itself.
+        "/fold/cancel" => {}
         _ => {
             shared.inner().ownership.revoke(&span, order.epoch, now);
             while shared.inner().running.iter().any(|key| span.contains(key)) {
@@ -205,6 +209,9 @@
 
 async fn run_call(shared: &Shared, request: &HttpRequest) -> HttpResponse {
     let headers = &request.headers;
+    if crashes(shared, request) {
+        std::process::abort();
+    }
     let key = Key::new(percent_decode(text(headers, "fold-key").as_bytes()).collect::<Vec<u8>>());
     let epoch = text(headers, "fold-epoch").parse().unwrap_or_default();
     let mut response = match begin(shared, &key, epoch, text(headers, "fold-request-id")) {
@@ -233,6 +240,14 @@
     response
 }
 
+/// Tells if the process crashes on a call.
+fn crashes(shared: &Shared, request: &HttpRequest) -> bool {
+    let Some(text) = &shared.settings.crash_on else {
+        return false;
+    };
+    request.uri.path().contains(text) || String::from_utf8_lossy(&request.body).contains(text)
+}
+
 /// Admits a call and counts its run.
 fn begin(shared: &Shared, key: &Key, epoch: u64, request_id: &str) -> Result<(), &'static str> {
     let mut inner = shared.inner();
--- /dev/null
+++ b/tests/poison_request.rs
@@ -0,0 +1,121 @@
+//! A request that crashes every server that gets it is stopped after two crashes, wherever it is sent.
+
+mod support;
+
+use {
+    serde_json::{json, Value},
+    std::{thread, time::Duration},
+    support::{wait_until, Answer, Cluster, ClusterPlan, StandinPlan},
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Times that the caller sends the request.
+const SENDS: usize = 10;
+/// Crashes after which it is stopped.
+const CRASHES_MAX: usize = 2;
+
+fn cluster() -> Cluster {
+    let mut cluster = Cluster::start(&ClusterPlan {
+        services: vec!["orders".into()],
+        ..ClusterPlan::default()
+    });
+    for host in 0..3 {
+        cluster.start_server(StandinPlan {
+            host,
+            service: "orders".into(),
+            work_ms: 20,
+            crash_on: Some("crash".into()),
+            ..StandinPlan::default()
+        });
+    }
+    wait_until("all servers are announced", PATIENCE, || announced(&cluster) == 3);
+    let schema = json!({
+        "cluster": "test",
+        "services": [{ "name": "orders", "divided_by_key": false, "calls": [
+            { "name": "read", "method": "GET", "path": "/read", "idempotent": true, "deadline_ms": 3000 }
+        ]}]
+    });
+    cluster.apply(0, &schema);
+    wait_until("calls run", PATIENCE, || {
+        read(&cluster, 0, "fine").outcome == "answered"
+    });
+    cluster
+}
+
+fn announced(cluster: &Cluster) -> usize {
+    let status = cluster.ask(0, "status").unwrap_or_default();
+    let sessions = status["sessions"].as_array().cloned().unwrap_or_default();
+    let count = |s: &Value| s["servers"].as_array().map_or(0, Vec::len);
+    sessions.iter().map(count).sum()
+}
+
+fn read(cluster: &Cluster, host: usize, path: &str) -> Answer {
+    cluster
+        .call(host, "GET", &format!("/orders/read/{path}"), &[])
+        .unwrap()
+}
+
+/// Sends the request again and again through all daemons, and returns the crashes and the last answer.
+fn send_poison(cluster: &mut Cluster) -> (usize, Answer) {
+    let mut crashes = 0;
+    let mut last = None;
+    for number in 0..SENDS {
+        last = Some(read(cluster, number % 3, "crash"));
+        crashes += cluster.revive_servers();
+        wait_until("all servers are back", PATIENCE, || {
+            crashes += cluster.revive_servers();
+            announced(cluster) == 3
+        });
+    }
+    (crashes, last.unwrap())
+}
+
+#[test]
+fn alone() {
+    let mut cluster = cluster();
+    let (crashes, last) = send_poison(&mut cluster);
+    assert_eq!(crashes, CRASHES_MAX);
+    assert_eq!(
+        (last.outcome.as_str(), last.reason.as_str()),
+        ("not-run", "quarantined")
+    );
+    assert_eq!(read(&cluster, 1, "fine").outcome, "answered");
+}
+
+#[test]
+fn among_innocents() {
+    let mut cluster = cluster();
+    let ports: Vec<_> = cluster.hosts.iter().map(|host| host.caller).collect();
+    let stop = std::sync::atomic::AtomicBool::new(false);
+    let ordering = std::sync::atomic::Ordering::SeqCst;
+    let (crashes, refused) = thread::scope(|scope| {
+        let stop = &stop;
+        let senders = (0..6).map(|n| {
+            let port = ports[n % 3];
+            scope.spawn(move || {
+                let config = ureq::Agent::config_builder()
+                    .http_status_as_error(false)
+                    .proxy(None);
+                let agent: ureq::Agent = config.build().into();
+                let mut quarantined = 0;
+                let mut sent = 0;
+                while !stop.load(ordering) {
+                    let url = format!("http://{port}/orders/read/innocent-{n}-{sent}");
+                    let reply = agent.get(url).call().unwrap();
+                    let reason = reply.headers().get("fold-reason");
+                    quarantined += usize::from(reason.is_some_and(|r| r == "quarantined"));
+                    sent += 1;
+                }
+                quarantined
+            })
+        });
+        let senders: Vec<_> = senders.collect();
+        let (crashes, last) = send_poison(&mut cluster);
+        assert_eq!(last.reason, "quarantined");
+        stop.store(true, ordering);
+        let refused: usize = senders.into_iter().map(|s| s.join().unwrap()).sum();
+        (crashes, refused)
+    });
+    assert_eq!(crashes, CRASHES_MAX);
+    assert_eq!(refused, 0, "no innocent request is quarantined");
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -53,6 +53,8 @@
     pub checks_fencing: bool,
     pub slots: u32,
     pub work_ms: u32,
+    /// Text in a call that crashes the server.
+    pub crash_on: Option<String>,
 }
 
 impl Default for StandinPlan {
@@ -63,6 +65,7 @@
             checks_fencing: true,
             slots: 4,
             work_ms: 1,
+            crash_on: None,
         }
     }
 }
@@ -213,6 +216,9 @@
             "--work-ms".into(),
             plan.work_ms.to_string(),
         ];
+        if let Some(text) = &plan.crash_on {
+            args.extend(["--crash-on".into(), text.clone()]);
+        }
         if plan.checks_fencing {
             args.push("--checks-fencing".into());
         }
@@ -221,6 +227,15 @@
         server.process = Some(Process::start(program, &args, self.dir.path(), &log));
     }
 
+    /// Starts the stand-in servers again whose processes have ended. Returns how many there were.
+    pub fn revive_servers(&mut self) -> usize {
+        let has_ended = |s: &mut Standin| s.process.as_mut().is_some_and(Process::has_ended);
+        let ended: Vec<bool> = self.servers.iter_mut().map(has_ended).collect();
+        let ended: Vec<usize> = (0..ended.len()).filter(|i| ended[*i]).collect();
+        ended.iter().for_each(|position| self.restart_server(*position));
+        ended.len()
+    }
+
     /// Kills a stand-in server.
     pub fn kill_server(&mut self, position: usize) {
         self.servers[position].process = None;
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -41,6 +41,11 @@
         kill_process(Pid::from_child(&self.0), signal).unwrap();
     }
 
+    /// Tells if the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.0.try_wait().unwrap().is_some()
+    }
+
     /// Waits for the end of the process. True: it ended well.
     pub fn wait(&mut self) -> bool {
         self.0.wait().unwrap().success()
