--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,9 +1,14 @@
 //! The replicated state and the control role that agrees on it.
 
+mod answers;
+mod command_changes;
+mod command_id;
 mod control_duty;
 mod control_handle;
+mod guard_changes;
 mod guard_table;
 mod log_file;
+mod ownership_changes;
 mod range_table;
 mod revision;
 mod session;
@@ -12,11 +17,12 @@
 mod suspect_list;
 
 pub use {
+    command_id::{CommandId, CommandIdError},
     control_duty::{start_control, ControlConfig},
     control_handle::{ControlHandle, ControlInput},
     guard_table::{id_boundaries, GuardSpan, GuardTable},
     log_file::{LogError, LogFile},
-    range_table::{Owner, Range, RangeTable, Release},
+    range_table::{Owner, Range, RangeTable, Release, Vacancy},
     revision::{Revision, RevisionTextError},
     session::{Server, Session},
     state::{Applied, State},
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -56,8 +56,8 @@
     }
 
     async fn read_and_run(self: &Rc<Self>, request: HttpRequest) -> (CallResult, String) {
-        let state = self.state();
-        match edge::read_call(request, state.schema()) {
+        let schema = self.state().schema().clone();
+        match edge::read_call(request, &schema) {
             Ok(call) => {
                 let result = self.run_call(&call).await;
                 (result, call.request_id)
@@ -77,8 +77,8 @@
         let mut attempts = 1;
         let mut call = call.clone();
         loop {
-            let state = self.state();
-            let Some((service, kind)) = find_kind(state.schema(), &call) else {
+            let schema = self.state().schema().clone();
+            let Some((service, kind)) = find_kind(&schema, &call) else {
                 return CallResult::failed(Reason::UnknownService);
             };
             let mut result = self.attempt(&call, service, kind, deadline).await;
@@ -132,7 +132,8 @@
             return self.call_any(call, service, kind, deadline).await;
         }
         let key = owner_key(call, service);
-        match route::route_by_key(&self.state(), self.session.get(), &service.name, &key) {
+        let route = route::route_by_key(&self.state(), self.session.get(), &service.name, &key);
+        match route {
             Route::Local { epoch, .. } if !kind.idempotent => self.run_guarded(call, epoch, deadline).await,
             Route::Local { server, epoch } => {
                 let dispatch = Dispatch {
@@ -231,8 +232,8 @@
         if self.state().applied() < call.revision {
             self.await_applied(call.revision).await;
         }
-        let state = self.state();
-        let Some((service, kind)) = find_kind(state.schema(), &call) else {
+        let schema = self.state().schema().clone();
+        let Some((service, kind)) = find_kind(&schema, &call) else {
             return CallResult::failed(Reason::UnknownService);
         };
         let result = self.run_as_owner(&call, service, kind, deadline).await;
@@ -259,7 +260,8 @@
             return self.call_server(&call.server, dispatch).await;
         }
         let key = owner_key(call, service);
-        match route::route_by_key(&self.state(), self.session.get(), &service.name, &key) {
+        let route = route::route_by_key(&self.state(), self.session.get(), &service.name, &key);
+        match route {
             Route::Local { epoch, .. } if !kind.idempotent => self.run_guarded(call, epoch, deadline).await,
             Route::Local { server, epoch } => {
                 dispatch.epoch = epoch;
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -115,7 +115,7 @@
         if service.divided_by_key && !server.is_granted(&key, dispatch.epoch) {
             return Err(Reason::NoOwner);
         }
-        if service.divided_by_key && self.is_released(service, &key) {
+        if service.divided_by_key && self.is_released(&service.name, &key) {
             return Err(Reason::NoOwner);
         }
         Ok(())
@@ -179,7 +179,7 @@
                 self.log, Event::ServerTakenOut;
                 "service" => &server.announced.service, "server" => &server.announced.address
             );
-            self.remove_server(server, "it does not answer its calls");
+            self.remove_silent_server(server, "it does not answer its calls");
         }
     }
 
@@ -281,10 +281,10 @@
     }
 
     /// Tells if the range of `key` is being given up.
-    fn is_released(&self, service: &Service, key: &Key) -> bool {
+    pub(super) fn is_released(&self, service: &str, key: &Key) -> bool {
         let state = self.state();
         state
-            .table(&service.name)
+            .table(service)
             .is_some_and(|t| t.range_of(key).release.is_some())
     }
 }
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -32,8 +32,8 @@
 impl Node {
     /// Runs a non-idempotent call as the owner of its guard, at most once.
     pub(super) async fn run_guarded(self: &Rc<Self>, call: &Call, epoch: u64, deadline: Ms) -> CallResult {
-        let state = self.state();
-        let Some((service, kind)) = find_kind(state.schema(), call) else {
+        let schema = self.state().schema().clone();
+        let Some((service, kind)) = find_kind(&schema, call) else {
             return CallResult::failed(Reason::UnknownKind);
         };
         let id = GuardId {
@@ -53,7 +53,9 @@
                 };
                 return CallResult::failed(late);
             }
-            let verdict = {
+            let verdict = if self.is_released(&service.name, &id.key) {
+                GuardVerdict::Refuse(Reason::NoOwner)
+            } else {
                 let mut tenures = self.tenures.borrow_mut();
                 match tenures
                     .get(&service.name, &id.key, epoch)
@@ -67,7 +69,7 @@
                 }
             };
             match verdict {
-                GuardVerdict::Refuse(Reason::NoLease | Reason::GuardNotReady) if waited => {
+                GuardVerdict::Refuse(Reason::NoLease | Reason::GuardNotReady | Reason::NoOwner) if waited => {
                     return CallResult::failed(Reason::StillRunning);
                 }
                 GuardVerdict::Refuse(reason) => return CallResult::failed(reason),
@@ -104,8 +106,14 @@
         let node = self.clone();
         spawn_local(async move {
             let _counted = Counted::new(&node);
+            let mark = (let_through.call.service.clone(), let_through.id.key.clone());
+            node.let_through.borrow_mut().push(mark.clone());
             let result = node.copy_and_run(&let_through, entry).await;
             node.record(&let_through, &result);
+            let mut running = node.let_through.borrow_mut();
+            if let Some(i) = running.iter().position(|other| *other == mark) {
+                running.swap_remove(i);
+            }
             let _ = tx.send(result);
         });
         rx.await.unwrap_or_else(|_| CallResult::failed(Reason::PeerLost))
@@ -152,8 +160,8 @@
     }
 
     async fn dispatch_let_through(self: &Rc<Self>, let_through: &LetThrough) -> CallResult {
-        let state = self.state();
-        let Some((service, kind)) = find_kind(state.schema(), &let_through.call) else {
+        let schema = self.state().schema().clone();
+        let Some((service, kind)) = find_kind(&schema, &let_through.call) else {
             return CallResult::failed(Reason::UnknownKind);
         };
         let deadline = let_through.deadline;
@@ -164,9 +172,10 @@
             };
             return self.call_any(&call, service, kind, deadline).await;
         }
-        let owner = state
-            .table(&service.name)
-            .and_then(|t| t.range_of(&let_through.id.key).owner.as_ref());
+        let state = self.state();
+        let owner = state.table(&service.name);
+        let owner = owner.and_then(|t| t.range_of(&let_through.id.key).owner.clone());
+        drop(state);
         let Some(owner) = owner.filter(|o| o.epoch == let_through.epoch) else {
             return CallResult::failed(Reason::NoOwner);
         };
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -32,6 +32,10 @@
 /// Longest time to connect to a local server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time that a connection is kept between two calls. Servers close idle connections on their own, and
+/// a call that meets such an end may have run.
+const IDLE_MAX: Ms = Ms(2000);
+
 /// How one attempt at a server ended.
 #[derive(Debug)]
 pub struct ServerReply {
@@ -80,6 +84,8 @@
     sender: SendRequest<Full<Bytes>>,
     meter: Rc<SendMeter>,
     task: AbortHandle,
+    /// When its last call ended.
+    idle_since: Ms,
 }
 
 impl Drop for Connection {
@@ -146,8 +152,9 @@
 
     /// Takes an idle connection, or else opens one.
     async fn connection(&self, left: Ms) -> Result<Connection, ServerReply> {
+        let now = self.clock.now();
         while let Some(idle) = self.idle.borrow_mut().pop() {
-            if idle.sender.is_ready() {
+            if idle.sender.is_ready() && now < idle.idle_since + IDLE_MAX {
                 return Ok(idle);
             }
         }
@@ -173,11 +180,17 @@
             return Err(failed(Reason::ServerUnreachable));
         };
         let task = spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, meter, task })
+        Ok(Connection {
+            sender,
+            meter,
+            task,
+            idle_since: now,
+        })
     }
 
-    fn keep(&self, connection: Connection) {
+    fn keep(&self, mut connection: Connection) {
         connection.meter.close();
+        connection.idle_since = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         if !connection.sender.is_closed() && idle.len() < self.limits.idle_connections {
             idle.push(connection);
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -164,6 +164,51 @@
     }
 }
 
+/// The owner is lost while its server runs the call: the copy, made before the call was sent, is all that keeps a
+/// resend from running it again.
+#[test]
+fn owner_lost_while_running() {
+    let mut cluster = cluster(3, 800);
+    let position = |cluster: &Cluster, range: &str| {
+        let address = cluster.owner(0, range).unwrap();
+        let servers = &cluster.servers;
+        servers
+            .iter()
+            .position(|s| s.address.to_string() == address)
+            .unwrap()
+    };
+    let on_control = |cluster: &Cluster, range| cluster.servers[position(cluster, range)].plan.host == 0;
+    let (key, range) = if on_control(&cluster, "[, m)") {
+        ("tango", "[m, no bound)")
+    } else {
+        ("alpha", "[, m)")
+    };
+    let server = position(&cluster, range);
+    let caller = cluster.hosts[0].caller;
+    let sender = thread::spawn(move || {
+        let request = ureq::post(format!("http://{caller}/ledger/pay/a"));
+        let request = request.config().http_status_as_error(false).build();
+        drop(
+            request
+                .header("fold-key", key)
+                .header("fold-request-id", "once")
+                .send(""),
+        );
+    });
+    wait_until("the call runs", PATIENCE, || runs(&cluster, "once") == 1);
+    cluster.kill_host(cluster.servers[server].plan.host);
+    let headers = [("fold-key", key), ("fold-request-id", "once")];
+    let mut last = String::new();
+    wait_until("the resend ends", PATIENCE, || {
+        let answer = cluster.call(0, "POST", "/ledger/pay/a", &headers).unwrap();
+        last = answer.outcome;
+        last != "not-run"
+    });
+    sender.join().unwrap();
+    assert_eq!(last, "unknown");
+    assert_eq!(runs(&cluster, "once"), 1);
+}
+
 #[test]
 fn owner_frozen_and_back() {
     let mut cluster = cluster(3, 5);
--- a/tests/server_answers.rs
+++ b/tests/server_answers.rs
@@ -37,12 +37,12 @@
     row("whole answer", Script::Good, Ok("hello")),
     row(
         "whole answer in chunks",
-        Script::Say("HTTP/1.1 200 OK\r\nfold-call: CALL\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+        Script::Keep("HTTP/1.1 200 OK\r\nfold-call: CALL\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
         Ok("hello"),
     ),
     row(
         "early hints before the answer",
-        Script::Say("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"),
+        Script::Keep("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"),
         Ok("hello"),
     ),
     row("answer after the deadline", Script::Late(Duration::from_millis(600)), Err(Reason::ServerLate)),
@@ -103,7 +103,7 @@
     ),
     row(
         "conflict of the application",
-        Script::Say("HTTP/1.1 409 Conflict\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\ntaken"),
+        Script::Keep("HTTP/1.1 409 Conflict\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\ntaken"),
         Ok("taken"),
     ),
 ];
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -1,5 +1,6 @@
 use {
     super::processes::{free_address, wait_until, Process},
+    clementinefold::{clock::Clock, control::CommandId},
     rustix::process::Signal,
     serde_json::{json, Value},
     std::{fs, net::SocketAddr, path::PathBuf, time::Duration},
@@ -270,7 +271,9 @@
     /// Puts a schema in force, with tries until a control host has decided.
     pub fn apply(&self, host: usize, schema: &Value) {
         wait_until("the schema is accepted", PATIENCE, || {
-            let base = self.ask(host, "show").map(|shown| shown["revision"].clone());
+            let Some(base) = self.ask(host, "show").map(|shown| shown["revision"].clone()) else {
+                return false;
+            };
             let body = json!({ "command_id": self.command_id(), "base": base, "schema": schema });
             let answer = self.command(host, "apply", &body).unwrap_or_default();
             assert!(answer.get("refused").is_none(), "{answer}");
@@ -280,7 +283,7 @@
 
     /// Returns a fresh id for an operator's command.
     pub fn command_id(&self) -> String {
-        format!("{:016x}", getrandom::u64().unwrap())
+        CommandId::new(Clock::System.wall(), getrandom::u64().unwrap()).to_string()
     }
 
     /// Returns the address of the server that owns `range` by the state of `host`. `None`: none does.
