Planned stop of a daemon: ranges leave first, responses end their connections, nothing is cut

Found: a daemon that stopped gave up its renewals as soon as no call ran for a moment; it renews until its session is given up now.

--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -107,6 +107,9 @@
         if !self.lease.is_valid(self.clock.now()) {
             return Err(Reason::NoLease);
         }
+        if self.refusing.get() {
+            return Err(Reason::Draining);
+        }
         if server.client.is_stopped() {
             return Err(Reason::NoServer);
         }
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -53,7 +53,9 @@
                 };
                 return CallResult::failed(late);
             }
-            let verdict = if self.is_released(&service.name, &id.key) {
+            let verdict = if self.refusing.get() {
+                GuardVerdict::Refuse(Reason::Draining)
+            } else if self.is_released(&service.name, &id.key) {
                 GuardVerdict::Refuse(Reason::NoOwner)
             } else {
                 let mut tenures = self.tenures.borrow_mut();
@@ -69,7 +71,9 @@
                 }
             };
             match verdict {
-                GuardVerdict::Refuse(Reason::NoLease | Reason::GuardNotReady | Reason::NoOwner) if waited => {
+                GuardVerdict::Refuse(
+                    Reason::NoLease | Reason::GuardNotReady | Reason::NoOwner | Reason::Draining,
+                ) if waited => {
                     return CallResult::failed(Reason::StillRunning);
                 }
                 GuardVerdict::Refuse(reason) => return CallResult::failed(reason),
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -60,6 +60,8 @@
     /// Peer address of the control host that answered last.
     pub leader: RefCell<String>,
     pub stopping: Cell<bool>,
+    /// True once the daemon sends no more calls to its servers.
+    pub refusing: Cell<bool>,
     /// Calls that are being served.
     pub running: Cell<usize>,
     pub rng: RefCell<SmallRng>,
@@ -126,6 +128,7 @@
             servers_changed: Notify::new(),
             leader: RefCell::new(leader),
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
             running: Cell::new(0),
             rng: RefCell::new(rng),
             balancer: RefCell::default(),
@@ -201,7 +204,7 @@
         let servers = self.servers.borrow();
         let lost = self.lost_servers.borrow();
         let live = servers.iter().map(|s| Server {
-            leaving: s.leaving.get(),
+            leaving: s.leaving.get() || self.stopping.get(),
             ..s.announced.clone()
         });
         let held = lost
@@ -214,6 +217,18 @@
         live.chain(held).collect()
     }
 
+    /// Tells if a server behind this daemon owns a range.
+    pub fn owns_ranges(&self) -> bool {
+        let state = self.state();
+        let Some(session) = self.session.get() else {
+            return false;
+        };
+        let ranges = state.services().iter().flat_map(|table| table.ranges());
+        ranges
+            .flat_map(|range| &range.owner)
+            .any(|o| o.session == session)
+    }
+
     /// Returns the incarnations of the servers that have certainly ended and are still to be published.
     pub fn ended_servers(&self) -> Vec<String> {
         let lost = self.lost_servers.borrow();
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -22,14 +22,17 @@
         net::TcpListener,
         runtime::Builder,
         sync::watch,
-        task::{spawn_local, LocalSet},
-        time::sleep,
+        task::{spawn_local, JoinHandle, LocalSet},
+        time::{sleep, timeout},
     },
 };
 
 /// Time between two looks at the calls that still run while the daemon stops.
 const STOP_PAUSE: Duration = Duration::from_millis(10);
 
+/// Longest time for the ranges to move away before the daemon refuses new calls.
+const MOVE_MAX: Duration = Duration::from_secs(3);
+
 /// Runs a daemon until it is told to stop by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -97,7 +100,7 @@
         for_peers.clone().serve_peer(body)
     }));
     let for_callers = node.clone();
-    spawn_local(edge::serve_http(
+    let serving = spawn_local(edge::serve_http(
         callers,
         limits,
         log.clone(),
@@ -131,7 +134,7 @@
     log_event!(log, Event::DaemonStarted; "host" => &node.settings.host, "callers" => node.settings.caller_address.to_string());
 
     wait_for_stop(stop).await;
-    finish(&node).await;
+    finish(&node, serving).await;
     log_event!(log, Event::DaemonStopped; "host" => &node.settings.host);
     Ok(())
 }
@@ -148,9 +151,19 @@
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
-/// Finishes the calls that run, then ends the session so that its ranges move at once.
-async fn finish(node: &Rc<Node>) {
+/// Lets the ranges move away, finishes the calls that run, then ends the session.
+async fn finish(node: &Rc<Node>, serving: JoinHandle<()>) {
     node.stopping.set(true);
+    node.servers_changed.notify_one();
+    let moved = async {
+        while node.owns_ranges() {
+            sleep(STOP_PAUSE).await;
+        }
+    };
+    let _ = timeout(MOVE_MAX, moved).await;
+    node.refusing.set(true);
+    // Every caller gets its whole answer before the process ends.
+    let _ = serving.await;
     while node.running.get() > 0 {
         sleep(STOP_PAUSE).await;
     }
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -70,7 +70,7 @@
     /// Renews the session until control says that it has ended.
     async fn renew_until_end(&self, session: u64) {
         let mut held = false;
-        while !self.stopping.get() || self.running.get() > 0 {
+        while self.session.get() == Some(session) {
             let sent_at = self.clock.now();
             match self.renew(session, sent_at).await {
                 Some(Renewal::Renewed) => self.lease.renewed(sent_at, &self.settings.lease),
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -11,7 +11,7 @@
     std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{watch, Notify},
         task::spawn_local,
         time::{sleep, timeout},
     },
@@ -20,6 +20,11 @@
 /// Pause after an accept failed, e.g. for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time after the stop in which connections are still served, each response being the last of its connection.
+const STOP_LINGER: Duration = Duration::from_millis(1000);
+/// Longest time after that for the connections to end.
+const STOP_MAX: Duration = Duration::from_secs(30);
+
 /// A whole request.
 #[derive(Debug)]
 pub struct HttpRequest {
@@ -45,8 +50,9 @@
 /// An answer with a whole body.
 pub type HttpResponse = Response<Bytes>;
 
-/// Serves HTTP/1.1 until `stop` turns true, then finishes what was begun. Each connection is a task of its
-/// own, so that an idle connection never keeps another one waiting.
+/// Serves HTTP/1.1 until `stop` turns true, then for a short time with responses that end their connections,
+/// and returns once what was begun has been answered. Each connection is a task of its own, so that an idle
+/// connection never keeps another one waiting.
 pub async fn serve_http<H, F>(
     listener: TcpListener,
     limits: CallerLimits,
@@ -57,11 +63,17 @@
     H: Fn(Result<HttpRequest, HttpFault>) -> F + Clone + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
+    let for_connections = stop.clone();
     let open = Rc::new(Cell::new(0_usize));
+    let all_ended = Rc::new(Notify::new());
+    let mut stopped = std::pin::pin!(async {
+        let _ = stop.wait_for(|stop| *stop).await;
+        sleep(STOP_LINGER).await;
+    });
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
+            () = stopped.as_mut() => break,
         };
         let Ok((stream, from)) = accepted else {
             sleep(ACCEPT_PAUSE).await;
@@ -72,12 +84,19 @@
             continue;
         }
         open.set(open.get() + 1);
-        let (open, handler, stop) = (open.clone(), handler.clone(), stop.clone());
+        let (open, all_ended) = (open.clone(), all_ended.clone());
+        let (handler, stop) = (handler.clone(), for_connections.clone());
         spawn_local(async move {
             serve_connection(stream, limits, stop, handler).await;
             open.set(open.get() - 1);
+            if open.get() == 0 {
+                all_ended.notify_one();
+            }
         });
     }
+    if open.get() > 0 {
+        let _ = timeout(STOP_MAX, all_ended.notified()).await;
+    }
 }
 
 async fn serve_connection<H, F>(
@@ -90,11 +109,17 @@
     F: Future<Output = HttpResponse> + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let stopping = stop.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let handler = handler.clone();
+        let (handler, stopping) = (handler.clone(), stopping.clone());
         async move {
             let request = receive(request, limits.body_bytes, limits.read).await;
-            Ok::<_, Infallible>(handler(request).await.map(Full::new))
+            let mut response = handler(request).await;
+            if *stopping.borrow() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(Full::new))
         }
     });
     let connection = http1::Builder::new()
@@ -103,9 +128,13 @@
         .max_buf_size(limits.head_bytes)
         .serve_connection(FoldStream::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let stopped = async {
+        let _ = stop.wait_for(|stop| *stop).await;
+        sleep(STOP_LINGER).await;
+    };
     tokio::select! {
         _ = connection.as_mut() => {}
-        _ = stop.wait_for(|stop| *stop) => {
+        () = stopped => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -186,6 +186,11 @@
         process.unwrap().signal(signal);
     }
 
+    /// Returns the processor time that a daemon has used, in ms.
+    pub fn host_cpu_ms(&self, position: usize) -> u64 {
+        self.hosts[position].process.as_ref().unwrap().cpu_ms()
+    }
+
     /// Starts a stand-in server and returns its position.
     pub fn start_server(&mut self, plan: StandinPlan) -> usize {
         self.servers.push(Standin {
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -44,6 +44,15 @@
         kill_process(Pid::from_child(&self.0), signal).unwrap();
     }
 
+    /// Returns the processor time that the process has used, in ms.
+    pub fn cpu_ms(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        let ticks: u64 = [11, 12].map(|i| fields[i].parse::<u64>().unwrap()).iter().sum();
+        // A tick is 10 ms on Linux.
+        ticks * 10
+    }
+
     /// Tells if the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.0.try_wait().unwrap().is_some()
