--- a/src/cli/ctl/command_line.rs
+++ b/src/cli/ctl/command_line.rs
@@ -27,6 +27,7 @@
         .subcommands(file_commands())
         .subcommands(questions())
         .subcommands(changes())
+        .subcommand(control())
         .subcommand(
             Command::new("example-schema")
                 .about("Prints an example schema file; docs/SCHEMA.md lists the fields")
@@ -179,6 +180,34 @@
     ]
 }
 
+fn control() -> Command {
+    let member = |name: &'static str, help: &'static str| option(name, "ID", help);
+    Command::new("control")
+        .about("Shows and changes the control hosts")
+        .after_help(
+            "Examples:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys control status\n  \
+             clementinectl --address 10.0.0.1:7112 --key-file operator.keys control add 10.0.0.4:7113\n  \
+             clementinectl --address 10.0.0.1:7112 --key-file operator.keys \\\n    \
+             control replace --old 00112233445566aa --new 10.0.0.4:7113",
+        )
+        .subcommand_required(true)
+        .subcommands([
+            Command::new("status").about("Prints the control hosts, their roles and how far they lag"),
+            Command::new("add")
+                .about("Adds a control host: as a learner first, then with a vote")
+                .arg(Arg::new("peer").value_name("IP:PORT").required(true)),
+            Command::new("remove")
+                .about("Removes a control host")
+                .arg(Arg::new("member").value_name("ID").required(true)),
+            Command::new("replace")
+                .about("Adds a control host and removes another one after it")
+                .args([
+                    member("old", "Member that goes").required(true),
+                    option("new", "IP:PORT", "Peer address of the host that comes").required(true),
+                ]),
+        ])
+}
+
 fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).value_name(value).help(help)
 }
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -4,7 +4,7 @@
         progress::{ranges_left, sessions_behind, wait_until},
         schema_diff::differences,
         target::{Sent, Target},
-        text_output::{diff_text, explain_text, status_text},
+        text_output::{control_text, diff_text, explain_text, status_text},
     },
     crate::{cli::exit, clock::Clock, control::CommandId, edge::CommandRequest, schema::Schema},
     anyhow::{anyhow, bail, Context, Result},
@@ -46,6 +46,7 @@
         "status" => question(sub, "status", status_text),
         "explain" => question(sub, &explain_question(sub), explain_text),
         "wait" => wait(sub),
+        "control" => control(sub),
         _ => change(name, sub),
     }
 }
@@ -173,6 +174,32 @@
     Ok(exit::OK)
 }
 
+fn control(sub: &ArgMatches) -> Result<u8> {
+    let Some((name, sub)) = sub.subcommand() else {
+        bail!("a command is needed; see control --help");
+    };
+    let target = Target::new(sub)?;
+    let request = match name {
+        "add" => json!({ "add": text(sub, "peer") }),
+        "remove" => json!({ "remove": text(sub, "member") }),
+        "replace" => json!({ "replace": { "old": text(sub, "old"), "new": text(sub, "new") } }),
+        _ => return question(sub, "control", control_text),
+    };
+    let answer = match target.change("control", &request)? {
+        Sent::Answered(answer) => answer,
+        Sent::Unknown(why) => {
+            eprintln!("it is not known whether the command took effect: {why}; see control status");
+            return Ok(exit::UNAVAILABLE);
+        }
+    };
+    print(sub, &answer, control_text);
+    Ok(if answer.get("refused").is_some() {
+        exit::REFUSED
+    } else {
+        exit::OK
+    })
+}
+
 /// Returns the log index of a revision.
 fn index(revision: &str) -> u64 {
     let index = revision.split('-').next();
--- a/src/cli/ctl/target.rs
+++ b/src/cli/ctl/target.rs
@@ -1,10 +1,8 @@
 use {
-    crate::{
-        edge::{CommandRequest, RequestProof},
-        link::KeyRing,
-    },
+    crate::{edge::RequestProof, link::KeyRing},
     anyhow::{anyhow, bail, Context, Result},
     clap::ArgMatches,
+    serde::Serialize,
     serde_json::Value,
     std::{io, path::Path, time::Duration},
     ureq::Agent,
@@ -69,8 +67,9 @@
         bail!("no daemon answered: {}", failures.join("; "))
     }
 
-    /// Sends a changing request. The command id makes it safe to send it to several daemons in turn.
-    pub(super) fn change(&self, name: &str, request: &CommandRequest) -> Result<Sent> {
+    /// Sends a changing request, which must be safe to send to several daemons in turn: it carries a command
+    /// id, or asks for a membership that is the same after it was sent twice.
+    pub(super) fn change(&self, name: &str, request: &impl Serialize) -> Result<Sent> {
         let body = serde_json::to_string(request)?;
         let mut failures = Vec::new();
         let mut may_have_arrived = false;
--- a/src/cli/ctl/text_output.rs
+++ b/src/cli/ctl/text_output.rs
@@ -38,6 +38,28 @@
     out
 }
 
+/// Returns the text form of an answer to `control`.
+pub(super) fn control_text(answer: &Value) -> String {
+    let mut out = String::new();
+    if let Some(refused) = answer.get("refused") {
+        let _ = writeln!(out, "refused: {}", plain(&refused["reason"]));
+        return out;
+    }
+    let _ = writeln!(out, "term {}", plain(&answer["term"]));
+    for member in answer["members"].as_array().map_or(&[][..], Vec::as_slice) {
+        let _ = writeln!(
+            out,
+            "{:<18} {:<22} {:<10} lag {:<8} silent {} ms",
+            plain(&member["id"]),
+            plain(&member["address"]),
+            plain(&member["role"]),
+            plain(&member["lag"]),
+            plain(&member["silent_ms"])
+        );
+    }
+    out
+}
+
 /// Returns the text form of the differences of two schema files.
 pub(super) fn diff_text(differences: &[Difference]) -> String {
     let mut out = String::new();
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -93,7 +93,7 @@
     let long_id = "x".repeat(129);
     let id = cluster.command_id();
     let first = ["--command-id", &id, "apply", "new.json"];
-    let cases: [(&str, Vec<&str>, i32, &str); 15] = [
+    let cases: [(&str, Vec<&str>, i32, &str); 17] = [
         (
             "plan",
             vec!["plan", "new.json"],
@@ -131,6 +131,13 @@
             4,
             "command_id",
         ),
+        ("control hosts", vec!["control", "status"], 0, "leader"),
+        (
+            "no such member",
+            vec!["control", "remove", "00112233445566aa"],
+            4,
+            "refused",
+        ),
         ("wait", vec!["wait"], 0, "is in force"),
         (
             "apply and wait",
