--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -2,16 +2,17 @@
 # Runs one of the example deployments on loopback: builds the programs, starts three daemons and their
 # backend servers, applies the schema, sends calls, prints outcomes and latencies, and stops everything.
 #
-# usage: examples/demo.sh agency|tailors [--kill-one]
+# usage: examples/demo.sh agency|tailors [--kill-one|--keep]
 #   --kill-one  kills one daemon while calls are sent; calls may then end as not-run or unknown
+#   --keep      leaves everything running until it is interrupted, to try commands of docs/OPERATING.md
 set -euo pipefail
 
 name=${1:-agency}
-kill_one=${2:-}
+option=${2:-}
 top=$(cd "$(dirname "$0")/.." && pwd)
 example="$top/examples/$name"
 if [ ! -f "$example/schema.json" ]; then
-  echo "usage: examples/demo.sh agency|tailors [--kill-one]" >&2
+  echo "usage: examples/demo.sh agency|tailors [--kill-one|--keep]" >&2
   exit 2
 fi
 
@@ -33,6 +34,7 @@
   if [ "$status" = 0 ]; then rm -rf "$work"; else echo "logs are kept in $work" >&2; fi
 }
 trap finish EXIT
+trap 'exit 0' INT TERM
 
 # Keys for this run only.
 for file in peer.keys operator.keys; do
@@ -95,7 +97,7 @@
 done
 sleep 0.3
 
-if [ "$kill_one" = --kill-one ]; then
+if [ "$option" = --kill-one ]; then
   "$bin/clementine-load" "${callers[@]}" --schema "$example/schema.json" --calls 6000 --pause-ms 5 &
   load=$!
   sleep 0.8
@@ -108,3 +110,10 @@
 else
   "$bin/clementine-load" "${callers[@]}" --schema "$example/schema.json" --calls 6000 --all-answered
 fi
+
+if [ "$option" = --keep ]; then
+  cp "$example/schema.json" schema.json
+  echo "running until it is interrupted; in another shell:"
+  echo "  cd $work && export PATH=$bin:\$PATH"
+  wait "${daemon_pids[0]}" || true
+fi
--- a/src/event/logger.rs
+++ b/src/event/logger.rs
@@ -1,4 +1,5 @@
 use {
+    super::whole_lines::WholeLines,
     slog::{o, Drain, Level, Logger},
     slog_async::{Async, OverflowStrategy},
     std::io,
@@ -65,16 +66,22 @@
 
 /// Starts a logger to standard error. A thread of its own writes the lines.
 pub fn start_logger(settings: LogSettings) -> Logger {
+    start_logger_to(settings, io::stderr())
+}
+
+/// Starts a logger to `writer`, which gets one write a line: the formatters write in many small pieces.
+pub fn start_logger_to(settings: LogSettings, writer: impl io::Write + Send + 'static) -> Logger {
+    let writer = WholeLines::new(writer);
     let drain = match settings.format {
         LogFormat::Terminal => {
-            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let decorator = slog_term::PlainDecorator::new(writer);
             let drain = slog_term::FullFormat::new(decorator)
                 .use_original_order()
                 .build()
                 .fuse();
             asynchronous(drain)
         }
-        LogFormat::Json => asynchronous(slog_json::Json::default(io::stderr()).fuse()),
+        LogFormat::Json => asynchronous(slog_json::Json::default(writer).fuse()),
     };
     Logger::root(drain.filter_level(settings.level).fuse(), o!())
 }
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -3,10 +3,11 @@
 mod event_code;
 mod logger;
 mod rate_limit;
+mod whole_lines;
 
 pub use {
     event_code::Event,
-    logger::{level_from_word, start_logger, LogFormat, LogSettings, LEVEL_WORDS},
+    logger::{level_from_word, start_logger, start_logger_to, LogFormat, LogSettings, LEVEL_WORDS},
     rate_limit::RateLimit,
 };
 
