--- a/tests/lease_world/world.rs
+++ b/tests/lease_world/world.rs
@@ -20,11 +20,11 @@
 const DAEMONS: usize = 3;
 const KEYS: [&str; 2] = ["alpha", "tango"];
 /// True time of a schedule, in ms.
-const END: i64 = 4000;
+const END: i64 = 5000;
 /// True time of one step, in ms.
 const STEP: i64 = 5;
-/// Longest deadline of a call, in ms.
-const DEADLINE: i64 = 200;
+/// Longest deadline of a call, in ms; longer than a lease, so that calls outlast it.
+const DEADLINE: i64 = 1500;
 
 /// What a schedule is made of.
 #[derive(Clone, Copy, Debug)]
@@ -150,8 +150,8 @@
         let length = self.rng.random_range(20..1500);
         let actor = self.rng.random_range(0..DAEMONS);
         match self.rng.random_range(0..600) {
-            0 | 1 => self.daemons[actor].frozen_until = self.now + length,
-            2 => self.servers[actor].frozen_until = self.now + length,
+            0..=2 => self.daemons[actor].frozen_until = self.now + length,
+            9 => self.servers[actor].frozen_until = self.now + length,
             3 => self.leader_frozen_until = self.now + length,
             4 => {
                 // Another host leads; answers of the old leader may still be on their way.
@@ -276,7 +276,13 @@
         let admitted = self.servers[s].ownership.admit(&key, epoch, now).is_ok();
         if admitted || !self.plan.checks_fencing {
             self.served += 1;
-            let until = self.rng.random_range(self.now..=ends_at);
+            // Some calls use all of their deadline.
+            let shortest = if self.rng.random_range(0..3) == 0 {
+                ends_at
+            } else {
+                self.now
+            };
+            let until = self.rng.random_range(shortest..=ends_at);
             self.servers[s].runs.push(Run { key, epoch, until });
         }
     }
@@ -375,7 +381,8 @@
         let at = self.now + self.rng.random_range(0..=late);
         let ends_at = match self.plan.checks_fencing {
             true => at + DEADLINE,
-            false => self.now + DEADLINE * 1000 / self.speeds[d].max(1),
+            // A server counts the deadline on the clock of its host.
+            false => self.now + DEADLINE * 1000 / self.speeds[d],
         };
         self.messages.push((at, Msg::Call(d, key, epoch, ends_at)));
     }
