A killed server's ranges move as soon as its last call has ended

Cause: with several calls under way to a killed server the first refused connection found the others still counted, so the server was taken for silent and its ranges waited for its lease. Change: whether a lost server has ended is decided when the list of servers is published, from the calls that are still under way then.

--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -82,11 +82,26 @@
 /// A server that is gone from this daemon, but not yet from the replicated state.
 #[derive(Clone, Debug)]
 pub(super) struct LostServer {
-    pub announced: Server,
+    pub server: Rc<LocalServer>,
     /// What the replicated state has of it.
     pub published: Server,
-    /// True: its process has certainly ended.
-    pub ended: bool,
-    /// They know the end of the last lease that it was given. Its ranges stay with it until then.
-    pub orders: Rc<ServerOrders>,
+    /// True: nothing listens at its address, or another process does.
+    pub is_gone: bool,
+}
+
+impl LostServer {
+    /// Tells if its process has certainly ended and none of its calls is under way.
+    pub fn has_ended(&self) -> bool {
+        self.is_gone && self.server.running.borrow().is_empty() && self.server.predecessor.borrow().is_none()
+    }
+
+    /// Tells if its ranges stay with it at `now`, since it may hold them still.
+    pub fn is_held(&self, now: Ms) -> bool {
+        !self.has_ended() && now < self.server.orders.leases_end_at()
+    }
+
+    /// Returns the incarnation of the process.
+    pub fn incarnation(&self) -> &str {
+        &self.server.announced.incarnation
+    }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -167,29 +167,31 @@
         let now = self.clock.now();
         let servers = self.servers.borrow();
         let lost = self.lost_servers.borrow();
-        let live = servers.iter().map(|server| server.published());
-        let held = lost
-            .iter()
-            .filter(|lost| !lost.ended && now < lost.orders.leases_end_at())
-            .map(|lost| Server {
-                leaving: true,
-                ..lost.published.clone()
-            });
-        live.chain(held).collect()
+        let mut listed: Vec<Server> = servers.iter().map(|server| server.published()).collect();
+        for lost in lost.iter().filter(|l| l.is_held(now)) {
+            // The successor of a process stands for it.
+            if listed.iter().all(|s| s.incarnation != lost.published.incarnation) {
+                listed.push(Server {
+                    leaving: true,
+                    ..lost.published.clone()
+                });
+            }
+        }
+        listed
     }
 
     /// Returns the incarnations of the servers that have certainly ended and are still to be published.
     pub fn ended_servers(&self) -> Vec<String> {
         let lost = self.lost_servers.borrow();
         // A process whose successor may still have its calls has not ended in every respect.
-        let is_held = |incarnation: &str| {
-            lost.iter()
-                .any(|l| !l.ended && l.published.incarnation == incarnation)
+        let is_open = |l: &LostServer| {
+            let successors = lost.iter().filter(|other| !other.has_ended());
+            successors
+                .into_iter()
+                .any(|other| other.published.incarnation == l.incarnation())
         };
-        let ended = lost
-            .iter()
-            .filter(|l| l.ended && !is_held(&l.announced.incarnation));
-        ended.map(|lost| lost.announced.incarnation.clone()).collect()
+        let ended = lost.iter().filter(|l| l.has_ended() && !is_open(l));
+        ended.map(|l| l.incarnation().to_owned()).collect()
     }
 
     /// Sends a request to the control host that answered last, and turns to the next one after a failure.
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -108,7 +108,7 @@
         // A server that came back before its removal was published goes on where it was.
         self.lost_servers
             .borrow_mut()
-            .retain(|lost| lost.announced.incarnation != server.announced.incarnation);
+            .retain(|lost| lost.incarnation() != server.announced.incarnation);
         self.servers.borrow_mut().push(Rc::new(server));
         self.servers_changed.notify_one();
         self.touch(Touched::everything());
@@ -119,8 +119,11 @@
     fn start_orders(&self, address: &str) -> io::Result<Rc<ServerOrders>> {
         let orders = ServerOrders::start(address, self.clock.clone(), self.lease.clone())?;
         let lost = self.lost_servers.borrow();
-        for earlier in lost.iter().filter(|lost| lost.announced.address == address) {
-            orders.count_lease(earlier.orders.leases_end_at());
+        for earlier in lost
+            .iter()
+            .filter(|lost| lost.server.announced.address == address)
+        {
+            orders.count_lease(earlier.server.orders.leases_end_at());
         }
         Ok(Rc::new(orders))
     }
@@ -135,10 +138,9 @@
         }
     }
 
-    /// Forgets a local server at whose address nothing listens. It has ended if none of its calls runs.
+    /// Forgets a local server at whose address nothing listens. It has ended once none of its calls runs.
     pub fn remove_server(&self, lost: &Rc<LocalServer>, reason: &str) {
-        let ended = lost.running.borrow().is_empty() && lost.predecessor.borrow().is_none();
-        if self.forget_server(lost, reason, ended) {
+        if self.forget_server(lost, reason, true) {
             lost.orders.close();
         }
     }
@@ -151,7 +153,7 @@
     }
 
     /// False: it was forgotten before.
-    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, ended: bool) -> bool {
+    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, is_gone: bool) -> bool {
         let count = self.servers.borrow().len();
         self.servers
             .borrow_mut()
@@ -164,10 +166,9 @@
             "service" => &lost.announced.service, "server" => &lost.announced.address, "reason" => reason
         );
         self.lost_servers.borrow_mut().push(LostServer {
-            announced: lost.announced.clone(),
             published: lost.published(),
-            ended,
-            orders: lost.orders.clone(),
+            server: lost.clone(),
+            is_gone,
         });
         self.servers_changed.notify_one();
         true
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -166,10 +166,9 @@
     /// Forgets the lost servers that the replicated state no longer has.
     fn forget_published(&self, servers: &[Server], ended: &[String]) {
         self.lost_servers.borrow_mut().retain(|lost| {
-            let listed = servers
-                .iter()
-                .any(|s| s.incarnation == lost.announced.incarnation);
-            listed || lost.ended && !ended.contains(&lost.announced.incarnation)
+            let incarnation = lost.incarnation();
+            let listed = servers.iter().any(|s| s.incarnation == incarnation);
+            listed || lost.has_ended() && !ended.iter().any(|e| e == incarnation)
         });
     }
 }
