--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,31 +1,30 @@
 use {
-    super::local_server::{LocalServer, LostServer},
+    super::{
+        decisions::Decisions,
+        local_server::{LocalServer, LostServer},
+    },
     crate::{
-        clock::Clock,
+        clock::{Clock, Ms},
         control::{ControlHandle, Server, State},
+        event::RateLimit,
         grant::Touched,
+        key::Key,
         lease::DaemonLease,
-        link::{KeyRing, LinkError, Links},
+        link::{KeyRing, Links},
         metrics::Metrics,
+        placement::LoadMeter,
         settings::Settings,
-        wire::{
-            control::{change, Change, Committed},
-            peer::{frame::Body, Propose, ProposeAnswer},
-        },
+        wire::control::Committed,
     },
     rand::{rngs::SmallRng, RngCore, SeedableRng},
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
-        time::Duration,
     },
-    tokio::{sync::Notify, time::timeout},
+    tokio::sync::Notify,
 };
 
-/// Longest time to wait for an answer of a control host.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// What the tasks of the I/O duty share. All of them run on one thread.
 pub(super) struct Node {
     pub settings: Settings,
@@ -34,6 +33,10 @@
     pub metrics: Metrics,
     pub links: Links,
     pub operator_keys: KeyRing,
+    /// Limit of the log lines on refused requests of operators and servers.
+    pub refusals: RefCell<RateLimit>,
+    /// The last decisions that this daemon saw committed.
+    pub decisions: RefCell<Decisions>,
     /// The near end of the control duty on a control host.
     pub control: Option<ControlHandle>,
     /// Random number of this process.
@@ -56,10 +59,14 @@
     pub servers_changed: Notify,
     /// Peer address of the control host that answered last.
     pub leader: RefCell<String>,
+    /// Control hosts that this daemon has turned away from as it follows the committed changes.
+    pub watched: Cell<usize>,
     pub stopping: Cell<bool>,
     /// Calls that are being served.
     pub running: Cell<usize>,
     pub rng: RefCell<SmallRng>,
+    /// Work of the local servers by range.
+    pub meter: RefCell<LoadMeter>,
     next_call: Cell<u64>,
 }
 
@@ -90,6 +97,8 @@
             metrics: parts.metrics,
             links: parts.links,
             operator_keys: parts.operator_keys,
+            refusals: RefCell::default(),
+            decisions: RefCell::default(),
             control: parts.control,
             process: rng.next_u64(),
             lease: DaemonLease::default(),
@@ -103,9 +112,11 @@
             lost_servers: RefCell::default(),
             servers_changed: Notify::new(),
             leader: RefCell::new(leader),
+            watched: Cell::new(0),
             stopping: Cell::new(false),
             running: Cell::new(0),
             rng: RefCell::new(rng),
+            meter: RefCell::new(LoadMeter::new(Ms::ZERO)),
             next_call: Cell::new(0),
         }
     }
@@ -132,6 +143,7 @@
                 let follows = committed.index == state.applied() + 1;
                 if let (true, Some(change)) = (follows, &committed.change) {
                     let applied = state.apply(committed.index, change);
+                    self.decisions.borrow_mut().note(committed, &applied);
                     touched.note(&applied, self.session.get());
                 }
             }
@@ -153,6 +165,16 @@
         format!("{:016x}-{number:x}", self.process)
     }
 
+    /// Counts a call for `key` that was sent to a local server at `sent_at` and has ended now.
+    pub fn measure(&self, service: &str, key: &Key, sent_at: Ms) {
+        let state = self.state();
+        if let Some(table) = state.table(service) {
+            let start = &table.range_of(key).start;
+            let busy = self.clock.now() - sent_at;
+            self.meter.borrow_mut().add(service, start, key, busy);
+        }
+    }
+
     /// Returns the local server with this service and address.
     pub fn server(&self, service: &str, address: &str) -> Option<Rc<LocalServer>> {
         let servers = self.servers.borrow();
@@ -193,50 +215,4 @@
         let ended = lost.iter().filter(|l| l.has_ended() && !is_open(l));
         ended.map(|l| l.incarnation().to_owned()).collect()
     }
-
-    /// Sends a request to the control host that answered last, and turns to the next one after a failure.
-    pub async fn ask_control(&self, body: Body) -> Result<Body, LinkError> {
-        let address = self.leader.borrow().clone();
-        let answer = match timeout(CONTROL_TIMEOUT, self.links.request(&address, body)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(LinkError::Lost("no answer in time".into())),
-        };
-        if answer.is_err() {
-            self.turn_to_next_control_host(&address);
-        }
-        answer
-    }
-
-    /// Follows the word of a control host that another one leads.
-    pub fn follow_leader(&self, leader: &str) {
-        if !leader.is_empty() {
-            leader.clone_into(&mut self.leader.borrow_mut());
-        }
-    }
-
-    /// Proposes a change. `None`: it is not known whether it was committed.
-    pub async fn propose(&self, body: change::Body) -> Option<ProposeAnswer> {
-        let change = Change {
-            proposed_at_ms: 0,
-            body: Some(body),
-        };
-        match self
-            .ask_control(Body::Propose(Propose { change: Some(change) }))
-            .await
-        {
-            Ok(Body::ProposeAnswer(answer)) => {
-                self.follow_leader(&answer.leader);
-                (answer.index != 0).then_some(answer)
-            }
-            Ok(_) | Err(_) => None,
-        }
-    }
-
-    fn turn_to_next_control_host(&self, failed: &str) {
-        let hosts = &self.settings.control_hosts;
-        let position = hosts.iter().position(|a| a.to_string() == failed).unwrap_or(0);
-        if let Some(next) = hosts.get((position + 1) % hosts.len().max(1)) {
-            *self.leader.borrow_mut() = next.to_string();
-        }
-    }
 }
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -57,7 +57,6 @@
             .await
         {
             Ok(Body::OpenSessionAnswer(answer)) => {
-                self.follow_leader(&answer.leader);
                 if !answer.holder.is_empty() {
                     log_event!(self.log, Event::SessionRefused; "host" => &self.settings.host, "holder" => answer.holder);
                 }
@@ -100,11 +99,10 @@
             session,
             sent_at_ms: sent_at.0,
             applied: self.state().applied(),
-            loads: Vec::new(),
+            loads: self.meter.borrow_mut().report(sent_at),
         };
-        match self.ask_control(Body::Renew(renew)).await {
+        match self.ask_in_lease(Body::Renew(renew)).await {
             Ok(Body::RenewAnswer(answer)) if answer.sent_at_ms == sent_at.0 && answer.session == session => {
-                self.follow_leader(&answer.leader);
                 Some(match (answer.renewed, answer.lagging) {
                     (true, _) => Renewal::Renewed,
                     (false, true) => Renewal::Lagging,
