--- a/tests/server_orders.rs
+++ b/tests/server_orders.rs
@@ -10,7 +10,7 @@
     },
     serde_json::Value,
     std::{
-        io::{BufRead, BufReader, Read, Write},
+        io::{BufRead, BufReader, Write},
         net::{SocketAddr, TcpListener},
         sync::mpsc::{channel, Receiver},
         thread,
