--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -102,7 +102,13 @@
                     return result;
                 }
                 NextStep::AwaitChange => self.await_ownership_change().await,
-                NextStep::Retry => attempts += 1,
+                NextStep::Retry => {
+                    attempts += 1;
+                    // A crash that the other daemon has counted must be known here before the next attempt.
+                    if result.revision > self.state().applied() {
+                        self.await_applied(result.revision).await;
+                    }
+                }
             }
             call.alone |= result.reason == Some(Reason::ServerLost);
         }
