--- a/tests/consensus_faults.rs
+++ b/tests/consensus_faults.rs
@@ -356,6 +356,24 @@
     }
 }
 
+/// A repaired host that does not know yet that the old member is gone votes when a second host is lost.
+fn lagging_member_votes(seed: u64) {
+    let (mut x, leader) = cell(seed, 3);
+    let second = others(&x, leader)[1];
+    x.replace_disk(second);
+    let id = x.hosts[second].id;
+    x.run_until("a voter by its own log", |x| {
+        x.core(second).is_some_and(|c| c.membership().is_voter(id))
+    });
+    isolate(&mut x, second);
+    x.run_until("the old member is gone", Exchange::is_whole);
+    x.kill(second);
+    x.replace_disk(leader);
+    heal(&mut x);
+    assert!(x.start(second));
+    x.settle();
+}
+
 /// A learner votes only once it has synced all that is committed, so the loss of a disk after that loses
 /// nothing.
 fn promoted_when_caught_up(seed: u64) {
@@ -453,6 +471,7 @@
         voter_restarted_between_heartbeats,
     ),
     ("second host lost after a repair", second_lost_after_repair),
+    ("lagging member votes after a repair", lagging_member_votes),
     ("learner promoted when caught up", promoted_when_caught_up),
     ("clocks drift to the margin", drift_within_margin),
     ("clocks drift past the margin", drift_past_margin),
