--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -14,7 +14,8 @@
         consensus::{Apply, Core, CoreConfig, CoreEvent, SavedState, StorageError, Write},
         event::Event,
         lease::LeaderView,
-        log_event, placement,
+        log_event,
+        placement::Placer,
         wire::{
             consensus::{entry, envelope, Entry, Envelope, Snapshot},
             control::{change, Change, Committed},
@@ -30,6 +31,8 @@
     tokio::sync::oneshot,
 };
 
+/// Seed of the planner, which decides between servers that suit equally.
+const PLAN_SEED: u64 = 1;
 /// Most inputs that are taken before something is done about them.
 const BATCH_MAX: usize = 1024;
 /// Longest time between two looks at elections, leases and ranges without an owner.
@@ -52,6 +55,7 @@
     disk_busy: bool,
     /// What a leader keeps in memory; present while this host leads and has caught up.
     view: Option<LeaderView>,
+    placer: Placer,
     proposals: Proposals,
     /// Index up to which changes that this duty itself proposed must be applied before it proposes more.
     own_until: u64,
@@ -101,6 +105,7 @@
             writes: Vec::new(),
             disk_busy: false,
             view: None,
+            placer: Placer::new(PLAN_SEED),
             proposals: Proposals::default(),
             own_until: 0,
             watches,
@@ -194,7 +199,10 @@
         let now = self.config.clock.now();
         let holds_lease = self.core.holds_lease(now);
         match &mut self.view {
-            Some(view) if holds_lease => view.renew(&self.state, req, now),
+            Some(view) if holds_lease => {
+                self.placer.take_loads(req, now);
+                view.renew(&self.state, req, now)
+            }
             Some(_) | None => RenewAnswer {
                 session: req.session,
                 sent_at_ms: req.sent_at_ms,
@@ -285,6 +293,7 @@
         }
         if self.view.is_none() {
             self.view = Some(LeaderView::new(self.config.lease, &self.state, now));
+            self.placer = Placer::new(PLAN_SEED);
         }
         if self.state.applied() < self.own_until || !self.core.holds_lease(now) {
             return;
@@ -308,17 +317,15 @@
         }
     }
 
-    /// Gives ranges without an owner to servers.
+    /// Gives ranges without an owner to servers, and starts planned moves.
     fn place(&mut self, batch: &mut Batch) {
         let now = self.config.clock.now();
         let Some(view) = &mut self.view else { return };
-        let assignments = placement::assign_unowned(&self.state);
-        let allowed = view.allowed(&self.state, assignments, now);
-        batch.extend(
-            allowed
-                .into_iter()
-                .map(|a| (change::Body::AssignRange(a), Waiter::None)),
-        );
+        let wanted = self.placer.changes(&self.state, now);
+        let allowed = view.allowed(&self.state, wanted.assignments, now);
+        let assignments = allowed.into_iter().map(change::Body::AssignRange);
+        let releases = wanted.releases.into_iter().map(change::Body::ReleaseRange);
+        batch.extend(assignments.chain(releases).map(|body| (body, Waiter::None)));
     }
 
     /// Proposes changes together, so that they share a sync.
--- a/src/control/note.rs
+++ b/src/control/note.rs
@@ -32,10 +32,16 @@
         Applied::Command(answer) => {
             log_event!(log, Event::CommandDecided; "answer" => answer_word(answer), "revision" => state.revision().to_string());
         }
-        Applied::ServersSet(_)
-        | Applied::ReleaseStarted { .. }
-        | Applied::RangeReleased { .. }
-        | Applied::Ignored(_) => {}
+        Applied::ReleaseStarted { service, span, .. } => {
+            if let Some(change::Body::ReleaseRange(release)) = &change.body {
+                log_event!(
+                    log, Event::MovePlanned;
+                    "service" => service, "range" => span.to_string(), "epoch" => release.epoch,
+                    "session" => release.to_session, "server" => &release.to_server, "reason" => &release.reason
+                );
+            }
+        }
+        Applied::ServersSet(_) | Applied::RangeReleased { .. } | Applied::Ignored(_) => {}
     }
 }
 
