Split: stages in the replicated state, cut and cede checks, commands

Cause: the schema could declare two halves, but nothing moved them apart. Ruled out: ending the second half's leases by its own clock alone (the second cell could not know when they ended in the first); a second cell that starts on an operator's word. Change: idle, moving, paused, settled, ceding, parted. Operators start, pause, resume and part; the leader has 'settled' and 'parted' committed, and each process checks on apply that its state shows the stage. From the ceding on, the first cell neither assigns ceded keys nor opens or renews sessions of the second half; 'parted' needs that all of those have ended. The state of the second cell exists only from there, with log indexes, and so epochs, above the ceding. Not there: the processes of the second cell start from that state by no setting yet known to the program.

--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -6,6 +6,7 @@
         schema::Schema,
         wire::control::{
             command_answer, operator_command, CommandAnswer, Drain, MoveSpan, OperatorCommand, Refused,
+            SplitAction,
         },
     },
     prost::Message,
@@ -52,6 +53,7 @@
             Some(operator_command::Body::Drain(drain)) => self.add_drain(drain),
             Some(operator_command::Body::Undrain(drain)) => self.remove_drain(drain),
             Some(operator_command::Body::Move(span)) => self.move_span(index, span),
+            Some(operator_command::Body::Split(action)) => self.split_command(index, *action),
             None => Err(refused("the command is not known", "")),
         };
         match result {
@@ -71,6 +73,9 @@
         if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
             return Err(refused("the schema is for another cluster", "cluster"));
         }
+        if self.is_split_fixed() && schema.split != self.schema.split {
+            return Err(refused("the split has been started and stays as it is", "split"));
+        }
         self.services
             .retain(|t| schema.service(&t.service).is_some_and(|s| s.divided_by_key));
         for service in schema.services.iter().filter(|s| s.divided_by_key) {
@@ -88,6 +93,14 @@
         Ok(Effect::Revised)
     }
 
+    fn split_command(&mut self, index: u64, action: i32) -> Result<Effect, Refused> {
+        let action = SplitAction::try_from(action).unwrap_or_default();
+        match self.split_action(index, action) {
+            Ok(()) => Ok(Effect::Revised),
+            Err(e) => Err(refused(&e.to_string(), "split")),
+        }
+    }
+
     fn add_drain(&mut self, drain: &Drain) -> Result<Effect, Refused> {
         if self.session_of_host(&drain.host).is_none() {
             return Err(refused("no such host has a session", "host"));
@@ -123,6 +136,9 @@
             .session_of_host(&wish.to_host)
             .ok_or_else(|| refused("no such host has a session", "to_host"))?;
         let to_session = session.id;
+        if !self.is_split_respected(&wish.service, &span, to_session) {
+            return Err(refused("the span belongs to the other half", "to_host"));
+        }
         let to_server = self
             .move_target(session, table, wish)
             .ok_or_else(|| refused("the host has no such server that takes ranges", "to_server"))?;
--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -8,6 +8,7 @@
         log_event,
         placement::Placer,
         settings::LeaseSettings,
+        split,
         wire::{
             control::{change, command_answer, Change, CommandAnswer, Committed, ReleaseRange},
             peer::{
@@ -215,7 +216,11 @@
             log_move(&self.config.log, release);
         }
         let releases = wanted.releases.into_iter().map(change::Body::ReleaseRange);
-        let batch = assignments.chain(releases).map(|body| (body, Waiter::None));
+        let step = wanted.split_step.map(change::Body::SplitStep);
+        let batch = assignments
+            .chain(releases)
+            .chain(step)
+            .map(|body| (body, Waiter::None));
         let batch = batch.collect();
         self.commit(batch)
     }
@@ -308,6 +313,9 @@
                     "server" => &owner.server, "epoch" => owner.epoch, "reason" => reason
                 );
             }
+            Applied::SplitStaged(stage) => {
+                log_event!(log, Event::SplitStaged; "stage" => split::stage_word(*stage));
+            }
             Applied::Command(answer) => {
                 log_event!(log, Event::CommandDecided; "answer" => answer_word(answer), "revision" => self.state.revision().to_string());
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod range_table;
 mod revision;
 mod session;
+mod split_changes;
 mod state;
 mod state_image;
 
--- a/src/control/ownership_changes.rs
+++ b/src/control/ownership_changes.rs
@@ -16,10 +16,13 @@
         if !server_lives {
             return Applied::Ignored("the server is gone");
         }
+        let span = key_range(&assign.start, assign.end.as_ref());
+        if !self.is_split_respected(&assign.service, &span, assign.session) {
+            return Applied::Ignored("the span belongs to the other half");
+        }
         let Some(table) = self.table_mut(&assign.service) else {
             return Applied::Ignored("the service is gone");
         };
-        let span = key_range(&assign.start, assign.end.as_ref());
         if span.is_empty() || table.within(&span).any(|(_, range)| range.owner.is_some()) {
             return Applied::Ignored("the span has an owner");
         }
@@ -46,10 +49,13 @@
         if !self.is_usable(release.to_session, &release.service, &release.to_server) {
             return Applied::Ignored("the target is gone");
         }
+        let span = key_range(&release.start, release.end.as_ref());
+        if !self.is_split_respected(&release.service, &span, release.to_session) {
+            return Applied::Ignored("the span belongs to the other half");
+        }
         let Some(table) = self.table_mut(&release.service) else {
             return Applied::Ignored("the service is gone");
         };
-        let span = key_range(&release.start, release.end.as_ref());
         if span.is_empty() {
             return Applied::Ignored("the span is empty");
         }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -5,6 +5,7 @@
         schema::Schema,
         wire::control::{
             change, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession, SetServers,
+            SplitStage, SplitState,
         },
     },
     std::sync::Arc,
@@ -21,6 +22,7 @@
     pub(super) services: Vec<RangeTable>,
     pub(super) answers: Answers,
     pub(super) drains: Vec<Drain>,
+    pub(super) split: SplitState,
 }
 
 /// What a change did to the state.
@@ -55,6 +57,8 @@
         /// The keys.
         span: KeyRange,
     },
+    /// The split has come to a further stage.
+    SplitStaged(SplitStage),
     /// An operator's command was decided.
     Command(CommandAnswer),
     /// The change no longer fits the state and did nothing.
@@ -130,6 +134,7 @@
             Some(change::Body::OperatorCommand(command)) => {
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
             }
+            Some(change::Body::SplitStep(step)) => self.split_step(index, step),
             None => Applied::Ignored("the change is empty"),
         }
     }
@@ -153,6 +158,9 @@
                 false => Applied::Ignored("the host has a session"),
             };
         }
+        if !self.is_host_kept(&open.host, &open.failure_domain) {
+            return Applied::Ignored("the host belongs to the other half");
+        }
         self.sessions.push(Session {
             id: index,
             open: open.clone(),
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -34,6 +34,7 @@
             answered: self.answers.records(),
             answers_horizon_ms: self.answers.horizon().0,
             drains: self.drains.clone(),
+            split: Some(self.split),
         };
         image.encode_to_vec()
     }
@@ -72,6 +73,7 @@
             services: tables.collect(),
             answers: Answers::from_records(image.answered, Ms(image.answers_horizon_ms)),
             drains: image.drains,
+            split: image.split.unwrap_or_default(),
         })
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod run;
 mod server_handler;
 mod session_task;
+mod split_status;
 mod watch_task;
 
 pub use run::run_daemon;
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -39,6 +39,7 @@
             ("GET", "in-force") => {
                 edge::json_response(StatusCode::OK, &self.in_force(request.uri.query()).await)
             }
+            ("GET", "split") => edge::json_response(StatusCode::OK, &self.split_status()),
             ("POST", name) => self.command(name, &request.body).await,
             _ => edge::plain_response(StatusCode::NOT_FOUND, "no such operation"),
         }
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -2,7 +2,7 @@
     crate::{
         control::{CommandId, Revision},
         key::Key,
-        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand},
+        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand, SplitAction},
     },
     serde::{Deserialize, Serialize},
 };
@@ -48,6 +48,10 @@
         "drain" => operator_command::Body::Drain(drain(request)),
         "undrain" => operator_command::Body::Undrain(drain(request)),
         "move" => operator_command::Body::Move(move_span(request)?),
+        "split-start" => operator_command::Body::Split(SplitAction::Start.into()),
+        "split-pause" => operator_command::Body::Split(SplitAction::Pause.into()),
+        "split-resume" => operator_command::Body::Split(SplitAction::Resume.into()),
+        "split-part" => operator_command::Body::Split(SplitAction::Part.into()),
         other => return Err(format!("{other:?} is not a command")),
     };
     Ok(OperatorCommand {
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -108,4 +108,6 @@
 
     /// The planner starts a move of a range.
     MovePlanned = "CF6101", Info, "range move planned";
+    /// The split has come to a further stage.
+    SplitStaged = "CF6102", Info, "split stage reached";
 }
--- a/src/grant/touched.rs
+++ b/src/grant/touched.rs
@@ -58,7 +58,7 @@
                 self.add(service, span);
             }
             Applied::Command(_) => self.all = true,
-            Applied::SessionOpened(_) | Applied::Ignored(_) => {}
+            Applied::SessionOpened(_) | Applied::SplitStaged(_) | Applied::Ignored(_) => {}
         }
     }
 
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -46,13 +46,15 @@
             | Applied::RangeAssigned { .. }
             | Applied::ReleaseStarted { .. }
             | Applied::RangeReleased { .. }
+            | Applied::SplitStaged(_)
             | Applied::Ignored(_) => {}
         }
     }
 
     /// Answers a renewal that was received at `now`.
     pub fn renew(&mut self, state: &State, renew: &Renew, now: Ms) -> RenewAnswer {
-        let lives = state.session(renew.session).is_some();
+        let session = state.session(renew.session);
+        let lives = session.is_some_and(|s| state.is_host_kept(&s.open.host, &s.open.failure_domain));
         let renewal = lives.then(|| self.sessions.renew(renew.session, renew.applied, now));
         RenewAnswer {
             session: renew.session,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod route;
 pub mod schema;
 pub mod settings;
+pub mod split;
 pub mod standin;
 pub mod wire;
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -2,15 +2,16 @@
     super::{
         known_ranges::{KnownRange, KnownRanges},
         load_book::LoadBook,
-        plan, Action, Memory, Plan, RangeView, ServerView, ServiceView, Snapshot,
+        plan, Action, Memory, Plan, RangeView, ServerView, ServiceView, Side, Snapshot,
     },
     crate::{
         clock::Ms,
         control::{Range, RangeTable, State},
         key::KeyRange,
         schema::Service,
+        split,
         wire::{
-            control::{AssignRange, ReleaseRange},
+            control::{AssignRange, ReleaseRange, SplitStage, SplitStep},
             peer::Renew,
         },
     },
@@ -26,6 +27,8 @@
     pub assignments: Vec<AssignRange>,
     /// Planned moves to start.
     pub releases: Vec<ReleaseRange>,
+    /// The stage of the split that is complete.
+    pub split_step: Option<SplitStep>,
 }
 
 /// Placement on the leader: it keeps the reported loads, and turns plans into changes.
@@ -73,7 +76,11 @@
             decided.actions.retain(|a| matches!(a, Action::Assign { .. }));
         }
         self.note_moves(&decided, now);
-        to_changes(&decided, &snapshot)
+        let mut changes = to_changes(&decided, &snapshot);
+        if is_due {
+            changes.split_step = split::next_step(state).map(|to| SplitStep { to: to.into() });
+        }
+        changes
     }
 
     /// Returns what `changes` would want now, for a leader that only shows it.
@@ -116,16 +123,24 @@
         let known = self.known.ranges(&table.service);
         let ranges = table.ranges().iter().enumerate().map(|(i, range)| {
             let span = table.span(i);
-            self.range_view(&table.service, range, span, known.get(i), &servers, now)
+            let side = range_side(state, &table.service, &span);
+            let view = self.range_view(&table.service, range, span, known.get(i), &servers, now);
+            RangeView { side, ..view }
         });
+        let stage = state.split().stage();
         ServiceView {
             name: table.service.clone(),
             weights: service.weights,
             moves_per_minute: service.moves_per_minute,
             loss: state.schema().loss,
+            is_splitting: stage != SplitStage::Idle,
+            is_paused: stage == SplitStage::Paused,
+            is_settled: matches!(
+                stage,
+                SplitStage::Settled | SplitStage::Ceding | SplitStage::Parted
+            ),
             ranges: ranges.collect(),
             servers,
-            ..ServiceView::default()
         }
     }
 
@@ -180,13 +195,25 @@
                 failure_domain: session.open.failure_domain.clone(),
                 slots: server.slots,
                 is_draining: state.is_drained(session, server),
-                side: None,
+                side: started_side(state, &session.open.host, &session.open.failure_domain),
             });
         }
     }
     views
 }
 
+/// Returns the half of a host once the split has been started.
+fn started_side(state: &State, host: &str, failure_domain: &str) -> Option<Side> {
+    let is_started = state.split().stage() != SplitStage::Idle;
+    state.host_side(host, failure_domain).filter(|_| is_started)
+}
+
+fn range_side(state: &State, service: &str, span: &KeyRange) -> Option<Side> {
+    let declared = state.schema().split.as_ref()?;
+    let is_started = state.split().stage() != SplitStage::Idle;
+    split::side_of_keys(declared, service, span).filter(|_| is_started)
+}
+
 fn position(servers: &[ServerView], session: u64, address: &str) -> Option<usize> {
     let key = (session, address);
     let found = servers.binary_search_by(|s| (s.session, s.address.as_str()).cmp(&key));
--- a/src/placement/repair.rs
+++ b/src/placement/repair.rs
@@ -95,7 +95,7 @@
 /// Moves ranges to servers of their own half, within the churn budget.
 pub(super) fn move_to_own_side(draft: &mut Draft<'_>, memory: &mut ServiceMemory) {
     let view = draft.view;
-    if !view.is_splitting {
+    if !view.is_splitting || view.is_paused {
         return;
     }
     for (position, range) in view.ranges.iter().enumerate() {
--- a/src/placement/snapshot.rs
+++ b/src/placement/snapshot.rs
@@ -26,6 +26,8 @@
     pub loss: LossPolicy,
     /// True: ranges of one half move to servers of that half.
     pub is_splitting: bool,
+    /// True: the ranges of the halves stay where they are for now.
+    pub is_paused: bool,
     /// True: ranges of one half never go to a server of the other.
     pub is_settled: bool,
     /// The servers, sorted by session and address.
