--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,33 +1,30 @@
 use {
-    super::local_server::{LocalServer, LostServer},
+    super::{
+        decisions::Decisions,
+        local_server::{LocalServer, LostServer},
+    },
     crate::{
         clock::{Clock, Ms},
         control::{ControlHandle, Server, State},
+        event::RateLimit,
         grant::Touched,
         key::Key,
         lease::DaemonLease,
-        link::{KeyRing, LinkError, Links},
+        link::{KeyRing, Links},
         metrics::Metrics,
         placement::LoadMeter,
         settings::Settings,
-        wire::{
-            control::{change, Change, Committed},
-            peer::{frame::Body, Propose, ProposeAnswer},
-        },
+        wire::control::Committed,
     },
     rand::{rngs::SmallRng, RngCore, SeedableRng},
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
-        time::Duration,
     },
-    tokio::{sync::Notify, time::timeout},
+    tokio::sync::Notify,
 };
 
-/// Longest time to wait for an answer of a control host.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// What the tasks of the I/O duty share. All of them run on one thread.
 pub(super) struct Node {
     pub settings: Settings,
@@ -36,6 +33,10 @@
     pub metrics: Metrics,
     pub links: Links,
     pub operator_keys: KeyRing,
+    /// Limit of the log lines on refused requests of operators and servers.
+    pub refusals: RefCell<RateLimit>,
+    /// The last decisions that this daemon saw committed.
+    pub decisions: RefCell<Decisions>,
     /// The near end of the control duty on a control host.
     pub control: Option<ControlHandle>,
     /// Random number of this process.
@@ -58,6 +59,8 @@
     pub servers_changed: Notify,
     /// Peer address of the control host that answered last.
     pub leader: RefCell<String>,
+    /// Control hosts that this daemon has turned away from as it follows the committed changes.
+    pub watched: Cell<usize>,
     pub stopping: Cell<bool>,
     /// Calls that are being served.
     pub running: Cell<usize>,
@@ -94,6 +97,8 @@
             metrics: parts.metrics,
             links: parts.links,
             operator_keys: parts.operator_keys,
+            refusals: RefCell::default(),
+            decisions: RefCell::default(),
             control: parts.control,
             process: rng.next_u64(),
             lease: DaemonLease::default(),
@@ -107,6 +112,7 @@
             lost_servers: RefCell::default(),
             servers_changed: Notify::new(),
             leader: RefCell::new(leader),
+            watched: Cell::new(0),
             stopping: Cell::new(false),
             running: Cell::new(0),
             rng: RefCell::new(rng),
@@ -137,6 +143,7 @@
                 let follows = committed.index == state.applied() + 1;
                 if let (true, Some(change)) = (follows, &committed.change) {
                     let applied = state.apply(committed.index, change);
+                    self.decisions.borrow_mut().note(committed, &applied);
                     touched.note(&applied, self.session.get());
                 }
             }
@@ -182,16 +189,13 @@
         let now = self.clock.now();
         let servers = self.servers.borrow();
         let lost = self.lost_servers.borrow();
-        let live = servers.iter().map(|s| Server {
-            leaving: s.leaving.get(),
-            ..s.announced.clone()
-        });
+        let live = servers.iter().map(|server| server.published());
         let held = lost
             .iter()
-            .filter(|lost| !lost.ended && now < lost.leases_end_at)
+            .filter(|lost| !lost.ended && now < lost.orders.leases_end_at())
             .map(|lost| Server {
                 leaving: true,
-                ..lost.announced.clone()
+                ..lost.published.clone()
             });
         live.chain(held).collect()
     }
@@ -199,53 +203,14 @@
     /// Returns the incarnations of the servers that have certainly ended and are still to be published.
     pub fn ended_servers(&self) -> Vec<String> {
         let lost = self.lost_servers.borrow();
-        let ended = lost.iter().filter(|lost| lost.ended);
-        ended.map(|lost| lost.announced.incarnation.clone()).collect()
-    }
-
-    /// Sends a request to the control host that answered last, and turns to the next one after a failure.
-    pub async fn ask_control(&self, body: Body) -> Result<Body, LinkError> {
-        let address = self.leader.borrow().clone();
-        let answer = match timeout(CONTROL_TIMEOUT, self.links.request(&address, body)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(LinkError::Lost("no answer in time".into())),
-        };
-        if answer.is_err() {
-            self.turn_to_next_control_host(&address);
-        }
-        answer
-    }
-
-    /// Follows the word of a control host that another one leads.
-    pub fn follow_leader(&self, leader: &str) {
-        if !leader.is_empty() {
-            leader.clone_into(&mut self.leader.borrow_mut());
-        }
-    }
-
-    /// Proposes a change. `None`: it is not known whether it was committed.
-    pub async fn propose(&self, body: change::Body) -> Option<ProposeAnswer> {
-        let change = Change {
-            proposed_at_ms: 0,
-            body: Some(body),
+        // A process whose successor may still have its calls has not ended in every respect.
+        let is_held = |incarnation: &str| {
+            lost.iter()
+                .any(|l| !l.ended && l.published.incarnation == incarnation)
         };
-        match self
-            .ask_control(Body::Propose(Propose { change: Some(change) }))
-            .await
-        {
-            Ok(Body::ProposeAnswer(answer)) => {
-                self.follow_leader(&answer.leader);
-                (answer.index != 0).then_some(answer)
-            }
-            Ok(_) | Err(_) => None,
-        }
-    }
-
-    fn turn_to_next_control_host(&self, failed: &str) {
-        let hosts = &self.settings.control_hosts;
-        let position = hosts.iter().position(|a| a.to_string() == failed).unwrap_or(0);
-        if let Some(next) = hosts.get((position + 1) % hosts.len().max(1)) {
-            *self.leader.borrow_mut() = next.to_string();
-        }
+        let ended = lost
+            .iter()
+            .filter(|l| l.ended && !is_held(&l.announced.incarnation));
+        ended.map(|lost| lost.announced.incarnation.clone()).collect()
     }
 }
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -63,6 +63,7 @@
             lagging: renewal == Some(Renewal::Lagging),
             leader: String::new(),
             committed: state.applied(),
+            declined: false,
         }
     }
 
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -21,6 +21,8 @@
     pub services: Vec<String>,
     /// The `lease` part of the settings.
     pub lease: Value,
+    /// More arguments of each daemon.
+    pub daemon_args: Vec<String>,
 }
 
 impl Default for ClusterPlan {
@@ -30,6 +32,7 @@
             control_hosts: 1,
             services: vec!["ledger".into()],
             lease: json!({}),
+            daemon_args: Vec::new(),
         }
     }
 }
@@ -90,6 +93,7 @@
     pub dir: TempDir,
     pub hosts: Vec<Host>,
     pub servers: Vec<Standin>,
+    daemon_args: Vec<String>,
     agent: Agent,
 }
 
@@ -139,6 +143,7 @@
             dir,
             hosts,
             servers: Vec::new(),
+            daemon_args: plan.daemon_args.clone(),
             agent: config
                 .timeout_global(Some(Duration::from_secs(10)))
                 .build()
@@ -150,13 +155,39 @@
         cluster
     }
 
+    /// Starts a second daemon with the name of a host, but other addresses. Returns its position.
+    pub fn start_twin(&mut self, position: usize) -> usize {
+        let original = &self.hosts[position];
+        let file = self.dir.path().join(format!("{}.json", original.name));
+        let mut settings: Value = serde_json::from_str(&fs::read_to_string(file).unwrap()).unwrap();
+        let twin = Host {
+            name: format!("{}-twin", original.name),
+            caller: free_address(),
+            server: free_address(),
+            operator: free_address(),
+            peer: free_address(),
+            data_dir: original.data_dir.with_extension("twin"),
+            process: None,
+        };
+        settings["caller_address"] = json!(twin.caller.to_string());
+        settings["server_address"] = json!(twin.server.to_string());
+        settings["operator_address"] = json!(twin.operator.to_string());
+        settings["peer_address"] = json!(twin.peer.to_string());
+        let file = self.dir.path().join(format!("{}.json", twin.name));
+        fs::write(file, settings.to_string()).unwrap();
+        self.hosts.push(twin);
+        self.start_host(self.hosts.len() - 1);
+        self.hosts.len() - 1
+    }
+
     /// Starts a daemon, also after its end.
     pub fn start_host(&mut self, position: usize) {
         let host = &mut self.hosts[position];
         host.process = None;
         let settings = format!("{}.json", host.name);
         let log = format!("{}.log", host.name);
-        let args = ["--settings".into(), settings];
+        let mut args = vec!["--settings".into(), settings];
+        args.extend(self.daemon_args.iter().cloned());
         host.process = Some(Process::start(
             env!("CARGO_BIN_EXE_clementined"),
             &args,
@@ -165,6 +196,12 @@
         ));
     }
 
+    /// Returns the process id of a daemon.
+    pub fn pid(&self, position: usize) -> u32 {
+        let process = self.hosts[position].process.as_ref();
+        process.unwrap().id()
+    }
+
     /// Kills a daemon.
     pub fn kill_host(&mut self, position: usize) {
         self.hosts[position].process = None;
