--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -152,15 +152,15 @@
     /// A host has one session at most: the older one has to end first, after its lease. The process that
     /// holds it and lost the answer gets the same session again.
     fn open_session(&mut self, index: u64, open: &OpenSession) -> Applied {
+        if !self.is_host_kept(&open.host, &open.failure_domain) {
+            return Applied::Ignored("the host belongs to the other half");
+        }
         if let Some(session) = self.session_of_host(&open.host) {
             return match session.open.process == open.process {
                 true => Applied::SessionOpened(session.id),
                 false => Applied::Ignored("the host has a session"),
             };
         }
-        if !self.is_host_kept(&open.host, &open.failure_domain) {
-            return Applied::Ignored("the host belongs to the other half");
-        }
         self.sessions.push(Session {
             id: index,
             open: open.clone(),
--- a/src/placement/known_ranges.rs
+++ b/src/placement/known_ranges.rs
@@ -119,6 +119,10 @@
         start: range.start.clone(),
         session: owner.or_else(|| known.and_then(|k| k.session)),
         vacated_at,
-        moved_at: known.and_then(|k| k.moved_at),
+        // A range that an operator moves settles there as one that the planner moves.
+        moved_at: match range.release {
+            Some(_) => Some(now),
+            None => known.and_then(|k| k.moved_at),
+        },
     }
 }
--- a/tests/split_stages.rs
+++ b/tests/split_stages.rs
@@ -377,6 +377,9 @@
     let mut cluster = Cluster::new();
     cluster.bring_to(SplitStage::Ceding);
     assert!(cluster.f.state.second_cell().is_none(), "owners may still serve");
+    for host in SECOND_HOSTS {
+        assert_eq!(cluster.f.open(host, host), 0, "host-{host} asks for its session again");
+    }
     cluster.dead = SECOND_HOSTS.to_vec();
     // The owner is gone, but the other server of its half still has a session.
     let owner = cluster.f.owner("z").unwrap().session;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -14,6 +14,6 @@
         assert_one_owner, move_span, owner_of, schema, serves, serves_all, start_ledger, FIRST_RANGE, KEYS,
         PATIENCE,
     },
-    ownership_check::{overlaps, Tenure},
+    ownership_check::{longest_gap, overlaps, Tenure},
     processes::wait_until,
 };
--- a/tests/support/ownership_check.rs
+++ b/tests/support/ownership_check.rs
@@ -24,6 +24,19 @@
     found
 }
 
+/// Returns the longest time in ms in which no server held `key` between two tenures, by their reports.
+pub fn longest_gap(reports: &[Value], key: &str) -> u64 {
+    let mut all: Vec<Tenure> = reports.iter().flat_map(|r| tenures(r, key)).collect();
+    all.sort_by_key(|t| t.from_ms);
+    let mut longest = 0;
+    let mut held_until = all.first().map_or(0, |t| t.until_ms);
+    for tenure in &all {
+        longest = longest.max(tenure.from_ms.saturating_sub(held_until));
+        held_until = held_until.max(tenure.until_ms);
+    }
+    longest
+}
+
 /// Returns when the server of this report held `key`: between grant and revoke, while its lease held.
 fn tenures(report: &Value, key: &str) -> Vec<Tenure> {
     let empty = Vec::new();
