--- a/benches/placement/history.rs
+++ b/benches/placement/history.rs
@@ -48,7 +48,7 @@
             Self::BankBatch => "bank batch",
             Self::WeddingParty => "wedding party",
             Self::ServerLost => "server lost",
-            Self::DomainLostAndBack => "domain lost, back",
+            Self::DomainLostAndBack => "domain lost and back",
             Self::Restarts => "restarts",
             Self::Split => "split",
         }
--- a/benches/placement/main.rs
+++ b/benches/placement/main.rs
@@ -1,6 +1,6 @@
 //! Decisions of the planner against baselines, over seeded histories of load.
 //!
-//! `cargo bench --bench placement [-- today|full] [SVG]` prints tables with ratios in one run.
+//! `cargo bench --bench placement -- [today|full] [HISTORY...] [SVG]` prints tables with ratios in one run.
 
 mod history;
 mod plot;
@@ -73,6 +73,11 @@
         .filter(|a| !a.starts_with("--"))
         .collect();
     let wants = |name: &str| args.is_empty() || args.iter().any(|a| a == name);
+    let named = |h: &History| args.iter().any(|a| a.replace('-', " ") == h.name());
+    let mut histories: Vec<History> = History::ALL.into_iter().filter(|h| named(h)).collect();
+    if histories.is_empty() {
+        histories = History::ALL.to_vec();
+    }
     let mut sizes = Vec::new();
     if wants("today") {
         sizes.push((AGENCY_TODAY, [6, 30]));
@@ -82,7 +87,7 @@
         sizes.push((FULL, [600, 600]));
     }
     for (size, budgets) in sizes {
-        let rows = run_size(size, budgets);
+        let rows = run_size(size, budgets, &histories);
         print_totals(size, &rows);
         if let Some(path) = args.iter().find(|a| a.ends_with(".svg")) {
             let path = path.replace(".svg", &format!("-{}.svg", size.name.replace(' ', "-")));
@@ -93,10 +98,10 @@
     }
 }
 
-fn run_size(size: Size, budgets: [u32; 2]) -> Vec<Row> {
+fn run_size(size: Size, budgets: [u32; 2], histories: &[History]) -> Vec<Row> {
     print_head(size);
     let mut rows = Vec::new();
-    for history in History::ALL {
+    for history in histories.iter().copied() {
         let strategies = [
             Strategy::Static,
             Strategy::hashing(size.servers),
--- a/tests/split_stages.rs
+++ b/tests/split_stages.rs
@@ -378,7 +378,11 @@
     cluster.bring_to(SplitStage::Ceding);
     assert!(cluster.f.state.second_cell().is_none(), "owners may still serve");
     for host in SECOND_HOSTS {
-        assert_eq!(cluster.f.open(host, host), 0, "host-{host} asks for its session again");
+        assert_eq!(
+            cluster.f.open(host, host),
+            0,
+            "host-{host} asks for its session again"
+        );
     }
     cluster.dead = SECOND_HOSTS.to_vec();
     // The owner is gone, but the other server of its half still has a session.
