--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod range_table;
 mod revision;
 mod session;
+mod split_changes;
 mod start;
 mod state;
 mod state_image;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 mod server_handler;
 mod session_task;
 mod slot_gate;
+mod split_status;
 mod watch_task;
 
 pub use run::run_daemon;
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -147,6 +147,8 @@
 
     /// The planner starts a move of a range.
     MovePlanned = "CF6101", Info, "range move planned";
+    /// The split has come to a further stage.
+    SplitStaged = "CF6102", Info, "split stage reached";
 
     /// An operator's command was answered by this daemon.
     CommandAnswered = "CF7101", Info, "operator command answered";
