--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,6 +4,7 @@
         local_server::{LocalServer, LostServer},
     },
     crate::{
+        call::{RetryBudget, Tenures},
         clock::{Clock, Ms},
         control::{ControlHandle, Server, State},
         event::RateLimit,
@@ -13,6 +14,7 @@
         link::{KeyRing, Links},
         metrics::Metrics,
         placement::LoadMeter,
+        route::{Balancer, Candidate},
         settings::Settings,
         wire::control::Committed,
     },
@@ -62,11 +64,32 @@
     /// Control hosts that this daemon has turned away from as it follows the committed changes.
     pub watched: Cell<usize>,
     pub stopping: Cell<bool>,
+    /// True once the daemon sends no more calls to its servers.
+    pub refusing: Cell<bool>,
     /// Calls that are being served.
     pub running: Cell<usize>,
     pub rng: RefCell<SmallRng>,
     /// Work of the local servers by range.
     pub meter: RefCell<LoadMeter>,
+    /// What was seen of the servers of undivided services, anywhere.
+    pub balancer: RefCell<Balancer>,
+    /// What was seen of the servers behind this daemon.
+    pub local_view: RefCell<Balancer>,
+    pub retry_budget: RefCell<RetryBudget>,
+    /// Servers of undivided services by service, as the present state has them.
+    pub candidates: RefCell<Vec<(String, Rc<Vec<Candidate>>)>>,
+    /// The guards that this daemon holds as owner or as copy.
+    pub tenures: RefCell<Tenures>,
+    /// Service and guard key of the calls that guards of this daemon let through and that run.
+    pub let_through: RefCell<Vec<(String, Key)>>,
+    /// Guards that are being brought here, by epoch and first key.
+    pub establishing: RefCell<Vec<(u64, Key)>>,
+    /// Woken whenever a guarded call has ended.
+    pub guard_finished: Notify,
+    /// Woken when a copy could not be reached.
+    pub guard_copy_failed: Notify,
+    /// Woken when this daemon can serve a range that it could not serve before.
+    pub ownership_changed: Notify,
     next_call: Cell<u64>,
 }
 
@@ -114,9 +137,20 @@
             leader: RefCell::new(leader),
             watched: Cell::new(0),
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
             running: Cell::new(0),
             rng: RefCell::new(rng),
             meter: RefCell::new(LoadMeter::new(Ms::ZERO)),
+            balancer: RefCell::default(),
+            local_view: RefCell::default(),
+            retry_budget: RefCell::default(),
+            candidates: RefCell::default(),
+            tenures: RefCell::default(),
+            let_through: RefCell::default(),
+            establishing: RefCell::default(),
+            guard_finished: Notify::new(),
+            guard_copy_failed: Notify::new(),
+            ownership_changed: Notify::new(),
             next_call: Cell::new(0),
         }
     }
@@ -153,6 +187,7 @@
 
     /// Has the grants compared with what changed.
     pub fn touch(&self, touched: Touched) {
+        self.candidates.borrow_mut().clear();
         self.touched.borrow_mut().merge(touched);
         self.grants_changed.notify_one();
         self.state_changed.notify_waiters();
@@ -189,7 +224,13 @@
         let now = self.clock.now();
         let servers = self.servers.borrow();
         let lost = self.lost_servers.borrow();
-        let live = servers.iter().map(|server| server.published());
+        let live = servers.iter().map(|server| {
+            let published = server.published();
+            Server {
+                leaving: published.leaving || self.stopping.get(),
+                ..published
+            }
+        });
         let held = lost
             .iter()
             .filter(|lost| !lost.ended && now < lost.orders.leases_end_at())
@@ -200,6 +241,18 @@
         live.chain(held).collect()
     }
 
+    /// Tells if a server behind this daemon owns a range.
+    pub fn owns_ranges(&self) -> bool {
+        let state = self.state();
+        let Some(session) = self.session.get() else {
+            return false;
+        };
+        let ranges = state.services().iter().flat_map(|table| table.ranges());
+        ranges
+            .flat_map(|range| &range.owner)
+            .any(|o| o.session == session)
+    }
+
     /// Returns the incarnations of the servers that have certainly ended and are still to be published.
     pub fn ended_servers(&self) -> Vec<String> {
         let lost = self.lost_servers.borrow();
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -2,11 +2,12 @@
     super::{
         local_server::{LocalServer, LostServer},
         node::Node,
+        slot_gate::SlotGate,
     },
     crate::{
         clock::Ms,
         control::Server,
-        edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerOrders},
+        edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerLimits, ServerOrders},
         event::Event,
         grant::{GrantBook, Touched},
         log_event,
@@ -18,7 +19,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// A server that has not announced itself for this long is taken for lost.
@@ -62,7 +63,7 @@
         }
     }
 
-    fn announce(&self, announced: Server) -> Result<(), String> {
+    fn announce(self: &Rc<Self>, announced: Server) -> Result<(), String> {
         let now = self.clock.now();
         let mut predecessor = None;
         let mut grants = GrantBook::default();
@@ -81,20 +82,24 @@
             if ended {
                 grants = known.grants.take().inherited();
                 orders = Some(known.orders.clone());
-                predecessor = Some(known);
+                predecessor = Some(known.clone());
+                let node = self.clone();
+                spawn_local(async move { node.note_crash(&known).await });
             } else {
                 known.orders.close();
             }
         }
-        let client = ServerClient::start(
-            &announced.address,
-            announced.slots,
-            self.settings.caller_limits.answer_bytes,
-            self.clock.clone(),
-            self.lease.clone(),
-        );
+        if self.is_taken_out(&announced.address) {
+            return Ok(());
+        }
+        let limits = ServerLimits {
+            answer_bytes: self.settings.caller_limits.answer_bytes,
+            idle_connections: announced.slots.min(announced.connections.saturating_sub(1)) as usize,
+        };
         let server = LocalServer {
-            client: client.map_err(|e| e.to_string())?,
+            client: ServerClient::new(&announced.address, limits, self.clock.clone(), self.lease.clone()),
+            gate: SlotGate::new(announced.slots, self.clock.clone()),
+            lost: RefCell::default(),
             orders: match orders {
                 Some(orders) => orders,
                 None => self.start_orders(&announced.address).map_err(|e| e.to_string())?,
@@ -160,6 +165,7 @@
 
     /// False: it was forgotten before.
     fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, ended: bool) -> bool {
+        lost.client.stop();
         let count = self.servers.borrow().len();
         self.servers
             .borrow_mut()
--- a/src/edge/server_orders.rs
+++ b/src/edge/server_orders.rs
@@ -52,6 +52,11 @@
         /// Epoch of the ownership.
         epoch: u64,
     },
+    /// Stop a call whose caller no longer waits.
+    Cancel {
+        /// Id of the attempt.
+        call: String,
+    },
     /// Take no new work.
     Drain,
 }
@@ -183,6 +188,7 @@
             Order::Revoke { service, span, epoch } => {
                 ("revoke", span_json(service, span, *epoch), REVOKE_TIMEOUT)
             }
+            Order::Cancel { call } => ("cancel", json!({ "call": call }), ORDER_TIMEOUT),
             Order::Drain => ("drain", json!({}), ORDER_TIMEOUT),
         };
         let response = self
