--- a/benches/capacity/daemons.rs
+++ b/benches/capacity/daemons.rs
@@ -3,6 +3,11 @@
         measure::{process_cpu_ms, resident},
         support::{wait_until, Cluster, ClusterPlan, StandinPlan},
     },
+    clementinefold::{
+        clock::Ms,
+        load::{run_load, LoadSettings},
+        schema::Schema,
+    },
     serde_json::{json, Value},
     std::{
         fs, thread,
@@ -108,3 +113,34 @@
         }
     }
 }
+
+/// Processor time of both daemons for a call at many connections, half of the calls forwarded.
+pub fn load() {
+    println!("log  connections  answered  us-of-both-daemons  calls-a-second");
+    for level in ["info", "warning"] {
+        let cluster = cluster(level);
+        for connections in [4, 32] {
+            let settings = LoadSettings {
+                addresses: cluster.hosts.iter().map(|host| host.caller).collect(),
+                schema: Schema::from_json(&schema().to_string()).unwrap(),
+                connections,
+                calls: 20_000,
+                keys: 1000,
+                deadline: Ms(5000),
+                pause: Ms(0),
+                seed: 1,
+            };
+            let before: f64 = (0..2).map(|host| process_cpu_ms(cluster.pid(host))).sum();
+            let started = Instant::now();
+            let report = run_load(&settings).unwrap();
+            let seconds = started.elapsed().as_secs_f64();
+            let after: f64 = (0..2).map(|host| process_cpu_ms(cluster.pid(host))).sum();
+            let cpu = (after - before) * 1000.0 / report.calls() as f64;
+            let rate = report.calls() as f64 / seconds;
+            println!(
+                "{level}  {connections}  {}  {cpu:.0}  {rate:.0}",
+                report.answered()
+            );
+        }
+    }
+}
--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -9,7 +9,7 @@
 mod table;
 
 /// The parts by name.
-const PARTS: [(&str, fn()); 7] = [
+const PARTS: [(&str, fn()); 8] = [
     ("table", table::memory_and_copies),
     ("route", table::routes),
     ("renewals", control::renewals),
@@ -17,6 +17,7 @@
     ("links", links::cost),
     ("idle", daemons::idle),
     ("calls", daemons::calls),
+    ("load", daemons::load),
 ];
 
 fn main() {
