--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -110,7 +110,7 @@
         if self.refusing.get() {
             return Err(Reason::Draining);
         }
-        if server.client.is_stopped() {
+        if server.client.is_stopped() || !server.crash_counted.get() {
             return Err(Reason::NoServer);
         }
         let service = dispatch.service;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -231,14 +231,17 @@
                 ..published
             }
         });
-        let held = lost
-            .iter()
-            .filter(|lost| !lost.ended && now < lost.orders.leases_end_at())
-            .map(|lost| Server {
-                leaving: true,
-                ..lost.published.clone()
-            });
-        live.chain(held).collect()
+        let mut listed: Vec<Server> = live.collect();
+        for lost in lost.iter().filter(|l| l.is_held(now)) {
+            // The successor of a process stands for it.
+            if listed.iter().all(|s| s.incarnation != lost.published.incarnation) {
+                listed.push(Server {
+                    leaving: true,
+                    ..lost.published.clone()
+                });
+            }
+        }
+        listed
     }
 
     /// Tells if a server behind this daemon owns a range.
@@ -257,13 +260,13 @@
     pub fn ended_servers(&self) -> Vec<String> {
         let lost = self.lost_servers.borrow();
         // A process whose successor may still have its calls has not ended in every respect.
-        let is_held = |incarnation: &str| {
-            lost.iter()
-                .any(|l| !l.ended && l.published.incarnation == incarnation)
+        let is_open = |l: &LostServer| {
+            let successors = lost.iter().filter(|other| !other.has_ended());
+            successors
+                .into_iter()
+                .any(|other| other.published.incarnation == l.incarnation())
         };
-        let ended = lost
-            .iter()
-            .filter(|l| l.ended && !is_held(&l.announced.incarnation));
-        ended.map(|lost| lost.announced.incarnation.clone()).collect()
+        let ended = lost.iter().filter(|l| l.has_ended() && !is_open(l));
+        ended.map(|l| l.incarnation().to_owned()).collect()
     }
 }
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -68,6 +68,7 @@
         let mut predecessor = None;
         let mut grants = GrantBook::default();
         let mut orders = None;
+        let mut crashed = None;
         if let Some(known) = self.server(&announced.service, &announced.address) {
             let unchanged = Server {
                 leaving: false,
@@ -83,13 +84,16 @@
                 grants = known.grants.take().inherited();
                 orders = Some(known.orders.clone());
                 predecessor = Some(known.clone());
-                let node = self.clone();
-                spawn_local(async move { node.note_crash(&known).await });
+                crashed = Some(known);
             } else {
                 known.orders.close();
             }
         }
         if self.is_taken_out(&announced.address) {
+            if let Some(known) = crashed {
+                let node = self.clone();
+                spawn_local(async move { node.note_crash(&known).await });
+            }
             return Ok(());
         }
         let limits = ServerLimits {
@@ -100,6 +104,7 @@
             client: ServerClient::new(&announced.address, limits, self.clock.clone(), self.lease.clone()),
             gate: SlotGate::new(announced.slots, self.clock.clone()),
             lost: RefCell::default(),
+            crash_counted: Cell::new(crashed.is_none()),
             orders: match orders {
                 Some(orders) => orders,
                 None => self.start_orders(&announced.address).map_err(|e| e.to_string())?,
@@ -121,8 +126,17 @@
         // A server that came back before its removal was published goes on where it was.
         self.lost_servers
             .borrow_mut()
-            .retain(|lost| lost.announced.incarnation != server.announced.incarnation);
-        self.servers.borrow_mut().push(Rc::new(server));
+            .retain(|lost| lost.incarnation() != server.announced.incarnation);
+        let server = Rc::new(server);
+        self.servers.borrow_mut().push(server.clone());
+        if let Some(known) = crashed {
+            let node = self.clone();
+            spawn_local(async move {
+                node.note_crash(&known).await;
+                server.crash_counted.set(true);
+                node.ownership_changed.notify_waiters();
+            });
+        }
         self.servers_changed.notify_one();
         self.touch(Touched::everything());
         Ok(())
@@ -132,8 +146,11 @@
     fn start_orders(&self, address: &str) -> io::Result<Rc<ServerOrders>> {
         let orders = ServerOrders::start(address, self.clock.clone(), self.lease.clone())?;
         let lost = self.lost_servers.borrow();
-        for earlier in lost.iter().filter(|lost| lost.announced.address == address) {
-            orders.count_lease(earlier.orders.leases_end_at());
+        for earlier in lost
+            .iter()
+            .filter(|lost| lost.server.announced.address == address)
+        {
+            orders.count_lease(earlier.server.orders.leases_end_at());
         }
         Ok(Rc::new(orders))
     }
@@ -148,10 +165,9 @@
         }
     }
 
-    /// Forgets a local server at whose address nothing listens. It has ended if none of its calls runs.
+    /// Forgets a local server at whose address nothing listens. It has ended once none of its calls runs.
     pub fn remove_server(&self, lost: &Rc<LocalServer>, reason: &str) {
-        let ended = lost.running.borrow().is_empty() && lost.predecessor.borrow().is_none();
-        if self.forget_server(lost, reason, ended) {
+        if self.forget_server(lost, reason, true) {
             lost.orders.close();
         }
     }
@@ -164,7 +180,7 @@
     }
 
     /// False: it was forgotten before.
-    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, ended: bool) -> bool {
+    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, is_gone: bool) -> bool {
         lost.client.stop();
         let count = self.servers.borrow().len();
         self.servers
@@ -178,10 +194,9 @@
             "service" => &lost.announced.service, "server" => &lost.announced.address, "reason" => reason
         );
         self.lost_servers.borrow_mut().push(LostServer {
-            announced: lost.announced.clone(),
             published: lost.published(),
-            ended,
-            orders: lost.orders.clone(),
+            server: lost.clone(),
+            is_gone,
         });
         self.servers_changed.notify_one();
         true
