--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -62,6 +62,9 @@
             Some(operator_command::Body::Drain(drain)) => self.add_drain(drain),
             Some(operator_command::Body::Undrain(drain)) => self.remove_drain(drain),
             Some(operator_command::Body::Move(span)) => self.move_span(index, span),
+            Some(operator_command::Body::ReleaseQuarantine(fingerprint)) => {
+                self.release_quarantine(fingerprint)
+            }
             None => Err(refused("the command is not known", "")),
         };
         match result {
@@ -81,14 +84,8 @@
         if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
             return Err(refused("the schema is for another cluster", "cluster"));
         }
-        self.services
-            .retain(|t| schema.service(&t.service).is_some_and(|s| s.divided_by_key));
+        self.fit_tables(&schema);
         for service in schema.services.iter().filter(|s| s.divided_by_key) {
-            if self.table(&service.name).is_none() {
-                self.services
-                    .push(RangeTable::new(&service.name, &service.boundaries));
-                self.services.sort_by(|a, b| a.service.cmp(&b.service));
-            }
             if let Some(table) = self.table_mut(&service.name) {
                 table.longest_deadline = table.longest_deadline.max(service.longest_deadline());
             }
@@ -98,6 +95,13 @@
         Ok(Effect::Revised)
     }
 
+    fn release_quarantine(&mut self, fingerprint: &bytes::Bytes) -> Result<Effect, Refused> {
+        if self.suspects.clear(std::slice::from_ref(fingerprint), true) == 0 {
+            return Err(refused("no such request is quarantined", "fingerprint"));
+        }
+        Ok(Effect::Owners)
+    }
+
     fn add_drain(&mut self, drain: &Drain) -> Result<Effect, Refused> {
         if self.session_of_host(&drain.host).is_none() {
             return Err(refused("no such host has a session", "host"));
--- a/src/control/note.rs
+++ b/src/control/note.rs
@@ -41,7 +41,16 @@
                 );
             }
         }
-        Applied::ServersSet(_) | Applied::RangeReleased { .. } | Applied::Ignored(_) => {}
+        Applied::CrashCounted(quarantined) => {
+            for fingerprint in quarantined {
+                log_event!(log, Event::RequestQuarantined; "fingerprint" => fingerprint.to_text());
+            }
+        }
+        Applied::GuardReady(_)
+        | Applied::SuspectsCleared
+        | Applied::ServersSet(_)
+        | Applied::RangeReleased { .. }
+        | Applied::Ignored(_) => {}
     }
 }
 
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         answers::{Answers, Horizon},
-        Owner, Range, RangeTable, Release, Revision, Session, State, Vacancy,
+        GuardTable, Owner, Range, RangeTable, Release, Revision, Session, State, SuspectList, Vacancy,
     },
     crate::{
         clock::Ms,
@@ -39,6 +39,8 @@
             answers_horizon_ms: self.answers.horizon().made_at.0,
             answers_horizon_base: self.answers.horizon().base,
             drains: self.drains.clone(),
+            guards: self.guards.iter().map(GuardTable::to_image).collect(),
+            suspects: self.suspects.list().to_vec(),
         };
         image.encode_to_vec()
     }
@@ -84,6 +86,8 @@
                 },
             ),
             drains: image.drains,
+            guards: image.guards.into_iter().map(GuardTable::from_image).collect(),
+            suspects: SuspectList::from_list(image.suspects),
         })
     }
 }
--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -96,7 +96,7 @@
     fn act(self: &Rc<Self>, server: &Rc<LocalServer>) {
         let mut book = server.grants.borrow_mut();
         book.forget_dropped(server.orders.leases_end_at(), self.clock.now());
-        for action in book.next_actions(|span| server.is_busy_in(span)) {
+        for action in book.next_actions(|span| self.is_busy_in(server, span)) {
             spawn_local(self.clone().carry_out(server.clone(), action));
         }
         drop(book);
@@ -123,10 +123,31 @@
         server.grants.borrow_mut().done(&action, confirmed);
         if confirmed {
             self.grants_changed.notify_one();
-            self.state_changed.notify_waiters();
+            self.ownership_changed.notify_waiters();
         }
     }
 
+    /// Tells if a call with a key of `span` runs on the server, or was let through by the guard of `span`.
+    fn is_busy_in(&self, server: &LocalServer, span: &KeyRange) -> bool {
+        let service = &server.announced.service;
+        let let_through = self.let_through.borrow();
+        let guarded = let_through
+            .iter()
+            .any(|(name, key)| name == service && span.contains(key));
+        guarded || server.is_busy_in(span)
+    }
+
+    /// Gives an order about a range to a server. The ranges of an undivided service are ranges of request
+    /// ids, which servers know nothing of.
+    async fn give(&self, server: &LocalServer, order: Order) -> Result<(), OrderError> {
+        let schema = self.state().schema().clone();
+        let service = schema.service(&server.announced.service);
+        if service.is_some_and(|s| !s.divided_by_key) {
+            return Ok(());
+        }
+        server.orders.give(order).await
+    }
+
     async fn grant(&self, server: &Rc<LocalServer>, span: &KeyRange, epoch: u64) -> bool {
         let service = &server.announced.service;
         let order = Order::Grant {
@@ -134,7 +155,7 @@
             span: span.clone(),
             epoch,
         };
-        match server.orders.give(order).await {
+        match self.give(server, order).await {
             Ok(()) => {
                 log_event!(
                     self.log, Event::RangeGranted;
@@ -157,7 +178,7 @@
             span: span.clone(),
             epoch,
         };
-        match server.orders.give(order).await {
+        match self.give(server, order).await {
             Ok(()) => {
                 log_event!(
                     self.log, Event::RangeRevoked;
@@ -201,7 +222,7 @@
     }
 
     async fn extend(self: Rc<Self>, server: Rc<LocalServer>) {
-        match server.orders.give(Order::Lease).await {
+        match self.give(&server, Order::Lease).await {
             Ok(()) | Err(OrderError::NoLease) => {}
             Err(OrderError::Refused(_)) => {
                 log_event!(
--- a/src/grant/touched.rs
+++ b/src/grant/touched.rs
@@ -58,7 +58,11 @@
                 self.add(service, span);
             }
             Applied::Command(_) => self.all = true,
-            Applied::SessionOpened(_) | Applied::Ignored(_) => {}
+            Applied::SessionOpened(_)
+            | Applied::GuardReady(_)
+            | Applied::CrashCounted(_)
+            | Applied::SuspectsCleared
+            | Applied::Ignored(_) => {}
         }
     }
 
