--- a/src/call/server_queue.rs
+++ b/src/call/server_queue.rs
@@ -142,13 +142,14 @@
     /// Drops expired calls and gives a free slot to the call that is next.
     pub fn turn(&mut self, now: Ms) -> Turn {
         let mut turn = Turn::default();
-        self.waiting.retain(|waiting| {
-            let expired = waiting.demand.deadline <= now;
-            if expired {
-                turn.expired.push(waiting.ticket);
-            }
-            !expired
-        });
+        // Only the call that is next is looked at: each of the others is looked at when its turn comes.
+        let expired = self
+            .waiting
+            .iter()
+            .take_while(|w| w.demand.deadline <= now)
+            .count();
+        turn.expired
+            .extend(self.waiting.drain(..expired).map(|waiting| waiting.ticket));
         let first = self.waiting.first().map(|first| first.demand.alone);
         if let Some(alone) = first.filter(|alone| self.has_room(*alone)) {
             turn.next = Some(self.waiting.remove(0).ticket);
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -109,7 +109,10 @@
 }
 
 fn runs(reports: &[Value], id: &str) -> u64 {
-    reports.iter().filter_map(|report| report["runs"][id].as_u64()).sum()
+    reports
+        .iter()
+        .filter_map(|report| report["runs"][id].as_u64())
+        .sum()
 }
 
 #[test]
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -21,6 +21,8 @@
     pub services: Vec<String>,
     /// The `lease` part of the settings.
     pub lease: Value,
+    /// Lowest level that the daemons log.
+    pub log_level: &'static str,
 }
 
 impl Default for ClusterPlan {
@@ -30,6 +32,7 @@
             control_hosts: 1,
             services: vec!["ledger".into()],
             lease: json!({}),
+            log_level: "info",
         }
     }
 }
@@ -130,6 +133,7 @@
                 "peer_key_file": "test.keys",
                 "operator_key_file": "test.keys",
                 "lease": plan.lease,
+                "log": { "format": "terminal", "level": plan.log_level },
             });
             if position < plan.control_hosts {
                 settings["control"] = json!({ "data_dir": host.data_dir, "first_voters": voters });
