--- a/src/call/call_result.rs
+++ b/src/call/call_result.rs
@@ -24,6 +24,8 @@
     pub retry_after: Ms,
     /// True where a recorded answer is given again.
     pub replayed: bool,
+    /// Log index that the daemon that answered had applied. 0: it was this daemon.
+    pub revision: u64,
 }
 
 impl CallResult {
@@ -37,6 +39,7 @@
             reason: None,
             retry_after: Ms::ZERO,
             replayed: false,
+            revision: 0,
         }
     }
 
@@ -50,6 +53,7 @@
             reason: Some(reason),
             retry_after: Ms::ZERO,
             replayed: false,
+            revision: 0,
         }
     }
 
@@ -65,6 +69,7 @@
             reason: Reason::from_word(&answer.reason).or(fallback),
             retry_after: answer.retry_after_ms.into(),
             replayed: answer.replayed,
+            revision: answer.revision,
         }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,26 +5,32 @@
 mod command_id;
 mod control_duty;
 mod control_handle;
+mod disk_duty;
+mod founding;
 mod guard_changes;
 mod guard_table;
-mod log_file;
+mod members;
+mod note;
 mod ownership_changes;
+mod proposals;
 mod range_table;
 mod revision;
 mod session;
+mod start;
 mod state;
 mod state_image;
+mod state_parts;
 mod suspect_list;
+mod watches;
 
 pub use {
     command_id::{CommandId, CommandIdError},
-    control_duty::{start_control, ControlConfig},
     control_handle::{ControlHandle, ControlInput},
     guard_table::{id_boundaries, GuardSpan, GuardTable},
-    log_file::{LogError, LogFile},
     range_table::{Owner, Range, RangeTable, Release, Vacancy},
     revision::{Revision, RevisionTextError},
     session::{Server, Session},
+    start::{start_control, ControlConfig, ControlError},
     state::{Applied, State},
     suspect_list::{SuspectList, Suspicion},
 };
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        answers::Answers, GuardTable, Owner, Range, RangeTable, Release, Revision, Session, State,
-        SuspectList, Vacancy,
+        answers::{Answers, Horizon},
+        GuardTable, Owner, Range, RangeTable, Release, Revision, Session, State, SuspectList, Vacancy,
     },
     crate::{
         clock::Ms,
@@ -22,6 +22,7 @@
             id: s.id,
             open: Some(s.open.clone()),
             servers: s.servers.clone(),
+            servers_number: s.servers_number,
         });
         let services = self.services.iter().map(|t| ServiceImage {
             name: t.service.clone(),
@@ -34,8 +35,9 @@
             schema: self.schema_json.clone(),
             sessions: sessions.collect(),
             services: services.collect(),
-            answered: self.answers.records(),
-            answers_horizon_ms: self.answers.horizon().0,
+            answered: self.answers.records().to_vec(),
+            answers_horizon_ms: self.answers.horizon().made_at.0,
+            answers_horizon_base: self.answers.horizon().base,
             drains: self.drains.clone(),
             guards: self.guards.iter().map(GuardTable::to_image).collect(),
             suspects: self.suspects.list().to_vec(),
@@ -56,6 +58,7 @@
                 id: session.id,
                 open: session.open?,
                 servers: session.servers,
+                servers_number: session.servers_number,
             });
         }
         let tables = image.services.into_iter().map(|service| {
@@ -75,7 +78,13 @@
             schema_json: image.schema,
             sessions,
             services: tables.collect(),
-            answers: Answers::from_records(image.answered, Ms(image.answers_horizon_ms)),
+            answers: Answers::from_records(
+                image.answered,
+                Horizon {
+                    made_at: Ms(image.answers_horizon_ms),
+                    base: image.answers_horizon_base,
+                },
+            ),
             drains: image.drains,
             guards: image.guards.into_iter().map(GuardTable::from_image).collect(),
             suspects: SuspectList::from_list(image.suspects),
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -110,7 +110,7 @@
         if self.refusing.get() {
             return Err(Reason::Draining);
         }
-        if server.client.is_stopped() {
+        if server.client.is_stopped() || !server.crash_counted.get() {
             return Err(Reason::NoServer);
         }
         let service = dispatch.service;
@@ -138,10 +138,10 @@
             "service" => &call.service, "key" => key.to_string(), "server" => &server.announced.address,
             "epoch" => dispatch.epoch, "call" => &id
         );
-        server
-            .running
-            .borrow_mut()
-            .push(RunningCall { id: id.clone(), key });
+        server.running.borrow_mut().push(RunningCall {
+            id: id.clone(),
+            key: key.clone(),
+        });
         let mut running = Running {
             node: self.clone(),
             server: server.clone(),
@@ -154,7 +154,11 @@
             epoch: dispatch.epoch,
             deadline: dispatch.deadline,
         };
+        let sent_at = self.clock.now();
         let reply = server.client.attempt(attempt).await;
+        if dispatch.service.divided_by_key {
+            self.measure(&call.service, &key, sent_at);
+        }
         running.ended = reply.result.reason != Some(Reason::ServerLate);
         drop(running);
         self.note_signal(server, &reply.result, slot.age());
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,11 +1,16 @@
 //! One `clementined` process: its duties, and how they carry out the decisions.
 
 mod call_path;
+mod control_client;
+mod control_handler;
+mod decisions;
 mod dispatch;
+mod explain;
 mod grant_task;
 mod guard_holder;
 mod guard_task;
 mod guarded_call;
+mod key_reload;
 mod local_server;
 mod node;
 mod operator_handler;
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -57,7 +57,6 @@
             .await
         {
             Ok(Body::OpenSessionAnswer(answer)) => {
-                self.follow_leader(&answer.leader);
                 if !answer.holder.is_empty() {
                     log_event!(self.log, Event::SessionRefused; "host" => &self.settings.host, "holder" => answer.holder);
                 }
@@ -100,11 +99,10 @@
             session,
             sent_at_ms: sent_at.0,
             applied: self.state().applied(),
-            loads: Vec::new(),
+            loads: self.meter.borrow_mut().report(sent_at),
         };
-        match self.ask_control(Body::Renew(renew)).await {
+        match self.ask_in_lease(Body::Renew(renew)).await {
             Ok(Body::RenewAnswer(answer)) if answer.sent_at_ms == sent_at.0 && answer.session == session => {
-                self.follow_leader(&answer.leader);
                 Some(match (answer.renewed, answer.lagging) {
                     (true, _) => Renewal::Renewed,
                     (false, true) => Renewal::Lagging,
@@ -134,6 +132,7 @@
     /// Keeps the list of servers in the replicated state up to date.
     pub async fn publish_servers(self: Rc<Self>) {
         let mut published = None;
+        let mut number = 0;
         loop {
             let wanted = (self.session.get(), self.announced(), self.ended_servers());
             if published.as_ref() != Some(&wanted) {
@@ -141,10 +140,12 @@
                     self.servers_changed.notified().await;
                     continue;
                 };
+                number += 1;
                 let set = SetServers {
                     session,
                     servers,
                     ended,
+                    number,
                 };
                 let committed = self.propose(change::Body::SetServers(set)).await.is_some();
                 if committed {
@@ -163,10 +164,9 @@
     /// Forgets the lost servers that the replicated state no longer has.
     fn forget_published(&self, servers: &[Server], ended: &[String]) {
         self.lost_servers.borrow_mut().retain(|lost| {
-            let listed = servers
-                .iter()
-                .any(|s| s.incarnation == lost.announced.incarnation);
-            listed || lost.ended && !ended.contains(&lost.announced.incarnation)
+            let incarnation = lost.incarnation();
+            let listed = servers.iter().any(|s| s.incarnation == incarnation);
+            listed || lost.has_ended() && !ended.iter().any(|e| e == incarnation)
         });
     }
 }
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -8,7 +8,7 @@
     hyper_util::rt::TokioTimer,
     serde::Serialize,
     slog::Logger,
-    std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{watch, Notify},
@@ -28,6 +28,8 @@
 /// A whole request.
 #[derive(Debug)]
 pub struct HttpRequest {
+    /// Address of the sender.
+    pub from: SocketAddr,
     /// Method of the request line.
     pub method: Method,
     /// Target of the request line.
@@ -87,7 +89,7 @@
         let (open, all_ended) = (open.clone(), all_ended.clone());
         let (handler, stop) = (handler.clone(), for_connections.clone());
         spawn_local(async move {
-            serve_connection(stream, limits, stop, handler).await;
+            serve_connection(stream, from, limits, stop, handler).await;
             open.set(open.get() - 1);
             if open.get() == 0 {
                 all_ended.notify_one();
@@ -101,6 +103,7 @@
 
 async fn serve_connection<H, F>(
     stream: TcpStream,
+    from: SocketAddr,
     limits: CallerLimits,
     mut stop: watch::Receiver<bool>,
     handler: H,
@@ -113,7 +116,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let (handler, stopping) = (handler.clone(), stopping.clone());
         async move {
-            let request = receive(request, limits.body_bytes, limits.read).await;
+            let request = receive(request, from, limits.body_bytes, limits.read).await;
             let mut response = handler(request).await;
             if *stopping.borrow() {
                 let close = HeaderValue::from_static("close");
@@ -142,7 +145,12 @@
 }
 
 /// Receives the body of a request within its limits.
-async fn receive(request: Request<Incoming>, body_bytes: usize, read: Ms) -> Result<HttpRequest, HttpFault> {
+async fn receive(
+    request: Request<Incoming>,
+    from: SocketAddr,
+    body_bytes: usize,
+    read: Ms,
+) -> Result<HttpRequest, HttpFault> {
     let (parts, body) = request.into_parts();
     let collected = timeout(read.as_duration(), Limited::new(body, body_bytes).collect()).await;
     let body = match collected {
@@ -151,6 +159,7 @@
         Ok(Err(_)) | Err(_) => return Err(HttpFault::BodyIncomplete),
     };
     Ok(HttpRequest {
+        from,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -84,6 +84,14 @@
     PeerRefused = "CF3003", Warning, "peer refused";
     /// A link to another daemon could not be opened.
     LinkFailed = "CF3004", Warning, "link could not be opened";
+    /// An operator's request was refused.
+    OperatorRefused = "CF3101", Warning, "operator refused";
+    /// An announcement of a backend server was refused.
+    AnnounceRefused = "CF3102", Warning, "announcement refused";
+    /// The key files were read again.
+    KeysReloaded = "CF3103", Info, "keys reloaded";
+    /// A key file could not be read again; the keys of before stay valid.
+    KeysNotReloaded = "CF3104", Error, "keys not reloaded";
 
     /// A session of this daemon was opened.
     SessionOpened = "CF4001", Info, "session opened";
@@ -101,7 +109,6 @@
     GrantFailed = "CF4007", Warning, "grant failed";
     /// A span of keys was taken back from a local server.
     RangeRevoked = "CF4008", Info, "range revoked";
-
     /// Another process holds the session of this host.
     SessionRefused = "CF4101", Warning, "session refused";
     /// The lease was voided since the process did not run for a while.
@@ -123,4 +130,24 @@
     RangeAssigned = "CF5005", Info, "range assigned";
     /// An operator's command was decided.
     CommandDecided = "CF5006", Info, "operator command decided";
+    /// The control role does not start on its data folder.
+    ControlRefused = "CF5101", Error, "control role refused its data folder";
+    /// The first members of a new cell were written.
+    CellFounded = "CF5102", Info, "cell founded";
+    /// This host leads the cell from here on.
+    LeaderElected = "CF5103", Info, "leader elected";
+    /// This host leads the cell no longer.
+    LeaderSteppedDown = "CF5104", Warning, "leader stepped down";
+    /// This host follows a leader.
+    LeaderFollowed = "CF5105", Info, "leader followed";
+    /// Other members are in force.
+    MembersChanged = "CF5106", Info, "members changed";
+    /// The data folder holds an older state than other members have seen.
+    DiskStale = "CF5107", Error, "old disk found";
+
+    /// The planner starts a move of a range.
+    MovePlanned = "CF6101", Info, "range move planned";
+
+    /// An operator's command was answered by this daemon.
+    CommandAnswered = "CF7101", Info, "operator command answered";
 }
