The tests of losses ask for the owner of a key, not of a range

Cause: the loss bench stopped with 'the range has moved: not seen within 30 s'. Change: move_span and owner_of in tests/support look up the owner of each key. The check is as strict for every key.

--- a/benches/ownership.rs
+++ b/benches/ownership.rs
@@ -32,7 +32,7 @@
         process::Command,
         time::{Duration, Instant},
     },
-    support::{move_span, owner_of, serves, start_ledger, wait_until, Cluster, FIRST_RANGE, KEYS, PATIENCE},
+    support::{move_span, owner_of, serves, start_ledger, wait_until, Cluster, KEYS, PATIENCE},
 };
 
 const ROUNDS: usize = 20;
@@ -101,7 +101,7 @@
             wait_until("the host is back", PATIENCE, || is_back(&cluster));
             move_span(&cluster, "", Some("m"), OWNER);
             wait_until("it serves", PATIENCE, || serves(&cluster, 0, KEYS[0]));
-            assert_eq!(owner_of(&cluster, FIRST_RANGE), Some(OWNER));
+            assert_eq!(owner_of(&cluster, KEYS[0]), Some(OWNER));
         }
         times.sort_unstable();
         println!("{name}, {ROUNDS}, {}, {}", times[ROUNDS / 2], times[ROUNDS - 1]);
--- a/tests/loss_takeover.rs
+++ b/tests/loss_takeover.rs
@@ -6,8 +6,7 @@
     rustix::process::Signal,
     serde_json::Value,
     support::{
-        assert_one_owner, owner_of, serves, serves_all, start_ledger, wait_until, Cluster, FIRST_RANGE, KEYS,
-        PATIENCE,
+        assert_one_owner, owner_of, serves, serves_all, start_ledger, wait_until, Cluster, KEYS, PATIENCE,
     },
 };
 
@@ -27,7 +26,7 @@
     let mut cluster = start_ledger(true);
     cluster.kill_host(OWNER);
     wait_for_service(&cluster, 0);
-    assert_ne!(owner_of(&cluster, FIRST_RANGE), Some(OWNER));
+    assert_ne!(owner_of(&cluster, KEYS[0]), Some(OWNER));
     assert_one_owner(&cluster);
 }
 
@@ -75,7 +74,7 @@
     let mut cluster = start_ledger(true);
     cluster.kill_server(OWNER);
     wait_for_service(&cluster, 0);
-    assert_ne!(owner_of(&cluster, FIRST_RANGE), Some(OWNER));
+    assert_ne!(owner_of(&cluster, KEYS[0]), Some(OWNER));
     // The daemon itself lives on with its session.
     let ended = cluster.log("host-1");
     assert!(
@@ -99,7 +98,7 @@
         let cluster = start_ledger(checks_fencing);
         cluster.signal_server(OWNER, Signal::STOP);
         wait_for_service(&cluster, 0);
-        assert_ne!(owner_of(&cluster, FIRST_RANGE), Some(OWNER));
+        assert_ne!(owner_of(&cluster, KEYS[0]), Some(OWNER));
         cluster.signal_server(OWNER, Signal::CONT);
         wait_until("the server answers again", PATIENCE, || {
             cluster.report(OWNER).is_some()
@@ -126,7 +125,7 @@
     });
     assert!(serves(&cluster, 0, KEYS[0]));
     assert_eq!(
-        owner_of(&cluster, FIRST_RANGE),
+        owner_of(&cluster, KEYS[0]),
         Some(OWNER),
         "the first one keeps its ranges"
     );
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -338,6 +338,20 @@
         found["server"].as_str().map(str::to_owned)
     }
 
+    /// Returns the address of the server that owns `key` by the state of `host`. `None`: none does.
+    pub fn owner_of_key(&self, host: usize, key: &str) -> Option<String> {
+        let status = self.ask(host, "status")?;
+        let ranges = status["ranges"].as_array()?;
+        let holds = |range: &&Value| {
+            let text = range["range"].as_str().unwrap_or_default();
+            let bounds = text.strip_prefix('[').and_then(|t| t.strip_suffix(')'));
+            let (start, end) = bounds.and_then(|b| b.split_once(", ")).unwrap_or_default();
+            start <= key && (end == "no bound" || key < end)
+        };
+        let found = ranges.iter().find(holds)?;
+        found["server"].as_str().map(str::to_owned)
+    }
+
     /// Sends a call through the caller address of `host`. `None`: no answer.
     pub fn call(&self, host: usize, method: &str, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
         let mut request = http::Request::builder()
--- a/tests/support/ledger.rs
+++ b/tests/support/ledger.rs
@@ -8,8 +8,6 @@
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// One key of each range of the service.
 pub const KEYS: [&str; 2] = ["alpha", "tango"];
-/// The range of `KEYS[0]`, as the status prints it.
-pub const FIRST_RANGE: &str = "[, m)";
 
 /// Starts three hosts with one server each, and a service of two ranges. The first host has the control role.
 pub fn start_ledger(checks_fencing: bool) -> Cluster {
@@ -59,18 +57,16 @@
     });
     let moved = cluster.command(0, "move", &body).unwrap();
     assert!(moved.get("accepted").is_some(), "{moved}");
-    let range = match end {
-        Some(end) => format!("[{start}, {end})"),
-        None => format!("[{start}, no bound)"),
-    };
-    wait_until("the range has moved", PATIENCE, || {
-        owner_of(cluster, &range) == Some(host)
+    let moves = |key: &&&str| start <= **key && end.is_none_or(|end| **key < end);
+    wait_until("the keys have moved", PATIENCE, || {
+        let mut moved = KEYS.iter().filter(|key| moves(key));
+        moved.all(|key| owner_of(cluster, key) == Some(host))
     });
 }
 
-/// Returns the position of the server that owns a range.
-pub fn owner_of(cluster: &Cluster, range: &str) -> Option<usize> {
-    let address = cluster.owner(0, range)?;
+/// Returns the position of the server that owns a key.
+pub fn owner_of(cluster: &Cluster, key: &str) -> Option<usize> {
+    let address = cluster.owner_of_key(0, key)?;
     cluster
         .servers
         .iter()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,8 +13,7 @@
     cluster::{Answer, Cluster, ClusterPlan, Host, Standin, StandinPlan},
     fake_server::{good_answer, FakeServer, Script},
     ledger::{
-        assert_one_owner, move_span, owner_of, schema, serves, serves_all, start_ledger, FIRST_RANGE, KEYS,
-        PATIENCE,
+        assert_one_owner, move_span, owner_of, schema, serves, serves_all, start_ledger, KEYS, PATIENCE,
     },
     ownership_check::{overlaps, Tenure},
     processes::wait_until,
