--- a/src/cli/ctl/mod.rs
+++ b/src/cli/ctl/mod.rs
@@ -1,7 +1,6 @@
 //! The operators' command line.
 
 mod command_line;
-mod control_command;
 mod progress;
 mod run_ctl;
 mod schema_diff;
--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -325,7 +325,9 @@
         let allowed = view.allowed(&self.state, wanted.assignments, now);
         let assignments = allowed.into_iter().map(change::Body::AssignRange);
         let releases = wanted.releases.into_iter().map(change::Body::ReleaseRange);
-        batch.extend(assignments.chain(releases).map(|body| (body, Waiter::None)));
+        let step = wanted.split_step.map(change::Body::SplitStep);
+        let bodies = assignments.chain(releases).chain(step);
+        batch.extend(bodies.map(|body| (body, Waiter::None)));
     }
 
     /// Proposes changes together, so that they share a sync.
--- a/src/control/note.rs
+++ b/src/control/note.rs
@@ -2,7 +2,7 @@
     super::{Applied, State},
     crate::{
         event::Event,
-        log_event,
+        log_event, split,
         wire::control::{change, command_answer, Change, CommandAnswer},
     },
     slog::Logger,
@@ -29,6 +29,9 @@
                 "server" => &owner.server, "epoch" => owner.epoch, "reason" => reason
             );
         }
+        Applied::SplitStaged(stage) => {
+            log_event!(log, Event::SplitStaged; "stage" => split::stage_word(*stage));
+        }
         Applied::Command(answer) => {
             log_event!(log, Event::CommandDecided; "answer" => answer_word(answer), "revision" => state.revision().to_string());
         }
@@ -41,7 +44,16 @@
                 );
             }
         }
-        Applied::ServersSet(_) | Applied::RangeReleased { .. } | Applied::Ignored(_) => {}
+        Applied::CrashCounted(quarantined) => {
+            for fingerprint in quarantined {
+                log_event!(log, Event::RequestQuarantined; "fingerprint" => fingerprint.to_text());
+            }
+        }
+        Applied::GuardReady(_)
+        | Applied::SuspectsCleared
+        | Applied::ServersSet(_)
+        | Applied::RangeReleased { .. }
+        | Applied::Ignored(_) => {}
     }
 }
 
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,10 +1,14 @@
 use {
-    super::{answers::Answers, Owner, RangeTable, Revision, Server, Session, Vacancy},
+    super::{
+        answers::Answers, GuardTable, Owner, RangeTable, Revision, Server, Session, SuspectList, Vacancy,
+    },
     crate::{
+        call::Fingerprint,
         key::KeyRange,
         schema::Schema,
         wire::control::{
             change, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession, SetServers,
+            SplitStage, SplitState,
         },
     },
     std::sync::Arc,
@@ -21,6 +25,9 @@
     pub(super) services: Vec<RangeTable>,
     pub(super) answers: Answers,
     pub(super) drains: Vec<Drain>,
+    pub(super) guards: Vec<GuardTable>,
+    pub(super) suspects: SuspectList,
+    pub(super) split: SplitState,
 }
 
 /// What a change did to the state.
@@ -55,6 +62,14 @@
         /// The keys.
         span: KeyRange,
     },
+    /// The guard of a span is whole, and its copy is in place.
+    GuardReady(u64),
+    /// A crash was counted; these requests are quarantined by it.
+    CrashCounted(Vec<Fingerprint>),
+    /// Requests are no longer suspected.
+    SuspectsCleared,
+    /// The split has come to a further stage.
+    SplitStaged(SplitStage),
     /// An operator's command was decided.
     Command(CommandAnswer),
     /// The change no longer fits the state and did nothing.
@@ -105,6 +120,11 @@
         found.ok().map(|i| &self.services[i])
     }
 
+    /// Returns the requests that were running when a server crashed.
+    pub fn suspects(&self) -> &SuspectList {
+        &self.suspects
+    }
+
     /// Returns the hosts and servers that are being drained.
     pub fn drains(&self) -> &[Drain] {
         &self.drains
@@ -127,9 +147,18 @@
             Some(change::Body::AssignRange(assign)) => self.assign_range(index, assign),
             Some(change::Body::ReleaseRange(release)) => self.release_range(index, release),
             Some(change::Body::RangeReleased(released)) => self.range_released(released),
+            Some(change::Body::GuardReady(ready)) => self.guard_ready(ready),
+            Some(change::Body::ServerCrashed(crash)) => {
+                Applied::CrashCounted(self.suspects.crashed(crash, change.proposed_at_ms))
+            }
+            Some(change::Body::SuspectsCleared(cleared)) => {
+                self.suspects.clear(&cleared.fingerprints, false);
+                Applied::SuspectsCleared
+            }
             Some(change::Body::OperatorCommand(command)) => {
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
             }
+            Some(change::Body::SplitStep(step)) => self.split_step(index, step),
             None => Applied::Ignored("the change is empty"),
         }
     }
@@ -147,6 +176,9 @@
     /// A host has one session at most: the older one has to end first, after its lease. The process that
     /// holds it and lost the answer gets the same session again.
     fn open_session(&mut self, index: u64, open: &OpenSession) -> Applied {
+        if !self.is_host_kept(&open.host, &open.failure_domain) {
+            return Applied::Ignored("the host belongs to the other half");
+        }
         if let Some(session) = self.session_of_host(&open.host) {
             return match session.open.process == open.process {
                 true => Applied::SessionOpened(session.id),
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -38,6 +38,7 @@
             ("GET", "in-force") => {
                 edge::json_response(StatusCode::OK, &self.in_force(request.uri.query()).await)
             }
+            ("GET", "split") => edge::json_response(StatusCode::OK, &self.split_status()),
             ("GET", "explain") => self.explain_answer(request.uri.query().unwrap_or_default()),
             ("GET" | "POST", "control") => self.control(&request.body).await,
             ("POST", name) => self.command(name, &request.body).await,
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -2,11 +2,12 @@
     super::{
         local_server::{LocalServer, LostServer},
         node::Node,
+        slot_gate::SlotGate,
     },
     crate::{
         clock::Ms,
         control::Server,
-        edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerOrders},
+        edge::{self, HttpFault, HttpRequest, HttpResponse, ServerClient, ServerLimits, ServerOrders},
         event::Event,
         grant::{GrantBook, Touched},
         log_event,
@@ -18,7 +19,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// A server that has not announced itself for this long is taken for lost.
@@ -62,11 +63,12 @@
         }
     }
 
-    fn announce(&self, announced: Server) -> Result<(), String> {
+    fn announce(self: &Rc<Self>, announced: Server) -> Result<(), String> {
         let now = self.clock.now();
         let mut predecessor = None;
         let mut grants = GrantBook::default();
         let mut orders = None;
+        let mut crashed = None;
         if let Some(known) = self.server(&announced.service, &announced.address) {
             let unchanged = Server {
                 leaving: false,
@@ -81,20 +83,28 @@
             if ended {
                 grants = known.grants.take().inherited();
                 orders = Some(known.orders.clone());
-                predecessor = Some(known);
+                predecessor = Some(known.clone());
+                crashed = Some(known);
             } else {
                 known.orders.close();
             }
         }
-        let client = ServerClient::start(
-            &announced.address,
-            announced.slots,
-            self.settings.caller_limits.answer_bytes,
-            self.clock.clone(),
-            self.lease.clone(),
-        );
+        if self.is_taken_out(&announced.address) {
+            if let Some(known) = crashed {
+                let node = self.clone();
+                spawn_local(async move { node.note_crash(&known).await });
+            }
+            return Ok(());
+        }
+        let limits = ServerLimits {
+            answer_bytes: self.settings.caller_limits.answer_bytes,
+            idle_connections: announced.slots.min(announced.connections.saturating_sub(1)) as usize,
+        };
         let server = LocalServer {
-            client: client.map_err(|e| e.to_string())?,
+            client: ServerClient::new(&announced.address, limits, self.clock.clone(), self.lease.clone()),
+            gate: SlotGate::new(announced.slots, self.clock.clone()),
+            lost: RefCell::default(),
+            crash_counted: Cell::new(crashed.is_none()),
             orders: match orders {
                 Some(orders) => orders,
                 None => self.start_orders(&announced.address).map_err(|e| e.to_string())?,
@@ -116,8 +126,17 @@
         // A server that came back before its removal was published goes on where it was.
         self.lost_servers
             .borrow_mut()
-            .retain(|lost| lost.announced.incarnation != server.announced.incarnation);
-        self.servers.borrow_mut().push(Rc::new(server));
+            .retain(|lost| lost.incarnation() != server.announced.incarnation);
+        let server = Rc::new(server);
+        self.servers.borrow_mut().push(server.clone());
+        if let Some(known) = crashed {
+            let node = self.clone();
+            spawn_local(async move {
+                node.note_crash(&known).await;
+                server.crash_counted.set(true);
+                node.ownership_changed.notify_waiters();
+            });
+        }
         self.servers_changed.notify_one();
         self.touch(Touched::everything());
         Ok(())
@@ -127,8 +146,11 @@
     fn start_orders(&self, address: &str) -> io::Result<Rc<ServerOrders>> {
         let orders = ServerOrders::start(address, self.clock.clone(), self.lease.clone())?;
         let lost = self.lost_servers.borrow();
-        for earlier in lost.iter().filter(|lost| lost.announced.address == address) {
-            orders.count_lease(earlier.orders.leases_end_at());
+        for earlier in lost
+            .iter()
+            .filter(|lost| lost.server.announced.address == address)
+        {
+            orders.count_lease(earlier.server.orders.leases_end_at());
         }
         Ok(Rc::new(orders))
     }
@@ -143,10 +165,9 @@
         }
     }
 
-    /// Forgets a local server at whose address nothing listens. It has ended if none of its calls runs.
+    /// Forgets a local server at whose address nothing listens. It has ended once none of its calls runs.
     pub fn remove_server(&self, lost: &Rc<LocalServer>, reason: &str) {
-        let ended = lost.running.borrow().is_empty() && lost.predecessor.borrow().is_none();
-        if self.forget_server(lost, reason, ended) {
+        if self.forget_server(lost, reason, true) {
             lost.orders.close();
         }
     }
@@ -159,7 +180,8 @@
     }
 
     /// False: it was forgotten before.
-    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, ended: bool) -> bool {
+    fn forget_server(&self, lost: &Rc<LocalServer>, reason: &str, is_gone: bool) -> bool {
+        lost.client.stop();
         let count = self.servers.borrow().len();
         self.servers
             .borrow_mut()
@@ -172,10 +194,9 @@
             "service" => &lost.announced.service, "server" => &lost.announced.address, "reason" => reason
         );
         self.lost_servers.borrow_mut().push(LostServer {
-            announced: lost.announced.clone(),
             published: lost.published(),
-            ended,
-            orders: lost.orders.clone(),
+            server: lost.clone(),
+            is_gone,
         });
         self.servers_changed.notify_one();
         true
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -69,7 +69,7 @@
     /// Renews the session until control says that it has ended.
     async fn renew_until_end(&self, session: u64) {
         let mut held = false;
-        while !self.stopping.get() || self.running.get() > 0 {
+        while self.session.get() == Some(session) {
             let sent_at = self.clock.now();
             match self.renew(session, sent_at).await {
                 Some(Renewal::Renewed) => self.lease.renewed(sent_at, &self.settings.lease),
@@ -164,10 +164,9 @@
     /// Forgets the lost servers that the replicated state no longer has.
     fn forget_published(&self, servers: &[Server], ended: &[String]) {
         self.lost_servers.borrow_mut().retain(|lost| {
-            let listed = servers
-                .iter()
-                .any(|s| s.incarnation == lost.announced.incarnation);
-            listed || lost.ended && !ended.contains(&lost.announced.incarnation)
+            let incarnation = lost.incarnation();
+            let listed = servers.iter().any(|s| s.incarnation == incarnation);
+            listed || lost.has_ended() && !ended.iter().any(|e| e == incarnation)
         });
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,16 +4,18 @@
 #![allow(dead_code, unused_imports)]
 
 mod cluster;
+mod fake_server;
 mod ledger;
 mod ownership_check;
 mod processes;
 
 pub use {
     cluster::{Answer, Cluster, ClusterPlan, Host, Standin, StandinPlan},
+    fake_server::{good_answer, FakeServer, Script},
     ledger::{
         assert_one_owner, move_span, owner_of, schema, serves, serves_all, start_ledger, FIRST_RANGE, KEYS,
         PATIENCE,
     },
-    ownership_check::{overlaps, Tenure},
+    ownership_check::{longest_gap, overlaps, Tenure},
     processes::wait_until,
 };
