--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,9 @@
 use {
-    super::{answers::Answers, Owner, RangeTable, Revision, Server, Session, Vacancy},
+    super::{
+        answers::Answers, GuardTable, Owner, RangeTable, Revision, Server, Session, SuspectList, Vacancy,
+    },
     crate::{
+        call::Fingerprint,
         key::KeyRange,
         schema::Schema,
         wire::control::{
@@ -23,6 +26,8 @@
     pub(super) answers: Answers,
     pub(super) drains: Vec<Drain>,
     pub(super) split: SplitState,
+    pub(super) guards: Vec<GuardTable>,
+    pub(super) suspects: SuspectList,
 }
 
 /// What a change did to the state.
@@ -59,6 +64,12 @@
     },
     /// The split has come to a further stage.
     SplitStaged(SplitStage),
+    /// The guard of a span is whole, and its copy is in place.
+    GuardReady(u64),
+    /// A crash was counted; these requests are quarantined by it.
+    CrashCounted(Vec<Fingerprint>),
+    /// Requests are no longer suspected.
+    SuspectsCleared,
     /// An operator's command was decided.
     Command(CommandAnswer),
     /// The change no longer fits the state and did nothing.
@@ -109,6 +120,11 @@
         found.ok().map(|i| &self.services[i])
     }
 
+    /// Returns the requests that were running when a server crashed.
+    pub fn suspects(&self) -> &SuspectList {
+        &self.suspects
+    }
+
     /// Returns the hosts and servers that are being drained.
     pub fn drains(&self) -> &[Drain] {
         &self.drains
@@ -131,6 +147,14 @@
             Some(change::Body::AssignRange(assign)) => self.assign_range(index, assign),
             Some(change::Body::ReleaseRange(release)) => self.release_range(index, release),
             Some(change::Body::RangeReleased(released)) => self.range_released(released),
+            Some(change::Body::GuardReady(ready)) => self.guard_ready(ready),
+            Some(change::Body::ServerCrashed(crash)) => {
+                Applied::CrashCounted(self.suspects.crashed(crash, change.proposed_at_ms))
+            }
+            Some(change::Body::SuspectsCleared(cleared)) => {
+                self.suspects.clear(&cleared.fingerprints, false);
+                Applied::SuspectsCleared
+            }
             Some(change::Body::OperatorCommand(command)) => {
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
             }
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         answers::{Answers, Horizon},
-        Owner, Range, RangeTable, Release, Revision, Session, State, Vacancy,
+        GuardTable, Owner, Range, RangeTable, Release, Revision, Session, State, SuspectList, Vacancy,
     },
     crate::{
         clock::Ms,
@@ -40,6 +40,8 @@
             answers_horizon_base: self.answers.horizon().base,
             drains: self.drains.clone(),
             split: Some(self.split),
+            guards: self.guards.iter().map(GuardTable::to_image).collect(),
+            suspects: self.suspects.list().to_vec(),
         };
         image.encode_to_vec()
     }
@@ -86,6 +88,8 @@
             ),
             drains: image.drains,
             split: image.split.unwrap_or_default(),
+            guards: image.guards.into_iter().map(GuardTable::from_image).collect(),
+            suspects: SuspectList::from_list(image.suspects),
         })
     }
 }
--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -1,4 +1,5 @@
 use {
+    super::{dispatch::LostCall, slot_gate::SlotGate},
     crate::{
         clock::Ms,
         control::Server,
@@ -26,6 +27,9 @@
     /// The process before this one at its address, until nothing of it is granted to this one.
     pub predecessor: RefCell<Option<Rc<LocalServer>>>,
     pub client: ServerClient,
+    pub gate: Rc<SlotGate>,
+    /// Calls that were lost since the last crash.
+    pub lost: RefCell<Vec<LostCall>>,
     /// Shared with the predecessor, so that its orders come before those to this process.
     pub orders: Rc<ServerOrders>,
     pub last_announce: Cell<Ms>,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -23,8 +23,8 @@
         net::TcpListener,
         runtime::Builder,
         sync::{mpsc, watch},
-        task::{spawn_local, LocalSet},
-        time::sleep,
+        task::{spawn_local, JoinHandle, LocalSet},
+        time::{sleep, timeout},
     },
 };
 
@@ -33,6 +33,8 @@
 
 /// Messages of the control duty that wait for the I/O duty before further ones are dropped.
 const CONTROL_RING_MESSAGES: usize = 4096;
+/// Longest time for the ranges to move away before the daemon refuses new calls.
+const MOVE_MAX: Duration = Duration::from_secs(3);
 
 /// Runs a daemon until it is told to stop by SIGTERM or SIGINT.
 ///
@@ -126,7 +128,7 @@
         for_peers.clone().serve_peer(body)
     }));
     let for_callers = node.clone();
-    spawn_local(edge::serve_http(
+    let serving = spawn_local(edge::serve_http(
         callers,
         limits,
         log.clone(),
@@ -155,12 +157,13 @@
     spawn_local(node.clone().publish_servers());
     spawn_local(node.clone().watch_state());
     spawn_local(node.clone().keep_grants());
+    spawn_local(node.clone().keep_guards());
     spawn_local(node.clone().extend_leases());
     spawn_local(node.clone().watch_announcements());
     log_event!(log, Event::DaemonStarted; "host" => &node.settings.host, "callers" => node.settings.caller_address.to_string());
 
     wait_for_stop(stop).await;
-    finish(&node).await;
+    finish(&node, serving).await;
     log_event!(log, Event::DaemonStopped; "host" => &node.settings.host);
     Ok(())
 }
@@ -177,9 +180,19 @@
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
-/// Finishes the calls that run, then ends the session so that its ranges move at once.
-async fn finish(node: &Rc<Node>) {
+/// Lets the ranges move away, finishes the calls that run, then ends the session.
+async fn finish(node: &Rc<Node>, serving: JoinHandle<()>) {
     node.stopping.set(true);
+    node.servers_changed.notify_one();
+    let moved = async {
+        while node.owns_ranges() {
+            sleep(STOP_PAUSE).await;
+        }
+    };
+    let _ = timeout(MOVE_MAX, moved).await;
+    node.refusing.set(true);
+    // Every caller gets its whole answer before the process ends.
+    let _ = serving.await;
     while node.running.get() > 0 {
         sleep(STOP_PAUSE).await;
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,6 +1,8 @@
 //! HTTP to callers, backend servers and operators.
 
 mod caller_edge;
+mod counted_stream;
+mod fold_stream;
 mod http_server;
 mod operator_edge;
 mod request_proof;
@@ -14,7 +16,7 @@
     http_server::{json_response, plain_response, serve_http, HttpFault, HttpRequest, HttpResponse},
     operator_edge::{operator_command, CommandRequest},
     request_proof::{ProofError, RequestProof},
-    server_client::{ServerClient, ServerReply},
+    server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
     server_edge::{read_announce, read_leave, LeaveRequest},
     server_orders::{Order, OrderError, ServerOrders},
 };
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -47,6 +47,9 @@
             | Applied::ReleaseStarted { .. }
             | Applied::RangeReleased { .. }
             | Applied::SplitStaged(_)
+            | Applied::GuardReady(_)
+            | Applied::CrashCounted(_)
+            | Applied::SuspectsCleared
             | Applied::Ignored(_) => {}
         }
     }
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -209,7 +209,11 @@
 }
 
 fn range_side(state: &State, service: &str, span: &KeyRange) -> Option<Side> {
-    let declared = state.schema().split.as_ref()?;
+    let declared = state
+        .schema()
+        .split
+        .as_ref()
+        .filter(|_| state.is_divided(service))?;
     let is_started = state.split().stage() != SplitStage::Idle;
     split::side_of_keys(declared, service, span).filter(|_| is_started)
 }
