--- a/src/control/split_changes.rs
+++ b/src/control/split_changes.rs
@@ -65,7 +65,7 @@
 
     /// Tells if keys may get this host's servers as their owner in this cell.
     pub(super) fn is_split_respected(&self, service: &str, span: &KeyRange, session: u64) -> bool {
-        let Some(split) = &self.schema.split else {
+        let Some(split) = self.schema.split.as_ref().filter(|_| self.is_divided(service)) else {
             return true;
         };
         let keys = split::side_of_keys(split, service, span);
@@ -83,6 +83,12 @@
         !is_apart || keys == Some(host)
     }
 
+    /// Tells if the halves divide the ranges of a service. The ranges of an undivided service are request
+    /// ids; each cell has all of them, and an id that the other cell may have run is answered as unknown.
+    pub fn is_divided(&self, service: &str) -> bool {
+        self.schema.service(service).is_some_and(|s| s.divided_by_key)
+    }
+
     /// Tells if the split in force may be replaced by another one.
     pub(super) fn is_split_fixed(&self) -> bool {
         self.split.stage() != SplitStage::Idle
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -203,7 +203,8 @@
     /// Counts a call for `key` that was sent to a local server at `sent_at` and has ended now.
     pub fn measure(&self, service: &str, key: &Key, sent_at: Ms) {
         let state = self.state();
-        if let Some(table) = state.table(service) {
+        let table = state.table(service).filter(|_| state.is_divided(service));
+        if let Some(table) = table {
             let start = &table.range_of(key).start;
             let busy = self.clock.now() - sent_at;
             self.meter.borrow_mut().add(service, start, key, busy);
--- a/src/grant/touched.rs
+++ b/src/grant/touched.rs
@@ -63,6 +63,7 @@
             | Applied::GuardReady(_)
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
+            | Applied::SplitStaged(_)
             | Applied::Ignored(_) => {}
         }
     }
--- a/src/split/progress.rs
+++ b/src/split/progress.rs
@@ -10,7 +10,7 @@
 /// What is left of the split.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
-    /// Ranges of all services.
+    /// Ranges of all services that are divided by key.
     pub ranges: usize,
     /// Ranges on a server of the other half.
     pub misplaced: usize,
@@ -24,7 +24,7 @@
     /// Counts what is left in `state`.
     pub fn of(state: &State, split: &Split) -> Self {
         let mut progress = Self::default();
-        for table in state.services() {
+        for table in state.services().iter().filter(|t| state.is_divided(&t.service)) {
             progress.count_table(state, split, table);
         }
         let seconds = state
