--- a/src/cli/ctl/command_line.rs
+++ b/src/cli/ctl/command_line.rs
@@ -28,6 +28,14 @@
         .subcommands(questions())
         .subcommands(changes())
         .subcommand(control())
+        .subcommand(
+            Command::new("release")
+                .about("Lets a quarantined request run again; status lists them")
+                .after_help(
+                    "Example:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys release 00112233445566aa",
+                )
+                .arg(Arg::new("fingerprint").value_name("FINGERPRINT").required(true)),
+        )
         .subcommand(
             Command::new("example-schema")
                 .about("Prints an example schema file; docs/SCHEMA.md lists the fields")
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -245,6 +245,10 @@
             schema: Some(read_schema(sub, "file")?.1),
             ..request
         },
+        "release" => CommandRequest {
+            fingerprint: given("fingerprint"),
+            ..request
+        },
         "move" => CommandRequest {
             service: given("service"),
             start: given("start"),
--- a/src/cli/ctl/text_output.rs
+++ b/src/cli/ctl/text_output.rs
@@ -23,6 +23,19 @@
     section(&mut out, "drains", &status["drains"], |d| {
         format!("{} {}", plain(&d["host"]), plain(&d["server"]))
     });
+    section(
+        &mut out,
+        "requests that were running at a crash (quarantined from 2 on)",
+        &status["suspects"],
+        |s| {
+            format!(
+                "{} {} crashes {}",
+                plain(&s["fingerprint"]),
+                plain(&s["service"]),
+                plain(&s["crashes"])
+            )
+        },
+    );
     section(&mut out, "last decisions", &status["decisions"], decision_line);
     out
 }
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -149,6 +149,15 @@
                 })
             })
             .collect();
+        let suspects: Vec<Value> = state
+            .suspects()
+            .list()
+            .iter()
+            .map(|s| {
+                let fingerprint: String = s.fingerprint.iter().map(|byte| format!("{byte:02x}")).collect();
+                json!({ "fingerprint": fingerprint, "service": s.service, "crashes": s.crashes })
+            })
+            .collect();
         let drains: Vec<Value> = state
             .drains()
             .iter()
@@ -176,6 +185,7 @@
             "applied": state.applied(),
             "leader": *self.leader.borrow(),
             "drains": drains,
+            "suspects": suspects,
             "decisions": self.decisions.borrow().last(DECISIONS_SHOWN),
             "sessions": sessions,
             "ranges": ranges,
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -2,6 +2,7 @@
     crate::{
         control::{CommandId, Revision},
         key::Key,
+        link::from_hex,
         wire::control::{operator_command, Drain, MoveSpan, OperatorCommand},
     },
     serde::{Deserialize, Serialize},
@@ -27,6 +28,8 @@
     pub start: String,
     /// First key after the span, for `move`; absent for no upper bound.
     pub end: Option<String>,
+    /// Fingerprint of a quarantined request in hexadecimal, for `release`.
+    pub fingerprint: String,
 }
 
 /// Reads the changing call `name` of an operator.
@@ -55,6 +58,11 @@
         "drain" => operator_command::Body::Drain(drain()),
         "undrain" => operator_command::Body::Undrain(drain()),
         "move" => operator_command::Body::Move(move_span(&request)?),
+        "release" => {
+            let fingerprint = from_hex(&request.fingerprint).filter(|bytes| !bytes.is_empty());
+            let fingerprint = fingerprint.ok_or("fingerprint: hexadecimal digits are needed")?;
+            operator_command::Body::ReleaseQuarantine(fingerprint.into())
+        }
         other => return Err(format!("{other:?} is not a command")),
     };
     Ok(OperatorCommand {
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -93,7 +93,7 @@
     let long_id = "x".repeat(129);
     let id = cluster.command_id();
     let first = ["--command-id", &id, "apply", "new.json"];
-    let cases: [(&str, Vec<&str>, i32, &str); 17] = [
+    let cases: [(&str, Vec<&str>, i32, &str); 19] = [
         (
             "plan",
             vec!["plan", "new.json"],
@@ -132,6 +132,8 @@
             "command_id",
         ),
         ("control hosts", vec!["control", "status"], 0, "leader"),
+        ("no fingerprint", vec!["release", "xyz"], 4, "fingerprint"),
+        ("nothing to release", vec!["release", "00112233"], 4, "refused"),
         (
             "no such member",
             vec!["control", "remove", "00112233445566aa"],
