--- a/src/cli/ctl/command_line.rs
+++ b/src/cli/ctl/command_line.rs
@@ -28,6 +28,15 @@
         .subcommands(questions())
         .subcommands(changes())
         .subcommand(control())
+        .subcommand(
+            Command::new("split")
+                .about("Starts, pauses, resumes and parts the split that the schema declares")
+                .after_help(
+                    "Example:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys split start",
+                )
+                .subcommand_required(true)
+                .subcommands(["start", "pause", "resume", "part"].map(Command::new)),
+        )
         .subcommand(
             Command::new("release")
                 .about("Lets a quarantined request run again; status lists them")
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -47,6 +47,10 @@
         "explain" => question(sub, &explain_question(sub), explain_text),
         "wait" => wait(sub),
         "control" => control(sub),
+        "split" => match sub.subcommand() {
+            Some((step, sub)) => change(&format!("split-{step}"), sub),
+            None => bail!("a command is needed; see split --help"),
+        },
         _ => change(name, sub),
     }
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,6 +8,7 @@
         schema::Schema,
         wire::control::{
             change, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession, SetServers,
+            SplitStage, SplitState,
         },
     },
     std::sync::Arc,
@@ -26,6 +27,7 @@
     pub(super) drains: Vec<Drain>,
     pub(super) guards: Vec<GuardTable>,
     pub(super) suspects: SuspectList,
+    pub(super) split: SplitState,
 }
 
 /// What a change did to the state.
@@ -66,6 +68,8 @@
     CrashCounted(Vec<Fingerprint>),
     /// Requests are no longer suspected.
     SuspectsCleared,
+    /// The split has come to a further stage.
+    SplitStaged(SplitStage),
     /// An operator's command was decided.
     Command(CommandAnswer),
     /// The change no longer fits the state and did nothing.
@@ -154,6 +158,7 @@
             Some(change::Body::OperatorCommand(command)) => {
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
             }
+            Some(change::Body::SplitStep(step)) => self.split_step(index, step),
             None => Applied::Ignored("the change is empty"),
         }
     }
@@ -171,6 +176,9 @@
     /// A host has one session at most: the older one has to end first, after its lease. The process that
     /// holds it and lost the answer gets the same session again.
     fn open_session(&mut self, index: u64, open: &OpenSession) -> Applied {
+        if !self.is_host_kept(&open.host, &open.failure_domain) {
+            return Applied::Ignored("the host belongs to the other half");
+        }
         if let Some(session) = self.session_of_host(&open.host) {
             return match session.open.process == open.process {
                 true => Applied::SessionOpened(session.id),
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -41,6 +41,7 @@
             drains: self.drains.clone(),
             guards: self.guards.iter().map(GuardTable::to_image).collect(),
             suspects: self.suspects.list().to_vec(),
+            split: Some(self.split),
         };
         image.encode_to_vec()
     }
@@ -88,6 +89,7 @@
             drains: image.drains,
             guards: image.guards.into_iter().map(GuardTable::from_image).collect(),
             suspects: SuspectList::from_list(image.suspects),
+            split: image.split.unwrap_or_default(),
         })
     }
 }
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -3,7 +3,7 @@
         control::{CommandId, Revision},
         key::Key,
         link::from_hex,
-        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand},
+        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand, SplitAction},
     },
     serde::{Deserialize, Serialize},
 };
@@ -63,6 +63,10 @@
             let fingerprint = fingerprint.ok_or("fingerprint: hexadecimal digits are needed")?;
             operator_command::Body::ReleaseQuarantine(fingerprint.into())
         }
+        "split-start" => operator_command::Body::Split(SplitAction::Start.into()),
+        "split-pause" => operator_command::Body::Split(SplitAction::Pause.into()),
+        "split-resume" => operator_command::Body::Split(SplitAction::Resume.into()),
+        "split-part" => operator_command::Body::Split(SplitAction::Part.into()),
         other => return Err(format!("{other:?} is not a command")),
     };
     Ok(OperatorCommand {
--- a/src/grant/touched.rs
+++ b/src/grant/touched.rs
@@ -59,6 +59,7 @@
             }
             Applied::Command(_) => self.all = true,
             Applied::SessionOpened(_)
+            | Applied::SplitStaged(_)
             | Applied::GuardReady(_)
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
