--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -47,6 +47,10 @@
         "explain" => question(sub, &explain_question(sub), explain_text),
         "wait" => wait(sub),
         "control" => control(sub),
+        "split" => match sub.subcommand() {
+            Some((step, sub)) => change(&format!("split-{step}"), sub),
+            None => bail!("a command is needed; see split --help"),
+        },
         _ => change(name, sub),
     }
 }
@@ -245,6 +249,10 @@
             schema: Some(read_schema(sub, "file")?.1),
             ..request
         },
+        "release" => CommandRequest {
+            fingerprint: given("fingerprint"),
+            ..request
+        },
         "move" => CommandRequest {
             service: given("service"),
             start: given("start"),
