--- a/src/grant/touched.rs
+++ b/src/grant/touched.rs
@@ -63,7 +63,6 @@
             | Applied::GuardReady(_)
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
-            | Applied::SplitStaged(_)
             | Applied::Ignored(_) => {}
         }
     }
