--- /dev/null
+++ b/src/cli/args.rs
@@ -0,0 +1,11 @@
+use clap::{value_parser, Arg};
+
+/// Returns an option that takes a whole number.
+pub(super) fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .value_parser(value_parser!(u32))
+        .default_value(default)
+        .help(help)
+}
--- a/src/cli/ctl/command_line.rs
+++ b/src/cli/ctl/command_line.rs
@@ -28,22 +28,20 @@
         .subcommands(questions())
         .subcommands(changes())
         .subcommand(control())
-        .subcommand(
-            Command::new("split")
-                .about("Starts, pauses, resumes and parts the split that the schema declares")
-                .after_help(
-                    "Example:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys split start",
-                )
-                .subcommand_required(true)
-                .subcommands(["start", "pause", "resume", "part"].map(Command::new)),
-        )
+        .subcommand(split())
         .subcommand(
             Command::new("release")
                 .about("Lets a quarantined request run again; status lists them")
                 .after_help(
                     "Example:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys release 00112233445566aa",
                 )
-                .arg(Arg::new("fingerprint").value_name("FINGERPRINT").required(true)),
+                .args([
+                    Arg::new("fingerprint")
+                        .value_name("FINGERPRINT")
+                        .required(true)
+                        .help("Fingerprint of the request"),
+                    base(),
+                ]),
         )
         .subcommand(
             Command::new("example-schema")
@@ -165,7 +163,7 @@
             )
             .args([
                 file("file"),
-                option("base", "REVISION", "Revision that the file was made against; the one in force if absent"),
+                base(),
                 wait_flag("Wait until every live session has applied it"),
             ]),
         Command::new("drain")
@@ -174,13 +172,13 @@
                 "Examples:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys drain ba-b-1 --wait\n  \
                  clementinectl --address 10.0.0.1:7112 --key-file operator.keys drain ba-b-1 --server 10.0.0.2:7250",
             )
-            .args([host(), server(), wait_flag("Wait until it owns no key any more")]),
+            .args([host(), server(), base(), wait_flag("Wait until it owns no key any more")]),
         Command::new("undrain")
             .about("Ends a drain")
             .after_help(
                 "Example:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys undrain ba-b-1",
             )
-            .args([host(), server()]),
+            .args([host(), server(), base()]),
         Command::new("move")
             .about("Moves a span of keys to a host")
             .after_help(
@@ -192,7 +190,8 @@
                 option("start", "KEY", "First key; the lowest if absent").default_value(""),
                 option("end", "KEY", "First key after the span; no upper bound if absent"),
                 option("to-host", "HOST", "Host that gets the span").required(true),
-                option("to-server", "IP:PORT", "Server of that host; the least loaded if absent"),
+                option("to-server", "IP:PORT", "Server of that host; the one with the fewest ranges if absent"),
+                base(),
             ]),
     ]
 }
@@ -212,10 +211,18 @@
             Command::new("status").about("Prints the control hosts, their roles and how far they lag"),
             Command::new("add")
                 .about("Adds a control host: as a learner first, then with a vote")
-                .arg(Arg::new("peer").value_name("IP:PORT").required(true)),
-            Command::new("remove")
-                .about("Removes a control host")
-                .arg(Arg::new("member").value_name("ID").required(true)),
+                .arg(
+                    Arg::new("peer")
+                        .value_name("IP:PORT")
+                        .required(true)
+                        .help("Peer address of the host"),
+                ),
+            Command::new("remove").about("Removes a control host").arg(
+                Arg::new("member")
+                    .value_name("ID")
+                    .required(true)
+                    .help("Id of the member, as in control status"),
+            ),
             Command::new("replace")
                 .about("Adds a control host and removes another one after it")
                 .args([
@@ -225,6 +232,27 @@
         ])
 }
 
+fn split() -> Command {
+    let step = |name: &'static str, about: &'static str| Command::new(name).about(about).arg(base());
+    Command::new("split")
+        .about("Shows and steps the split that the schema declares")
+        .after_help(
+            "Examples:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys split start\n  \
+             clementinectl --address 10.0.0.1:7112 --key-file operator.keys split status",
+        )
+        .subcommand_required(true)
+        .subcommands([
+            Command::new("status").about("Prints the stage and what is left to move"),
+            step("start", "Starts to move ranges to servers of their own half"),
+            step("pause", "Stops moves to the other half"),
+            step("resume", "Goes on after a pause"),
+            step(
+                "part",
+                "Cedes the keys of the second half, which cannot be taken back",
+            ),
+        ])
+}
+
 fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).value_name(value).help(help)
 }
@@ -244,6 +272,14 @@
     option("server", "IP:PORT", "Only this server of the host")
 }
 
+fn base() -> Arg {
+    option(
+        "base",
+        "REVISION",
+        "Revision that the command was made against; the one in force if absent",
+    )
+}
+
 fn wait_flag(help: &'static str) -> Arg {
     Arg::new("wait")
         .long("wait")
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -4,7 +4,7 @@
         progress::{ranges_left, sessions_behind, wait_until},
         schema_diff::differences,
         target::{Sent, Target},
-        text_output::{control_text, diff_text, explain_text, status_text},
+        text_output::{control_text, diff_text, explain_text, split_text, status_text},
     },
     crate::{cli::exit, clock::Clock, control::CommandId, edge::CommandRequest, schema::Schema},
     anyhow::{anyhow, bail, Context, Result},
@@ -48,6 +48,7 @@
         "wait" => wait(sub),
         "control" => control(sub),
         "split" => match sub.subcommand() {
+            Some(("status", sub)) => question(sub, "split", split_text),
             Some((step, sub)) => change(&format!("split-{step}"), sub),
             None => bail!("a command is needed; see split --help"),
         },
--- a/src/cli/ctl/text_output.rs
+++ b/src/cli/ctl/text_output.rs
@@ -51,6 +51,22 @@
     out
 }
 
+/// Returns the text form of an answer to `split status`.
+pub(super) fn split_text(split: &Value) -> String {
+    if split["declared"] != true {
+        return "the schema declares no split\n".into();
+    }
+    let left = |name: &str| plain(&split["left"][name]);
+    format!(
+        "stage {}\nranges {}  on servers of the other half {}  without an owner {}\nsessions of the second half {}\n",
+        plain(&split["stage"]),
+        left("ranges"),
+        left("misplaced"),
+        left("unowned"),
+        left("second_sessions")
+    )
+}
+
 /// Returns the text form of an answer to `control`.
 pub(super) fn control_text(answer: &Value) -> String {
     let mut out = String::new();
--- a/src/cli/load_cli.rs
+++ b/src/cli/load_cli.rs
@@ -1,5 +1,5 @@
 use {
-    super::exit,
+    super::{args::number, exit},
     crate::{
         clock::Ms,
         load::{run_load as run, LoadSettings},
@@ -87,12 +87,3 @@
                 .help("Fail unless every call was answered"),
         ])
 }
-
-fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_name("N")
-        .value_parser(value_parser!(u32))
-        .default_value(default)
-        .help(help)
-}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command lines of the programs. They only parse, and report errors.
 
+mod args;
 mod ctl;
 mod daemon_cli;
 mod exit;
--- a/src/cli/standin_cli.rs
+++ b/src/cli/standin_cli.rs
@@ -1,5 +1,5 @@
 use {
-    super::exit,
+    super::{args::number, exit},
     crate::{
         clock::Ms,
         standin::{run_standin as run, StandinSettings},
@@ -63,12 +63,3 @@
         .value_parser(value_parser!(SocketAddr))
         .help(help)
 }
-
-fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_name("N")
-        .value_parser(value_parser!(u32))
-        .default_value(default)
-        .help(help)
-}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -92,7 +92,7 @@
     started.ok()
 }
 
-/// The I/O duty: all sockets but those to backend servers, on one thread.
+/// The I/O duty: all sockets but those for orders to backend servers, on one thread.
 async fn serve(
     settings: Settings,
     log: Logger,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! Router for servers that own keys exclusively.
 //!
-//! The folders from `clock` to `call` hold decisions without I/O. `link`, `edge` and
-//! `daemon` carry the decisions out, and `cli` holds the command lines of the programs. `standin` is an
+//! Decisions take time and randomness from outside and do no I/O. `link`, `edge`, `daemon` and the duties in
+//! `control` carry them out, and `cli` holds the command lines of the programs. `standin` is an
 //! example backend server and `load` sends calls, both for demonstrations, tests and benches.
 
 #![forbid(unsafe_code)]
--- a/src/link/link_client.rs
+++ b/src/link/link_client.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        frame_batch::send_waiting,
         handshake::{self, FrameStream},
         LinkError, LinkIdentity,
     },
@@ -10,7 +11,7 @@
     },
     futures_util::{
         stream::{SplitSink, SplitStream},
-        SinkExt, StreamExt,
+        StreamExt,
     },
     slog::Logger,
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
@@ -180,15 +181,7 @@
             Err(_) if pending.borrow().is_empty() => return,
             Err(_) => continue,
         };
-        if sink.feed(frame).await.is_err() {
-            return;
-        }
-        while let Ok(frame) = rx.try_recv() {
-            if sink.feed(frame).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
+        if send_waiting(&mut sink, frame, &mut rx).await.is_err() {
             return;
         }
     }
--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        frame_batch::send_waiting,
         handshake::{self, FrameStream},
         LinkIdentity,
     },
@@ -9,7 +10,7 @@
         log_event,
         wire::peer::{frame::Body, Frame},
     },
-    futures_util::{stream::SplitSink, SinkExt, StreamExt},
+    futures_util::{stream::SplitSink, StreamExt},
     slog::Logger,
     std::{cell::RefCell, future::Future, rc::Rc, time::Duration},
     tokio::{
@@ -95,15 +96,7 @@
 /// Writes answers until the link fails. Answers that wait are flushed together.
 async fn write_answers(mut sink: SplitSink<FrameStream, Frame>, mut rx: mpsc::Receiver<Frame>) {
     while let Some(frame) = rx.recv().await {
-        if sink.feed(frame).await.is_err() {
-            return;
-        }
-        while let Ok(frame) = rx.try_recv() {
-            if sink.feed(frame).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
+        if send_waiting(&mut sink, frame, &mut rx).await.is_err() {
             return;
         }
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,5 +1,6 @@
 //! Links between daemons: frames, the hello, and requests with answers.
 
+mod frame_batch;
 mod frame_codec;
 mod handshake;
 mod key_ring;
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -67,9 +67,9 @@
     pub body_bytes: usize,
     /// Most bytes of an answer's body.
     pub answer_bytes: usize,
-    /// Longest time for a caller to send a whole request.
+    /// Longest time for a caller to send the body after the head.
     pub read: Ms,
-    /// Longest time that a connection may be idle.
+    /// Longest time that a connection may be idle, or take to send a head.
     pub idle: Ms,
 }
 
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -93,7 +93,7 @@
     let long_id = "x".repeat(129);
     let id = cluster.command_id();
     let first = ["--command-id", &id, "apply", "new.json"];
-    let cases: [(&str, Vec<&str>, i32, &str); 19] = [
+    let cases: [(&str, Vec<&str>, i32, &str); 22] = [
         (
             "plan",
             vec!["plan", "new.json"],
@@ -124,6 +124,12 @@
         ("drain of nobody", vec!["drain", "host-9"], 4, "host"),
         ("drain", vec!["drain", "host-1"], 0, "accepted"),
         ("undrain", vec!["undrain", "host-1"], 0, "accepted"),
+        (
+            "undrain against an older revision",
+            vec!["undrain", "host-1", "--base", old],
+            3,
+            "conflict",
+        ),
         ("undrain twice", vec!["undrain", "host-1"], 4, "refused"),
         (
             "command id too long",
@@ -131,6 +137,8 @@
             4,
             "command_id",
         ),
+        ("split that is not declared", vec!["split", "start"], 4, "refused"),
+        ("split status", vec!["split", "status"], 0, "declares no split"),
         ("control hosts", vec!["control", "status"], 0, "leader"),
         ("no fingerprint", vec!["release", "xyz"], 4, "fingerprint"),
         ("nothing to release", vec!["release", "00112233"], 4, "refused"),
