Close only the part of a guard that a later owner reads

Cause: the planner moves half of a range, or one hot key of it, and an operator moves any span. Both parts keep the epoch of the range, and the old owner has one guard for it. The new owner's fetch of its part closed that whole guard. The owner of the rest stayed "in place" by its own look, so nothing put the guard right: every non-idempotent call of the rest was refused with guard-not-ready after its park time (1 s), until the rest moved too.

Ruled out: slow steps of a move.

Change: a tenure notes the parts that were read. Calls of other keys go on. The copy takes no further entry for a key that was read; a whole copy that is put in place again keeps the closed parts with their entries. Since a part of a tenure may now be open while another is not, the guard also looks whether the epoch of the key is still the present one before it lets a call through.

Seen failing: part_moved, with the whole tenure closed at a fetch as before: "alpha-1 ends: not seen within 30s". With the change it passes.

--- a/src/call/guard_wire.rs
+++ b/src/call/guard_wire.rs
@@ -13,6 +13,14 @@
 }
 
 impl GuardChange {
+    /// Returns which call it is about.
+    pub fn id(&self) -> &GuardId {
+        match self {
+            Self::Put(entry) => &entry.id,
+            Self::Removed(id, _) => id,
+        }
+    }
+
     /// Returns the message form. Times are sent as the time left, since clocks of hosts differ.
     pub fn to_wire(&self, now: Ms) -> GuardEntryImage {
         match self {
--- a/src/call/tenure.rs
+++ b/src/call/tenure.rs
@@ -31,8 +31,8 @@
     pub epoch: u64,
     /// What this daemon is to it.
     pub role: Role,
-    /// True once a later owner has read it: it takes no further entries.
-    pub sealed: bool,
+    /// Parts that a later owner has read: they take no further entries.
+    pub sealed: Vec<KeyRange>,
     /// The calls.
     pub guard: Guard,
 }
@@ -46,9 +46,31 @@
         }
     }
 
-    /// Tells if the owner may let calls through.
-    pub fn is_ready(&self) -> bool {
-        !self.sealed && matches!(self.role, Role::Owner { ready: true, .. })
+    /// Tells if the owner may let calls of `key` through.
+    pub fn is_ready(&self, key: &Key) -> bool {
+        !self.is_sealed(key) && matches!(self.role, Role::Owner { ready: true, .. })
+    }
+
+    /// Closes a part that a later owner reads. The rest of the tenure goes on.
+    pub fn seal(&mut self, part: KeyRange) {
+        if !self.sealed.contains(&part) {
+            self.sealed.push(part);
+        }
+    }
+
+    /// Tells if a later owner has read the part with `key`.
+    pub fn is_sealed(&self, key: &Key) -> bool {
+        self.sealed.iter().any(|part| part.contains(key))
+    }
+
+    /// Takes over the closed parts of `older`, an earlier copy of the same tenure, with their entries.
+    pub fn keep_sealed(&mut self, older: &Self) {
+        for part in &older.sealed {
+            let entries = older.guard.entries_of(part);
+            entries.into_iter().for_each(|entry| self.guard.copy(entry));
+            self.seal(part.clone());
+        }
+        self.guard.note_hole(older.guard.hole_until());
     }
 }
 
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -294,6 +294,13 @@
             .table(service)
             .is_some_and(|t| t.range_of(key).release.is_some())
     }
+
+    /// Tells if the ownership of `key` is still the one of `epoch`.
+    pub(super) fn is_owned_at(&self, service: &str, key: &Key, epoch: u64) -> bool {
+        let state = self.state();
+        let owner = state.table(service).and_then(|t| t.range_of(key).owner.as_ref());
+        owner.is_some_and(|owner| owner.epoch == epoch)
+    }
 }
 
 fn refused(refusal: Refusal) -> CallResult {
--- a/src/daemon/guard_holder.rs
+++ b/src/daemon/guard_holder.rs
@@ -21,18 +21,18 @@
         };
         let mut tenures = self.tenures.borrow_mut();
         if copy.first {
-            let known = tenures.get(&copy.service, &span.start, copy.epoch);
-            if known.is_some_and(|t| t.sealed) {
-                return GuardCopyAnswer { kept: false };
-            }
-            tenures.put(Tenure {
+            let mut tenure = Tenure {
                 service: copy.service.clone(),
                 span: span.clone(),
                 epoch: copy.epoch,
                 role: Role::Copy { whole: false },
-                sealed: false,
+                sealed: Vec::new(),
                 guard: Guard::new(GuardLimits::default()),
-            });
+            };
+            if let Some(known) = tenures.get(&copy.service, &span.start, copy.epoch) {
+                tenure.keep_sealed(known);
+            }
+            tenures.put(tenure);
         }
         let Some(tenure) = tenures.get(&copy.service, &span.start, copy.epoch) else {
             return GuardCopyAnswer { kept: false };
@@ -40,13 +40,14 @@
         let Role::Copy { whole } = &mut tenure.role else {
             return GuardCopyAnswer { kept: false };
         };
-        if tenure.sealed {
-            return GuardCopyAnswer { kept: false };
-        }
         *whole |= copy.last;
         tenure.guard.note_hole(hole_end(copy.hole_ms, now));
         for image in copy.entries {
             match GuardChange::from_wire(image, now) {
+                // No call is let through any more for a key that a later owner has asked for.
+                Some(change) if !copy.whole && tenure.is_sealed(&change.id().key) => {
+                    return GuardCopyAnswer { kept: false };
+                }
                 Some(GuardChange::Put(entry)) => tenure.guard.copy(entry),
                 Some(GuardChange::Removed(id, sequence)) => tenure.guard.copy_removal(&id, sequence),
                 None => return GuardCopyAnswer { kept: false },
@@ -55,7 +56,8 @@
         GuardCopyAnswer { kept: true }
     }
 
-    /// Hands a part of a guard to a later owner. From the first part on, the guard takes no further calls.
+    /// Hands a part of a guard to a later owner. From the first part on, the guard takes no
+    /// further calls of the keys that are asked for.
     pub(super) fn hand_out_guard(&self, fetch: &GuardFetch) -> GuardFetchAnswer {
         let now = self.clock.now();
         let span = KeyRange {
@@ -69,7 +71,7 @@
         else {
             return GuardFetchAnswer::default();
         };
-        tenure.sealed = true;
+        tenure.seal(span.clone());
         let mut entries = tenure.guard.entries_of(&span);
         entries.sort_by(|a, b| a.id.cmp(&b.id));
         let total = entries.len() as u64;
--- a/src/daemon/guard_task.rs
+++ b/src/daemon/guard_task.rs
@@ -160,7 +160,7 @@
                     holder: String::new(),
                     ready: false,
                 },
-                sealed: false,
+                sealed: Vec::new(),
                 guard,
             });
         }
@@ -245,6 +245,7 @@
                 end: span.end.as_ref().map(Key::to_bytes),
                 first: number == 0,
                 last: number == last,
+                whole: true,
                 entries: images.collect(),
                 hole_ms,
             };
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -55,13 +55,15 @@
             }
             let verdict = if self.refusing.get() {
                 GuardVerdict::Refuse(Reason::Draining)
-            } else if self.is_released(&service.name, &id.key) {
+            } else if self.is_released(&service.name, &id.key)
+                || !self.is_owned_at(&service.name, &id.key, epoch)
+            {
                 GuardVerdict::Refuse(Reason::NoOwner)
             } else {
                 let mut tenures = self.tenures.borrow_mut();
                 match tenures
                     .get(&service.name, &id.key, epoch)
-                    .filter(|t| t.is_ready())
+                    .filter(|t| t.is_ready(&id.key))
                 {
                     Some(tenure) if self.lease.is_valid(now) => {
                         tenure.guard.begin(&id, digest, now + kind.answer_kept, now)
@@ -133,7 +135,7 @@
             let ready = {
                 let mut tenures = self.tenures.borrow_mut();
                 let tenure = tenures.get(service, &let_through.id.key, let_through.epoch);
-                tenure.is_some_and(|t| !t.sealed)
+                tenure.is_some_and(|t| !t.is_sealed(&let_through.id.key))
             };
             if !ready {
                 return CallResult::failed(Reason::GuardNotReady);
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -6,7 +6,7 @@
     rustix::process::Signal,
     serde_json::{json, Value},
     std::{thread, time::Duration},
-    support::{wait_until, Answer, Cluster, ClusterPlan, StandinPlan},
+    support::{move_span, owner_of, wait_until, Answer, Cluster, ClusterPlan, StandinPlan},
 };
 
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -174,6 +174,44 @@
     }
 }
 
+/// A part of a range moves. Its owner goes on with the keys that it keeps, and no call of either part is lost
+/// or run again.
+#[test]
+fn part_moved() {
+    const PARTS: [&str; 2] = ["alpha", "bravo"];
+    let cluster = cluster(3, 5);
+    let pay = |key: &str, id: &str| {
+        let headers = [("fold-key", key), ("fold-request-id", id)];
+        cluster.call(0, "POST", "/ledger/pay/a", &headers).unwrap()
+    };
+    let pay_to_end = |key: &str, id: &str| {
+        let mut last = None;
+        wait_until(&format!("{id} ends"), PATIENCE, || {
+            last = Some(pay(key, id));
+            last.as_ref().is_some_and(|answer| answer.outcome != "not-run")
+        });
+        last.unwrap()
+    };
+    let mut answers = Vec::new();
+    for round in 0..4 {
+        for key in PARTS {
+            let id = format!("{key}-{round}");
+            answers.push((key, pay_to_end(key, &id), id));
+        }
+        let owner = owner_of(&cluster, "bravo").unwrap();
+        let target = (cluster.servers[owner].plan.host + 1) % cluster.hosts.len();
+        move_span(&cluster, "b", Some("m"), target);
+        wait_until("the part has moved", PATIENCE, || {
+            owner_of(&cluster, "bravo").is_some_and(|server| cluster.servers[server].plan.host == target)
+        });
+    }
+    for (key, answer, id) in &answers {
+        assert_eq!(answer.outcome, "answered", "{id}: {answer:?}");
+        assert_eq!(pay_to_end(key, id), *answer, "{id}");
+        assert_eq!(runs(&cluster, id), 1, "{id}");
+    }
+}
+
 /// The owner is lost while its server runs the call: the copy, made before the call was sent, is all that keeps a
 /// resend from running it again.
 #[test]
--- /dev/null
+++ b/tests/tenure_parts.rs
@@ -0,0 +1,122 @@
+//! A later owner closes only the part of a guard that it asks for.
+
+use clementinefold::{
+    call::{Fingerprint, Guard, GuardEntry, GuardId, GuardLimits, GuardVerdict, Role, Tenure},
+    clock::Ms,
+    key::{Key, KeyRange},
+};
+
+const EPOCH: u64 = 7;
+
+fn key(text: &str) -> Key {
+    Key::new(text.as_bytes().to_vec())
+}
+
+fn span(start: &str, end: &str) -> KeyRange {
+    KeyRange {
+        start: key(start),
+        end: Some(key(end)),
+    }
+}
+
+fn tenure(role: Role) -> Tenure {
+    Tenure {
+        service: "ledger".into(),
+        span: span("a", "m"),
+        epoch: EPOCH,
+        role,
+        sealed: Vec::new(),
+        guard: Guard::new(GuardLimits::default()),
+    }
+}
+
+fn owner() -> Tenure {
+    tenure(Role::Owner {
+        holder: String::new(),
+        ready: true,
+    })
+}
+
+fn begin(guard: &mut Guard, text: &str) -> GuardEntry {
+    let id = GuardId {
+        key: key(text),
+        request_id: text.into(),
+    };
+    match guard.begin(&id, Fingerprint([1; 16]), Ms(1000), Ms(1)) {
+        GuardVerdict::Run(entry) => entry,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Keys of which calls go on and those that are closed after some parts were read.
+struct Case {
+    name: &'static str,
+    read: &'static [(&'static str, &'static str)],
+    ready: &'static [&'static str],
+    closed: &'static [&'static str],
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "nothing was read",
+        read: &[],
+        ready: &["a", "c", "l"],
+        closed: &[],
+    },
+    Case {
+        name: "half was read",
+        read: &[("a", "f")],
+        ready: &["f", "l"],
+        closed: &["a", "e"],
+    },
+    Case {
+        name: "two parts were read",
+        read: &[("a", "c"), ("k", "m")],
+        ready: &["c", "j"],
+        closed: &["a", "b", "k", "l"],
+    },
+    Case {
+        name: "all was read",
+        read: &[("a", "m")],
+        ready: &[],
+        closed: &["a", "f", "l"],
+    },
+];
+
+#[test]
+fn ready_keys() {
+    for case in &CASES {
+        let mut tenure = owner();
+        case.read
+            .iter()
+            .for_each(|(start, end)| tenure.seal(span(start, end)));
+        for text in case.ready {
+            assert!(tenure.is_ready(&key(text)), "{}: {text}", case.name);
+        }
+        for text in case.closed {
+            assert!(!tenure.is_ready(&key(text)), "{}: {text}", case.name);
+        }
+    }
+}
+
+/// The owner of the rest puts its copy in place again: what the later owner read stays closed and known.
+#[test]
+fn copied_again() {
+    let mut owner = owner();
+    let mut copy = tenure(Role::Copy { whole: true });
+    for text in ["b", "h"] {
+        copy.guard.copy(begin(&mut owner.guard, text));
+    }
+    copy.seal(span("a", "f"));
+    let mut again = tenure(Role::Copy { whole: false });
+    again.keep_sealed(&copy);
+    assert!(again.is_sealed(&key("b")));
+    assert!(!again.is_sealed(&key("h")));
+    let known: Vec<Key> = again
+        .guard
+        .entries_of(&KeyRange::default())
+        .into_iter()
+        .map(|e| e.id.key)
+        .collect();
+    assert_eq!(known, [key("b")]);
+}
