--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -58,13 +58,14 @@
                 if self.refusing.get() {
                     return GuardVerdict::Refuse(Reason::Draining);
                 }
-                if self.is_released(&service.name, &id.key) {
+                let key = &id.key;
+                if self.is_released(&service.name, key) || !self.is_owned_at(&service.name, key, epoch) {
                     return GuardVerdict::Refuse(Reason::NoOwner);
                 }
                 let mut tenures = self.tenures.borrow_mut();
                 match tenures
                     .get(&service.name, &id.key, epoch)
-                    .filter(|t| t.is_ready())
+                    .filter(|t| t.is_ready(&id.key))
                 {
                     Some(tenure) if self.lease.is_valid(now) => {
                         tenure.guard.begin(&id, digest, now + kind.answer_kept, now)
@@ -152,7 +153,7 @@
             let ready = {
                 let mut tenures = self.tenures.borrow_mut();
                 let tenure = tenures.get(service, &let_through.id.key, let_through.epoch);
-                tenure.is_some_and(|t| !t.sealed)
+                tenure.is_some_and(|t| !t.is_sealed(&let_through.id.key))
             };
             if !ready {
                 return CallResult::failed(Reason::GuardNotReady);
