--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -256,7 +256,10 @@
     let refused = with_new();
     assert_eq!(code(&refused), 1);
     assert!(stderr(&refused).contains("401"), "{}", stderr(&refused));
-    assert!(cluster.log("host-1").contains("CF3101"));
+    // The log thread writes its lines a little later.
+    wait_until("the refusal is logged", PATIENCE, || {
+        cluster.log("host-1").contains("CF3101")
+    });
 
     write(&cluster, "test.keys", "no key at all");
     cluster.signal_host(0, Signal::HUP);
