Elections of 180 ms; the state that the tasks of a daemon share is DaemonCx

Ruled out: a shorter ttl, since it makes ranges move at shorter pauses.

Change: election_ms is 180 by default.

--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -1,5 +1,5 @@
 use {
-    super::{dispatch::Dispatch, node::Node},
+    super::{daemon_cx::DaemonCx, dispatch::Dispatch},
     crate::{
         call::{after_attempt, Call, CallResult, NextStep, Outcome, Reason, RetryView},
         clock::Ms,
@@ -25,12 +25,12 @@
 const RETRY_AFTER: Ms = Ms(1000);
 
 /// Counts a call among those that run, until it is dropped.
-pub(super) struct Counted(Rc<Node>);
+pub(super) struct Counted(Rc<DaemonCx>);
 
 impl Counted {
-    pub fn new(node: &Rc<Node>) -> Self {
-        node.running.set(node.running.get() + 1);
-        Self(node.clone())
+    pub fn new(cx: &Rc<DaemonCx>) -> Self {
+        cx.running.set(cx.running.get() + 1);
+        Self(cx.clone())
     }
 }
 
@@ -40,7 +40,7 @@
     }
 }
 
-impl Node {
+impl DaemonCx {
     /// Serves a caller's request from its first byte to its answer.
     pub async fn serve_caller(self: Rc<Self>, request: Result<HttpRequest, HttpFault>) -> HttpResponse {
         let started = self.clock.now();
@@ -305,17 +305,17 @@
 
 /// Counts a call against a server while it is in flight.
 struct InFlight<'a> {
-    node: &'a Node,
+    cx: &'a DaemonCx,
     candidate: &'a route::Target,
     sent_at: Ms,
     signal: Signal,
 }
 
 impl<'a> InFlight<'a> {
-    fn new(node: &'a Node, candidate: &'a route::Target, sent_at: Ms) -> Self {
-        node.balancer.borrow_mut().sent(candidate, sent_at);
+    fn new(cx: &'a DaemonCx, candidate: &'a route::Target, sent_at: Ms) -> Self {
+        cx.balancer.borrow_mut().sent(candidate, sent_at);
         Self {
-            node,
+            cx,
             candidate,
             sent_at,
             signal: Signal::None,
@@ -324,17 +324,17 @@
 
     fn end(mut self, result: &CallResult) {
         let overloaded = result.reason == Some(Reason::Overloaded);
-        let took = self.node.clock.now() - self.sent_at;
+        let took = self.cx.clock.now() - self.sent_at;
         self.signal = Signal::of(result.outcome, overloaded, took);
     }
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        let now = self.node.clock.now();
-        let mut balancer = self.node.balancer.borrow_mut();
+        let now = self.cx.clock.now();
+        let mut balancer = self.cx.balancer.borrow_mut();
         if balancer.ended(self.candidate, self.signal, now) {
-            log_event!(self.node.log, Event::ServerAvoided; "server" => &self.candidate.server);
+            log_event!(self.cx.log, Event::ServerAvoided; "server" => &self.candidate.server);
         }
     }
 }
--- a/src/daemon/control_client.rs
+++ b/src/daemon/control_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         clock::Ms,
         link::LinkError,
@@ -28,7 +28,7 @@
 /// Pauses after a link to a control host could not be opened, shortest and longest.
 const LINK_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
 
-impl Node {
+impl DaemonCx {
     /// Sends a request to the leader.
     ///
     /// # Errors
--- a/src/daemon/control_handler.rs
+++ b/src/daemon/control_handler.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         edge::{self, HttpResponse},
         wire::peer::{
@@ -10,7 +10,7 @@
     serde_json::{json, Value},
 };
 
-impl Node {
+impl DaemonCx {
     /// Serves the operators' `control` calls: the control hosts of the cell, and changes of one of them.
     pub async fn control(&self, body: &[u8]) -> HttpResponse {
         let change = match body {
--- a/src/daemon/node.rs
+++ b/src/daemon/daemon_cx.rs
@@ -28,7 +28,7 @@
 };
 
 /// What the tasks of the I/O duty share. All of them run on one thread.
-pub(super) struct Node {
+pub(super) struct DaemonCx {
     pub settings: Settings,
     pub clock: Clock,
     pub log: Logger,
@@ -93,8 +93,8 @@
     next_call: Cell<u64>,
 }
 
-/// What a new node is made of.
-pub(super) struct NodeParts {
+/// What a new cx is made of.
+pub(super) struct DaemonParts {
     pub settings: Settings,
     pub clock: Clock,
     pub log: Logger,
@@ -104,8 +104,8 @@
     pub control: Option<ControlHandle>,
 }
 
-impl Node {
-    pub fn new(parts: NodeParts) -> Self {
+impl DaemonCx {
+    pub fn new(parts: DaemonParts) -> Self {
         let mut rng = SmallRng::from_os_rng();
         let leader = parts
             .settings
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -1,7 +1,7 @@
 use {
     super::{
+        daemon_cx::DaemonCx,
         local_server::{LocalServer, RunningCall},
-        node::Node,
         slot_gate::Slot,
     },
     crate::{
@@ -46,7 +46,7 @@
 
 /// Removes a running call from its server's list. If it did not end, its work is cancelled.
 struct Running {
-    node: Rc<Node>,
+    cx: Rc<DaemonCx>,
     server: Rc<LocalServer>,
     id: String,
     ended: bool,
@@ -58,7 +58,7 @@
         if !self.ended {
             let (server, call) = (self.server.clone(), std::mem::take(&mut self.id));
             log_event!(
-                self.node.log, Event::CallCancelled;
+                self.cx.log, Event::CallCancelled;
                 "service" => &server.announced.service, "server" => &server.announced.address, "call" => &call
             );
             spawn_local(async move { drop(server.orders.give(Order::Cancel { call }).await) });
@@ -66,7 +66,7 @@
     }
 }
 
-impl Node {
+impl DaemonCx {
     /// Sends a call to a local server, if this daemon may.
     pub(super) async fn call_server(self: &Rc<Self>, address: &str, dispatch: Dispatch<'_>) -> CallResult {
         let Some(server) = self.server(&dispatch.service.name, address) else {
@@ -143,7 +143,7 @@
             key: key.clone(),
         });
         let mut running = Running {
-            node: self.clone(),
+            cx: self.clone(),
             server: server.clone(),
             id: id.clone(),
             ended: false,
@@ -218,12 +218,12 @@
             fingerprints: Fingerprint::of_suspect(call),
             at: self.clock.now(),
         });
-        let (node, server) = (self.clone(), server.clone());
+        let (cx, server) = (self.clone(), server.clone());
         let probe = spawn_local(async move {
             let connect = TcpStream::connect(&server.announced.address);
             if let Ok(Err(_)) = timeout(PROBE_TIMEOUT, connect).await {
-                node.remove_server(&server, "its address refuses connections");
-                node.note_crash(&server).await;
+                cx.remove_server(&server, "its address refuses connections");
+                cx.note_crash(&server).await;
             }
         });
         if repeats {
@@ -269,8 +269,8 @@
         let cleared = SuspectsCleared {
             fingerprints: fingerprints.map(|f| f.0.to_vec().into()).collect(),
         };
-        let node = self.clone();
-        spawn_local(async move { drop(node.propose(change::Body::SuspectsCleared(cleared)).await) });
+        let cx = self.clone();
+        spawn_local(async move { drop(cx.propose(change::Body::SuspectsCleared(cleared)).await) });
     }
 
     /// Waits for a bounded time until the state has the change at `index`.
--- a/src/daemon/explain.rs
+++ b/src/daemon/explain.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         control::{RangeTable, State},
         key::Key,
@@ -18,7 +18,7 @@
     path: String,
 }
 
-impl Node {
+impl DaemonCx {
     /// Tells who owns a key, since when, why, and what would be done with a call now.
     ///
     /// # Errors
--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -1,5 +1,5 @@
 use {
-    super::{local_server::LocalServer, node::Node},
+    super::{daemon_cx::DaemonCx, local_server::LocalServer},
     crate::{
         edge::{Order, OrderError},
         event::Event,
@@ -22,7 +22,7 @@
 /// Longest time for the servers to confirm their revokes while the daemon stops.
 const STOP_MAX: Duration = Duration::from_secs(2);
 
-impl Node {
+impl DaemonCx {
     /// Keeps what the local servers own in step with the state. Only what has changed is looked at.
     pub async fn keep_grants(self: Rc<Self>) {
         loop {
--- a/src/daemon/guard_holder.rs
+++ b/src/daemon/guard_holder.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         call::{Guard, GuardChange, GuardLimits, Role, Tenure},
         clock::Ms,
@@ -11,7 +11,7 @@
 /// Most entries in one answer to a fetch.
 pub(super) const PART_ENTRIES: usize = 500;
 
-impl Node {
+impl DaemonCx {
     /// Keeps a part of the copy of another daemon's guard.
     pub(super) fn keep_copy(&self, copy: GuardCopy) -> GuardCopyAnswer {
         let now = self.clock.now();
--- a/src/daemon/guard_task.rs
+++ b/src/daemon/guard_task.rs
@@ -1,7 +1,7 @@
 use {
     super::{
+        daemon_cx::DaemonCx,
         guard_holder::{hole_end, PART_ENTRIES},
-        node::Node,
     },
     crate::{
         call::{Guard, GuardChange, GuardEntry, GuardLimits, Role, Tenure},
@@ -40,7 +40,7 @@
     epoch: u64,
 }
 
-impl Node {
+impl DaemonCx {
     /// Keeps the guards of the spans that this daemon owns, and their copies, in place.
     pub(super) async fn keep_guards(self: Rc<Self>) {
         let mut part = 0;
@@ -135,10 +135,10 @@
     fn establish_later(self: &Rc<Self>, wanted: Wanted) {
         let mark = (wanted.epoch, wanted.span.start.clone());
         self.establishing.borrow_mut().push(mark.clone());
-        let node = self.clone();
+        let cx = self.clone();
         spawn_local(async move {
-            node.establish(wanted).await;
-            node.establishing.borrow_mut().retain(|other| *other != mark);
+            cx.establish(wanted).await;
+            cx.establishing.borrow_mut().retain(|other| *other != mark);
         });
     }
 
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         call_path::{find_kind, owner_key, Counted},
+        daemon_cx::DaemonCx,
         dispatch::Dispatch,
-        node::Node,
     },
     crate::{
         call::{Call, CallResult, Fingerprint, GuardChange, GuardId, GuardVerdict, Outcome, Reason, Role},
@@ -29,7 +29,7 @@
     deadline: Ms,
 }
 
-impl Node {
+impl DaemonCx {
     /// Runs a non-idempotent call as the owner of its guard, at most once.
     pub(super) async fn run_guarded(self: &Rc<Self>, call: &Call, epoch: u64, deadline: Ms) -> CallResult {
         let schema = self.state().schema().clone();
@@ -127,14 +127,14 @@
     /// Runs a call that was let through. It goes on when its caller goes away, so that a resend gets its answer.
     async fn run_to_end(self: &Rc<Self>, let_through: LetThrough, entry: GuardChange) -> CallResult {
         let (tx, rx) = oneshot::channel();
-        let node = self.clone();
+        let cx = self.clone();
         spawn_local(async move {
-            let _counted = Counted::new(&node);
+            let _counted = Counted::new(&cx);
             let mark = (let_through.call.service.clone(), let_through.id.key.clone());
-            node.let_through.borrow_mut().push(mark.clone());
-            let result = node.copy_and_run(&let_through, entry).await;
-            node.record(&let_through, &result);
-            let mut running = node.let_through.borrow_mut();
+            cx.let_through.borrow_mut().push(mark.clone());
+            let result = cx.copy_and_run(&let_through, entry).await;
+            cx.record(&let_through, &result);
+            let mut running = cx.let_through.borrow_mut();
             if let Some(i) = running.iter().position(|other| *other == mark) {
                 running.swap_remove(i);
             }
@@ -252,8 +252,8 @@
             return;
         };
         if !address.is_empty() {
-            let node = self.clone();
-            spawn_local(async move { drop(node.links.request(&address, Body::GuardCopy(copy)).await) });
+            let cx = self.clone();
+            spawn_local(async move { drop(cx.links.request(&address, Body::GuardCopy(copy)).await) });
         }
     }
 
--- a/src/daemon/key_reload.rs
+++ b/src/daemon/key_reload.rs
@@ -1,11 +1,11 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{event::Event, link::KeyRing, log_event, settings::SettingsError},
     std::rc::Rc,
     tokio::sync::watch,
 };
 
-impl Node {
+impl DaemonCx {
     /// Reads the key files again whenever `reload` changes. Open links stay as they are.
     pub async fn reload_keys(self: Rc<Self>, peer_keys: Rc<KeyRing>, mut reload: watch::Receiver<u64>) {
         while reload.changed().await.is_ok() {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod call_path;
 mod control_client;
 mod control_handler;
+mod daemon_cx;
 mod decisions;
 mod dispatch;
 mod explain;
@@ -12,7 +13,6 @@
 mod guarded_call;
 mod key_reload;
 mod local_server;
-mod node;
 mod operator_handler;
 mod peer_handler;
 mod run;
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         control::Revision,
         edge::{self, HttpFault, HttpRequest, HttpResponse, ProofError, RequestProof},
@@ -18,7 +18,7 @@
 /// Decisions that `status` shows.
 const DECISIONS_SHOWN: usize = 20;
 
-impl Node {
+impl DaemonCx {
     /// Serves a request of an operator.
     pub async fn serve_operator(self: Rc<Self>, request: Result<HttpRequest, HttpFault>) -> HttpResponse {
         let Ok(request) = request else {
--- a/src/daemon/peer_handler.rs
+++ b/src/daemon/peer_handler.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         control::ControlInput,
         wire::{consensus::Envelope, peer::frame::Body},
@@ -9,7 +9,7 @@
     tokio::sync::oneshot,
 };
 
-impl Node {
+impl DaemonCx {
     /// Answers a request of another daemon. `None`: it gets no answer.
     pub async fn serve_peer(self: Rc<Self>, body: Body) -> Option<Body> {
         match body {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::{Node, NodeParts},
+    super::daemon_cx::{DaemonCx, DaemonParts},
     crate::{
         clock::Clock,
         control::{start_control, ControlConfig, ControlHandle, ControlInput},
@@ -107,7 +107,7 @@
         peer_address: settings.peer_address.to_string(),
         keys: Rc::new(KeyRing::load(&settings.peer_key_file)?),
     };
-    let node = Rc::new(Node::new(NodeParts {
+    let cx = Rc::new(DaemonCx::new(DaemonParts {
         clock: Clock::System,
         metrics: Metrics::new(settings.statsd_address)?,
         links: Links::new(identity.clone(), log.clone()),
@@ -116,18 +116,18 @@
         log: log.clone(),
         settings,
     }));
-    let limits = node.settings.caller_limits;
-    let peers = listen(node.settings.peer_address, &log).await?;
-    let callers = listen(node.settings.caller_address, &log).await?;
-    let servers = listen(node.settings.server_address, &log).await?;
-    let operators = listen(node.settings.operator_address, &log).await?;
+    let limits = cx.settings.caller_limits;
+    let peers = listen(cx.settings.peer_address, &log).await?;
+    let callers = listen(cx.settings.caller_address, &log).await?;
+    let servers = listen(cx.settings.server_address, &log).await?;
+    let operators = listen(cx.settings.operator_address, &log).await?;
 
-    spawn_local(node.clone().reload_keys(identity.keys.clone(), reload));
-    let for_peers = node.clone();
+    spawn_local(cx.clone().reload_keys(identity.keys.clone(), reload));
+    let for_peers = cx.clone();
     spawn_local(serve_links(peers, identity, log.clone(), move |body| {
         for_peers.clone().serve_peer(body)
     }));
-    let for_callers = node.clone();
+    let for_callers = cx.clone();
     let serving = spawn_local(edge::serve_http(
         callers,
         limits,
@@ -135,7 +135,7 @@
         stop.clone(),
         move |request| for_callers.clone().serve_caller(request),
     ));
-    let for_servers = node.clone();
+    let for_servers = cx.clone();
     spawn_local(edge::serve_http(
         servers,
         limits,
@@ -143,7 +143,7 @@
         stop.clone(),
         move |request| for_servers.clone().serve_server(request),
     ));
-    let for_operators = node.clone();
+    let for_operators = cx.clone();
     spawn_local(edge::serve_http(
         operators,
         limits,
@@ -151,20 +151,20 @@
         stop.clone(),
         move |request| for_operators.clone().serve_operator(request),
     ));
-    spawn_local(node.clone().send_control_messages(messages));
-    spawn_local(node.clone().hold_session());
-    spawn_local(node.clone().watch_clock());
-    spawn_local(node.clone().publish_servers());
-    spawn_local(node.clone().watch_state());
-    spawn_local(node.clone().keep_grants());
-    spawn_local(node.clone().keep_guards());
-    spawn_local(node.clone().extend_leases());
-    spawn_local(node.clone().watch_announcements());
-    log_event!(log, Event::DaemonStarted; "host" => &node.settings.host, "callers" => node.settings.caller_address.to_string());
+    spawn_local(cx.clone().send_control_messages(messages));
+    spawn_local(cx.clone().hold_session());
+    spawn_local(cx.clone().watch_clock());
+    spawn_local(cx.clone().publish_servers());
+    spawn_local(cx.clone().watch_state());
+    spawn_local(cx.clone().keep_grants());
+    spawn_local(cx.clone().keep_guards());
+    spawn_local(cx.clone().extend_leases());
+    spawn_local(cx.clone().watch_announcements());
+    log_event!(log, Event::DaemonStarted; "host" => &cx.settings.host, "callers" => cx.settings.caller_address.to_string());
 
     wait_for_stop(stop).await;
-    finish(&node, serving).await;
-    log_event!(log, Event::DaemonStopped; "host" => &node.settings.host);
+    finish(&cx, serving).await;
+    log_event!(log, Event::DaemonStopped; "host" => &cx.settings.host);
     Ok(())
 }
 
@@ -181,30 +181,30 @@
 }
 
 /// Lets the ranges move away, finishes the calls that run, then ends the session.
-async fn finish(node: &Rc<Node>, serving: JoinHandle<()>) {
-    node.stopping.set(true);
-    node.servers_changed.notify_one();
+async fn finish(cx: &Rc<DaemonCx>, serving: JoinHandle<()>) {
+    cx.stopping.set(true);
+    cx.servers_changed.notify_one();
     let moved = async {
-        while node.owns_ranges() {
+        while cx.owns_ranges() {
             sleep(STOP_PAUSE).await;
         }
     };
     let _ = timeout(MOVE_MAX, moved).await;
-    node.refusing.set(true);
+    cx.refusing.set(true);
     // Every caller gets its whole answer before the process ends.
     let _ = serving.await;
-    while node.running.get() > 0 {
+    while cx.running.get() > 0 {
         sleep(STOP_PAUSE).await;
     }
-    node.lease.void(node.clock.now());
-    let session = node.session.take();
-    let idle = node.give_up_grants().await;
+    cx.lease.void(cx.clock.now());
+    let session = cx.session.take();
+    let idle = cx.give_up_grants().await;
     if let Some(session) = session {
         let end = EndSession {
             session,
             reason: "the daemon stops".into(),
             idle,
         };
-        node.propose(change::Body::EndSession(end)).await;
+        cx.propose(change::Body::EndSession(end)).await;
     }
 }
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -1,7 +1,7 @@
 use {
     super::{
+        daemon_cx::DaemonCx,
         local_server::{LocalServer, LostServer},
-        node::Node,
         slot_gate::SlotGate,
     },
     crate::{
@@ -27,7 +27,7 @@
 /// Time between two looks at the age of announcements.
 const AGE_CHECK_PAUSE: Duration = Duration::from_millis(500);
 
-impl Node {
+impl DaemonCx {
     /// Serves a request of a local backend server.
     pub async fn serve_server(self: Rc<Self>, request: Result<HttpRequest, HttpFault>) -> HttpResponse {
         let Ok(request) = request else {
@@ -91,8 +91,8 @@
         }
         if self.is_taken_out(&announced.address) {
             if let Some(known) = crashed {
-                let node = self.clone();
-                spawn_local(async move { node.note_crash(&known).await });
+                let cx = self.clone();
+                spawn_local(async move { cx.note_crash(&known).await });
             }
             return Ok(());
         }
@@ -130,11 +130,11 @@
         let server = Rc::new(server);
         self.servers.borrow_mut().push(server.clone());
         if let Some(known) = crashed {
-            let node = self.clone();
+            let cx = self.clone();
             spawn_local(async move {
-                node.note_crash(&known).await;
+                cx.note_crash(&known).await;
                 server.crash_counted.set(true);
-                node.ownership_changed.notify_waiters();
+                cx.ownership_changed.notify_waiters();
             });
         }
         self.servers_changed.notify_one();
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         clock::Ms,
         control::Server,
@@ -23,7 +23,7 @@
 /// Time between two looks at the clocks.
 const CLOCK_PAUSE: Ms = Ms(10);
 
-impl Node {
+impl DaemonCx {
     /// Holds a session open: opens it, renews it, and opens the next one after its end.
     pub async fn hold_session(self: Rc<Self>) {
         loop {
--- a/src/daemon/split_status.rs
+++ b/src/daemon/split_status.rs
@@ -1,10 +1,10 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::split::{self, Progress},
     serde_json::{json, Value},
 };
 
-impl Node {
+impl DaemonCx {
     /// Tells how far the split has come.
     pub(super) fn split_status(&self) -> Value {
         let state = self.state();
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -1,5 +1,5 @@
 use {
-    super::node::Node,
+    super::daemon_cx::DaemonCx,
     crate::{
         control::State,
         wire::peer::{frame::Body, StateRequest, Watch},
@@ -11,7 +11,7 @@
 /// Pause after a watch failed.
 const WATCH_PAUSE: Duration = Duration::from_millis(50);
 
-impl Node {
+impl DaemonCx {
     /// Follows the committed changes and applies them to the state of this daemon.
     pub async fn watch_state(self: Rc<Self>) {
         loop {
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -107,7 +107,7 @@
             ttl: Ms(600),
             renew: Ms(150),
             drift: Ms(30),
-            election: Ms(300),
+            election: Ms(180),
             config_lag: Ms(4000),
         }
     }
