--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -8,8 +8,7 @@
         call::CallResult,
         control::State,
         edge::{HttpFault, HttpRequest, HttpResponse},
-        schema::RouteLimits,
-        settings::Settings,
+        settings::{CallerLimits, Settings},
         wire::{
             control::{change, command_answer, operator_command, OperatorCommand, VersionedSchema},
             peer::{frame::Body, InForceRequest},
@@ -85,9 +84,11 @@
         !self.0.stopping.get() && !self.0.state().schema_json().is_empty()
     }
 
-    /// Returns the limits of callers by routes, if the schema has some.
-    pub fn route_limits(&self) -> Option<RouteLimits> {
-        self.0.state().schema().route_limits
+    /// Returns the limits of callers that are in force: those of the settings, within those of the schema.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let of_settings = self.0.settings.caller_limits;
+        let of_schema = self.0.state().schema().route_limits;
+        of_schema.map_or(of_settings, |limits| limits.within(of_settings))
     }
 
     /// Puts a schema in force unless one with a version that is not lower is.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -173,7 +173,13 @@
         let listener = listen(address, &log).await?;
         let (edges, node) = (edges.clone(), Node::new(cx.clone()));
         let handler = move |request| serve(&*edges, node.clone(), request);
-        let limits = cx.settings.caller_limits;
+        let limits = {
+            let node = Node::new(cx.clone());
+            move || match is_for_callers {
+                true => node.caller_limits(),
+                false => node.settings().caller_limits,
+            }
+        };
         let stop = if is_for_callers { &stop } else { &until_end };
         let serving = spawn_local(edge::serve_http(
             listener,
--- a/src/edge/fold_stream.rs
+++ b/src/edge/fold_stream.rs
@@ -1,4 +1,5 @@
 use {
+    super::head_timer::HeadTimer,
     hyper::rt::{Read, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
     std::{
@@ -17,18 +18,20 @@
 const REFUSAL_HEADERS: &[u8] = b"fold-outcome: not-run\r\nfold-reason: bad-header\r\n";
 
 /// A caller's connection. It adds the outcome to refusals that the HTTP library writes on its own, e.g. of a
-/// head that cannot be read.
+/// head that cannot be read, and ends a connection whose head takes too long.
 #[derive(Debug)]
 pub(super) struct FoldStream {
     stream: TokioIo<TcpStream>,
+    heads: HeadTimer,
     /// A refusal that has not left yet.
     pending: Vec<u8>,
 }
 
 impl FoldStream {
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, heads: HeadTimer) -> Self {
         Self {
             stream: TokioIo::new(stream),
+            heads,
             pending: Vec::new(),
         }
     }
@@ -67,7 +70,14 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_ready() {
+            self.heads.note_bytes();
+            return read;
+        }
+        // What has come counts, also after a pause of this process.
+        ready!(self.heads.poll_late(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,5 +1,8 @@
 use {
-    super::fold_stream::FoldStream,
+    super::{
+        fold_stream::FoldStream,
+        head_timer::{HeadProgress, HeadTimer},
+    },
     crate::{clock::Ms, event::Event, log_event, settings::CallerLimits},
     bytes::Bytes,
     http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri},
@@ -20,6 +23,9 @@
 /// Pause after an accept failed, e.g. for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Smallest limit of a head that the HTTP library takes.
+const HEAD_BYTES_MIN: usize = 8192;
+
 /// Time after the stop in which connections are still served, each response being the last of its connection.
 const STOP_LINGER: Duration = Duration::from_millis(1000);
 /// Longest time after that for the connections to end.
@@ -55,13 +61,16 @@
 /// Serves HTTP/1.1 until `stop` turns true, then for a short time with responses that end their connections,
 /// and returns once what was begun has been answered. Each connection is a task of its own, so that an idle
 /// connection never keeps another one waiting.
-pub async fn serve_http<H, F>(
+///
+/// `limits` is asked anew for each connection, and for the body of each request, as they may change meanwhile.
+pub async fn serve_http<L, H, F>(
     listener: TcpListener,
-    limits: CallerLimits,
+    limits: L,
     log: Logger,
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
+    L: Fn() -> CallerLimits + Clone + 'static,
     H: Fn(Result<HttpRequest, HttpFault>) -> F + Clone + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
@@ -81,13 +90,13 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= limits.connections {
+        if open.get() >= limits().connections {
             log_event!(log, Event::ConnectionRefused; "from" => from.to_string(), "open" => open.get());
             continue;
         }
         open.set(open.get() + 1);
         let (open, all_ended) = (open.clone(), all_ended.clone());
-        let (handler, stop) = (handler.clone(), for_connections.clone());
+        let (limits, handler, stop) = (limits.clone(), handler.clone(), for_connections.clone());
         spawn_local(async move {
             serve_connection(stream, from, limits, stop, handler).await;
             open.set(open.get() - 1);
@@ -101,20 +110,26 @@
     }
 }
 
-async fn serve_connection<H, F>(
+async fn serve_connection<L, H, F>(
     stream: TcpStream,
     from: SocketAddr,
-    limits: CallerLimits,
+    limits: L,
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
+    L: Fn() -> CallerLimits + Clone + 'static,
     H: Fn(Result<HttpRequest, HttpFault>) -> F + Clone + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
     let _ = stream.set_nodelay(true);
     let stopping = stop.clone();
+    let at_start = limits();
+    let progress = Rc::new(HeadProgress::default());
+    let heads = HeadTimer::new(progress.clone(), at_start.head);
     let service = service_fn(move |request: Request<Incoming>| {
-        let (handler, stopping) = (handler.clone(), stopping.clone());
+        let (limits, handler, stopping) = (limits(), handler.clone(), stopping.clone());
+        let progress = progress.clone();
+        progress.end();
         async move {
             let request = receive(request, from, limits.body_bytes, limits.read).await;
             let mut response = handler(request).await;
@@ -122,14 +137,15 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
+            progress.expect_next();
             Ok::<_, Infallible>(response.map(Full::new))
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle.as_duration())
-        .max_buf_size(limits.head_bytes)
-        .serve_connection(FoldStream::new(stream), service);
+        .header_read_timeout(at_start.idle.as_duration())
+        .max_buf_size(at_start.head_bytes.max(HEAD_BYTES_MIN))
+        .serve_connection(FoldStream::new(stream, heads), service);
     let mut connection = std::pin::pin!(connection);
     let stopped = async {
         let _ = stop.wait_for(|stop| *stop).await;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 mod caller_edge;
 mod counted_stream;
 mod fold_stream;
+mod head_timer;
 mod http_server;
 mod operator_edge;
 mod request_proof;
--- a/src/schema/route.rs
+++ b/src/schema/route.rs
@@ -1,4 +1,4 @@
-use crate::clock::Ms;
+use crate::{clock::Ms, settings::CallerLimits};
 
 /// One route of calls that name a host and a path instead of a service.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,6 +45,19 @@
     pub idle: Ms,
 }
 
+impl RouteLimits {
+    /// Returns the limits of a daemon within these.
+    pub fn within(self, limits: CallerLimits) -> CallerLimits {
+        CallerLimits {
+            head_bytes: self.head_bytes.min(limits.head_bytes),
+            body_bytes: self.body_bytes.min(limits.body_bytes),
+            head: self.head.min(limits.head),
+            idle: self.idle.min(limits.idle),
+            ..limits
+        }
+    }
+}
+
 /// The routes of a schema.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routes {
--- a/src/schema/route_checks.rs
+++ b/src/schema/route_checks.rs
@@ -98,10 +98,13 @@
 
 /// Takes the limits of callers, if there are any.
 pub(super) fn limits(decl: Option<&wire::RouteLimits>) -> Option<RouteLimits> {
+    // 0 sets no limit.
+    let bytes = |n: u32| if n == 0 { usize::MAX } else { n as usize };
+    let time = |ms: u32| if ms == 0 { Ms::MAX } else { ms.into() };
     decl.map(|limits| RouteLimits {
-        head_bytes: limits.head_bytes as usize,
-        body_bytes: limits.body_bytes as usize,
-        head: limits.head_ms.into(),
-        idle: limits.idle_ms.into(),
+        head_bytes: bytes(limits.head_bytes),
+        body_bytes: bytes(limits.body_bytes),
+        head: time(limits.head_ms),
+        idle: time(limits.idle_ms),
     })
 }
--- a/src/settings/settings_checks.rs
+++ b/src/settings/settings_checks.rs
@@ -258,6 +258,7 @@
             1..=67_108_864,
         )?,
         read: span("read_ms", part.read_ms, default.read)?,
+        head: span("head_ms", part.head_ms, default.head)?,
         idle: span("idle_ms", part.idle_ms, default.idle)?,
     })
 }
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -75,7 +75,9 @@
     pub answer_bytes: usize,
     /// Longest time for a caller to send the body after the head.
     pub read: Ms,
-    /// Longest time that a connection may be idle, or take to send a head.
+    /// Longest time for a caller to send the head, from its first byte.
+    pub head: Ms,
+    /// Longest time that a connection may be idle.
     pub idle: Ms,
 }
 
@@ -87,6 +89,7 @@
             body_bytes: 1024 * 1024,
             answer_bytes: 8 * 1024 * 1024,
             read: Ms(10_000),
+            head: Ms(10_000),
             idle: Ms(60_000),
         }
     }
--- a/src/standin/standin_server.rs
+++ b/src/standin/standin_server.rs
@@ -147,9 +147,13 @@
             .spawn(move || announcer::announce(&announced, &incarnation))?;
         let (_stop, stop) = watch::channel(false);
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        serve_http(listener, limits, log, stop, move |request| {
-            serve(shared.clone(), request)
-        })
+        serve_http(
+            listener,
+            move || limits,
+            log,
+            stop,
+            move |request| serve(shared.clone(), request),
+        )
         .await;
         Ok(())
     })
--- a/tests/keep_alive.rs
+++ b/tests/keep_alive.rs
@@ -56,7 +56,7 @@
             let (_stop, stop) = watch::channel(false);
             let log = slog::Logger::root(slog::Discard, slog::o!());
             let answer = |_| async { plain_response(StatusCode::OK, "ok") };
-            serve_http(listener, CallerLimits::default(), log, stop, answer).await;
+            serve_http(listener, CallerLimits::default, log, stop, answer).await;
         });
     });
     assert_eq!(served(rx.recv().unwrap()), CONNECTIONS);
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -1,7 +1,7 @@
 use {
     rustix::process::{kill_process, Pid, Signal},
     std::{
-        fs::OpenOptions,
+        fs::{File, OpenOptions},
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::Path,
         process::{Child, Command, Stdio},
@@ -22,21 +22,19 @@
 pub struct Process(Child);
 
 impl Process {
-    /// Starts a program that logs to `log`.
+    /// Starts a program that logs to `log` on its standard error.
     pub fn start(program: &str, args: &[String], folder: &Path, log: &str) -> Self {
-        let log = OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(folder.join(log))
-            .unwrap();
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .args(args)
-            .current_dir(folder)
-            .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn();
-        Self(child.unwrap())
+            .stderr(log_file(folder, log));
+        Self::spawn(&mut command, folder)
+    }
+
+    /// Starts a command in a folder, without input.
+    pub fn spawn(command: &mut Command, folder: &Path) -> Self {
+        Self(command.current_dir(folder).stdin(Stdio::null()).spawn().unwrap())
     }
 
     /// Returns the process id.
@@ -77,6 +75,15 @@
     }
 }
 
+/// Opens a file that a process logs to, also after an earlier one.
+pub fn log_file(folder: &Path, log: &str) -> File {
+    let options = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(folder.join(log));
+    options.unwrap()
+}
+
 /// Returns an address that no other process uses: each test process has loopback addresses of its own, and
 /// the ports lie below those that outgoing connections take.
 pub fn free_address() -> SocketAddr {
