--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -2,13 +2,12 @@
     super::{answers::Known, ownership_changes::key_range, CommandId, Release, Revision, Session, State},
     crate::{
         control::RangeTable,
-        schema::Schema,
+        schema::{PackedText, Schema},
         wire::control::{
             command_answer, operator_command, AnsweredCommand, CommandAnswer, Drain, MoveSpan,
             OperatorCommand, Refused, SplitAction, VersionedSchema,
         },
     },
-    bytes::Bytes,
     prost::Message,
     std::sync::Arc,
 };
@@ -62,7 +61,9 @@
             return answer(command_answer::Body::Conflict(self.revision.to_wire()));
         }
         let result = match &command.body {
-            Some(operator_command::Body::ApplySchema(json)) => self.apply_schema(json),
+            Some(operator_command::Body::ApplySchema(json)) => {
+                self.apply_schema(PackedText::pack(json.as_bytes()))
+            }
             Some(operator_command::Body::Drain(drain)) => self.add_drain(drain),
             Some(operator_command::Body::Undrain(drain)) => self.remove_drain(drain),
             Some(operator_command::Body::Move(span)) => self.move_span(index, span),
@@ -94,19 +95,22 @@
         command: &OperatorCommand,
     ) -> CommandAnswer {
         if versioned.version > self.schema_version {
-            if let Err(refused) = self.apply_schema(&versioned.schema) {
+            let text = PackedText::from_bytes(versioned.packed_schema.clone());
+            if let Err(refused) = self.apply_schema(text) {
                 return answer(command_answer::Body::Refused(refused));
             }
             self.schema_version = versioned.version;
-            self.schema_source = versioned.source.clone();
+            self.schema_source = PackedText::from_bytes(versioned.packed_source.clone());
             self.revision = self.revision.next(index, &command.encode_to_vec());
         }
         answer(command_answer::Body::Accepted(self.revision.to_wire()))
     }
 
     /// Ranges of services that stay divided by key keep their owners; boundaries count for new ones only.
-    fn apply_schema(&mut self, json: &str) -> Result<Effect, Refused> {
-        let schema = Schema::from_json(json).map_err(|e| refused(&e.to_string(), ""))?;
+    fn apply_schema(&mut self, text: PackedText) -> Result<Effect, Refused> {
+        let json = text.to_text();
+        let json = json.ok_or_else(|| refused("the schema cannot be unpacked", ""))?;
+        let schema = Schema::from_json(&json).map_err(|e| refused(&e.to_string(), ""))?;
         if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
             return Err(refused("the schema is for another cluster", "cluster"));
         }
@@ -121,8 +125,8 @@
             }
         }
         self.schema = Arc::new(schema);
-        self.schema_json = json.to_owned();
-        self.schema_source = Bytes::new();
+        self.schema_text = text;
+        self.schema_source = PackedText::default();
         Ok(Effect::Revised)
     }
 
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -5,13 +5,12 @@
     crate::{
         call::Fingerprint,
         key::KeyRange,
-        schema::Schema,
+        schema::{PackedText, Schema},
         wire::control::{
             change, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession, SetServers,
             SplitStage, SplitState,
         },
     },
-    bytes::Bytes,
     std::sync::Arc,
 };
 
@@ -21,11 +20,11 @@
     pub(super) applied: u64,
     pub(super) revision: Revision,
     pub(super) schema: Arc<Schema>,
-    pub(super) schema_json: String,
+    pub(super) schema_text: PackedText,
     /// Version of the schema in force. 0: it came without one.
     pub(super) schema_version: u64,
     /// What the operator wrote for the schema in force.
-    pub(super) schema_source: Bytes,
+    pub(super) schema_source: PackedText,
     pub(super) sessions: Vec<Session>,
     pub(super) services: Vec<RangeTable>,
     pub(super) answers: Answers,
@@ -104,9 +103,14 @@
         &self.schema
     }
 
+    /// Tells if a schema is in force.
+    pub fn has_schema(&self) -> bool {
+        !self.schema_text.is_empty()
+    }
+
     /// Returns the JSON text of the schema in force; empty while there is none.
-    pub fn schema_json(&self) -> &str {
-        &self.schema_json
+    pub fn schema_text(&self) -> &PackedText {
+        &self.schema_text
     }
 
     /// Returns the version of the schema in force. 0: it came without one.
@@ -115,7 +119,7 @@
     }
 
     /// Returns what the operator wrote for the schema in force; empty while there is none.
-    pub fn schema_source(&self) -> &Bytes {
+    pub fn schema_source(&self) -> &PackedText {
         &self.schema_source
     }
 
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -6,7 +6,7 @@
     crate::{
         clock::Ms,
         key::Key,
-        schema::Schema,
+        schema::{PackedText, Schema},
         wire::control::{
             OwnerImage, RangeImage, ReleaseImage, ServiceImage, SessionImage, StateImage, VacancyImage,
         },
@@ -32,9 +32,10 @@
         let image = StateImage {
             applied: self.applied,
             revision: Some(self.revision.to_wire()),
-            schema: self.schema_json.clone(),
+            schema: String::new(),
+            packed_schema: self.schema_text.as_bytes().clone(),
             schema_version: self.schema_version,
-            schema_source: self.schema_source.clone(),
+            packed_source: self.schema_source.as_bytes().clone(),
             sessions: sessions.collect(),
             services: services.collect(),
             answered: self.answers.records().to_vec(),
@@ -51,9 +52,13 @@
     /// Reads a state back from its image. `None`: the bytes are not an image.
     pub fn from_image(bytes: &[u8]) -> Option<Self> {
         let image = StateImage::decode(bytes).ok()?;
-        let schema = match image.schema.as_str() {
-            "" => Schema::default(),
-            json => Schema::from_json(json).ok()?,
+        let schema_text = match image.schema.as_str() {
+            "" => PackedText::from_bytes(image.packed_schema),
+            json => PackedText::pack(json.as_bytes()),
+        };
+        let schema = match schema_text.is_empty() {
+            true => Schema::default(),
+            false => Schema::from_json(&schema_text.to_text()?).ok()?,
         };
         let mut sessions = Vec::with_capacity(image.sessions.len());
         for session in image.sessions {
@@ -78,9 +83,9 @@
                 .map(Revision::from_wire)
                 .unwrap_or_default(),
             schema: Arc::new(schema),
-            schema_json: image.schema,
+            schema_text,
             schema_version: image.schema_version,
-            schema_source: image.schema_source,
+            schema_source: PackedText::from_bytes(image.packed_source),
             sessions,
             services: tables.collect(),
             answers: Answers::from_records(
--- a/src/control/watches.rs
+++ b/src/control/watches.rs
@@ -6,6 +6,7 @@
             peer::{Watch, WatchAnswer},
         },
     },
+    prost::Message,
     tokio::sync::oneshot,
 };
 
@@ -13,6 +14,8 @@
 const WATCH_MAX: Ms = Ms(1000);
 /// Most changes in one answer to a watch.
 const WATCH_CHANGES_MAX: usize = 500;
+/// Bytes of changes after which an answer to a watch ends. Schemas are large, and all daemons ask at once.
+const WATCH_BYTES: usize = 64 * 1024;
 /// Most changes that are kept for daemons that lag.
 const HISTORY_MAX: usize = 10_000;
 
@@ -95,7 +98,14 @@
             };
         }
         let from = (applied + 1 - oldest) as usize;
+        let mut bytes = 0;
         let changes = self.history[from..].iter().take(WATCH_CHANGES_MAX);
+        // The change that goes over the limit is still sent: there is at least one.
+        let changes = changes.take_while(|change| {
+            let fits = bytes < WATCH_BYTES;
+            bytes += change.encoded_len();
+            fits
+        });
         WatchAnswer {
             changes: changes.cloned().collect(),
             ..WatchAnswer::default()
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -57,7 +57,7 @@
 
     async fn read_and_run(self: &Rc<Self>, request: HttpRequest) -> (CallResult, String) {
         let state = self.state();
-        if state.schema_json().is_empty() {
+        if !state.has_schema() {
             log_event!(self.log, Event::CallNotRun; "reason" => Reason::NoConfiguration.word());
             return (CallResult::failed(Reason::NoConfiguration), String::new());
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -29,7 +29,7 @@
 pub use {
     edges::{Answering, Edges, Incoming, OwnEdges},
     heartbeat::{Heartbeat, HoldAnswer},
-    node::{Node, Replaced},
+    node::{Node, Replaced, SchemaVersion},
     routed_path::RoutedRequest,
     run::{run_daemon, run_with_edges},
 };
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -8,12 +8,14 @@
         call::CallResult,
         control::State,
         edge::{HttpFault, HttpRequest, HttpResponse},
+        schema::PackedText,
         settings::{CallerLimits, Settings},
         wire::{
             control::{change, command_answer, operator_command, OperatorCommand, VersionedSchema},
             peer::{frame::Body, InForceRequest},
         },
     },
+    bytes::Bytes,
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -25,6 +27,17 @@
 #[derive(Clone)]
 pub struct Node(Rc<DaemonCx>);
 
+/// A schema with its version.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SchemaVersion {
+    /// Its version; the highest one is in force.
+    pub version: u64,
+    /// The schema file, as JSON.
+    pub json: String,
+    /// What the operator wrote, which the schema was made from.
+    pub source: Bytes,
+}
+
 /// How a new schema was received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Replaced {
@@ -81,7 +94,7 @@
 
     /// Tells if this daemon takes new work: it knows a configuration and is not being stopped.
     pub fn is_ready(&self) -> bool {
-        !self.0.stopping.get() && !self.0.state().schema_json().is_empty()
+        !self.0.stopping.get() && self.0.state().has_schema()
     }
 
     /// Returns the limits of callers that are in force: those of the settings, within those of the schema.
@@ -92,9 +105,14 @@
     }
 
     /// Puts a schema in force unless one with a version that is not lower is.
-    pub async fn replace_schema(&self, schema: VersionedSchema) -> Replaced {
+    pub async fn replace_schema(&self, schema: &SchemaVersion) -> Replaced {
+        let versioned = VersionedSchema {
+            version: schema.version,
+            packed_schema: PackedText::pack(schema.json.as_bytes()).as_bytes().clone(),
+            packed_source: PackedText::pack(&schema.source).as_bytes().clone(),
+        };
         let command = OperatorCommand {
-            body: Some(operator_command::Body::ReplaceSchema(schema)),
+            body: Some(operator_command::Body::ReplaceSchema(versioned)),
             ..OperatorCommand::default()
         };
         let proposed = self.0.propose(change::Body::OperatorCommand(command)).await;
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -115,7 +115,8 @@
 
     fn show(&self) -> Value {
         let state = self.state();
-        let schema: Value = serde_json::from_str(state.schema_json()).unwrap_or(Value::Null);
+        let text = state.schema_text().unpack().unwrap_or_default();
+        let schema: Value = serde_json::from_slice(&text).unwrap_or(Value::Null);
         json!({ "revision": state.revision().to_string(), "schema": schema })
     }
 
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -77,9 +77,9 @@
         let path = request.target.split('?').next().unwrap_or_default();
         let route = schema.routes.find(&request.host, path);
         let Some(route) = route else {
-            let reason = match state.schema_json().is_empty() {
-                true => Reason::NoConfiguration,
-                false => Reason::UnknownRoute,
+            let reason = match state.has_schema() {
+                true => Reason::UnknownRoute,
+                false => Reason::NoConfiguration,
             };
             return self.end_routed(&request.attempt, None, started, CallResult::failed(reason));
         };
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -196,12 +196,18 @@
 pub fn json_response(status: StatusCode, value: &impl Serialize) -> HttpResponse {
     match serde_json::to_vec(value) {
         Ok(json) => {
-            let mut response = Response::new(Bytes::from(json));
+            let mut response = json_text_response(json);
             *response.status_mut() = status;
-            let json_type = HeaderValue::from_static("application/json");
-            response.headers_mut().insert(header::CONTENT_TYPE, json_type);
             response
         }
         Err(e) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
     }
 }
+
+/// Returns a good answer with a text that is JSON.
+pub fn json_text_response(json: Vec<u8>) -> HttpResponse {
+    let mut response = Response::new(Bytes::from(json));
+    let json_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json_type);
+    response
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -14,7 +14,9 @@
 
 pub use {
     caller_edge::{add_headers, caller_response, read_call},
-    http_server::{json_response, plain_response, serve_http, HttpFault, HttpRequest, HttpResponse},
+    http_server::{
+        json_response, json_text_response, plain_response, serve_http, HttpFault, HttpRequest, HttpResponse,
+    },
     operator_edge::{operator_command, CommandRequest},
     request_proof::{ProofError, RequestProof},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' schema file: read from JSON and checked.
 
 mod call_kind;
+mod packed_text;
 mod route;
 mod route_checks;
 mod schema_checks;
@@ -9,6 +10,7 @@
 
 pub use {
     call_kind::CallKind,
+    packed_text::PackedText,
     route::{Route, RouteLimits, RouteTarget, Routes},
     schema_types::{Half, LossPolicy, Schema, ServiceSpan, Split},
     service::{Service, Weights},
--- a/tests/versioned_schema.rs
+++ b/tests/versioned_schema.rs
@@ -2,6 +2,7 @@
 
 use clementinefold::{
     control::State,
+    schema::PackedText,
     wire::control::{
         change, command_answer, operator_command, Change, CommandAnswer, OperatorCommand, VersionedSchema,
     },
@@ -23,8 +24,10 @@
     fn replace(&mut self, version: u64, schema: String) -> CommandAnswer {
         let versioned = VersionedSchema {
             version,
-            source: format!("source of {version}").into(),
-            schema,
+            packed_source: PackedText::pack(format!("source of {version}").as_bytes())
+                .as_bytes()
+                .clone(),
+            packed_schema: PackedText::pack(schema.as_bytes()).as_bytes().clone(),
         };
         let command = OperatorCommand {
             body: Some(operator_command::Body::ReplaceSchema(versioned)),
@@ -64,7 +67,7 @@
         assert_eq!(f.park(), expected, "{version}");
     }
     assert_eq!(f.state.schema_version(), 12);
-    assert_eq!(f.state.schema_source(), "source of 12");
+    assert_eq!(f.state.schema_source().to_text().unwrap(), "source of 12");
 }
 
 #[test]
@@ -87,5 +90,5 @@
     f.replace(7, schema(70));
     let image = State::from_image(&f.state.to_image()).unwrap();
     assert_eq!(image, f.state);
-    assert_eq!(image.schema_source(), "source of 7");
+    assert_eq!(image.schema_source().to_text().unwrap(), "source of 7");
 }
