--- a/src/placement/balance.rs
+++ b/src/placement/balance.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        draft::{is_same_side, Draft},
+        draft::{is_same_side, Draft, RANGE_LOAD_MIN},
         piece::{self, MeanServer, Trade},
         Action, Reason, Regret, ServerView, ServiceMemory,
     },
@@ -56,6 +56,32 @@
         .collect();
 }
 
+/// Spreads the ranges of a service that nobody calls yet evenly. Such moves delay no call and cost nothing, and
+/// servers announce themselves one after the other: the first one would keep all.
+pub(super) fn spread_idle(draft: &mut Draft<'_>) {
+    let view = draft.view;
+    if view.is_splitting || view.ranges.iter().any(|r| r.load > 0.0) {
+        return;
+    }
+    for _ in 0..view.ranges.len() {
+        let Some(to) = draft.least_loaded(0.0, |_, _| true) else {
+            return;
+        };
+        let Some(from) = donor(draft, to) else {
+            return;
+        };
+        // A move that only changes the places of two servers is none. Half a range is left for rounding.
+        let after = draft.utilisation(to) + RANGE_LOAD_MIN / draft.slots(to);
+        if after + RANGE_LOAD_MIN / 2.0 / draft.slots(from) > draft.utilisation(from) {
+            return;
+        }
+        let Some(position) = draft.ranges[from].first().copied() else {
+            return;
+        };
+        draft.move_range(position, to, Reason::Fill);
+    }
+}
+
 /// Returns the gathered cost of each server, with that of the time since the last plan.
 fn gather(draft: &Draft<'_>, memory: &ServiceMemory, mean: f64, now: Ms) -> Vec<f64> {
     let weights = draft.view.weights;
--- a/src/placement/draft.rs
+++ b/src/placement/draft.rs
@@ -1,7 +1,7 @@
 use super::{Action, RangeView, Reason, ServerView, ServiceView, Side};
 
 /// Load in slots that each range counts for at least, so that idle ranges are spread too.
-const RANGE_LOAD_MIN: f64 = 0.001;
+pub(super) const RANGE_LOAD_MIN: f64 = 0.001;
 
 /// The state of one service while a plan for it is made.
 pub(super) struct Draft<'a> {
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -31,6 +31,7 @@
     let left = repair::assign_unowned(&mut draft, now);
     repair::move_from_drained(&mut draft);
     repair::move_to_own_side(&mut draft, memory);
+    balance::spread_idle(&mut draft);
     balance::balance(&mut draft, memory, now);
     tidy::tidy(&mut draft, memory, now);
     memory.at = now;
--- a/tests/range_planner.rs
+++ b/tests/range_planner.rs
@@ -190,6 +190,40 @@
     );
 }
 
+/// Servers announce themselves one after the other, and the first one got all ranges.
+#[test]
+fn idle_ranges_spread() {
+    let mut view = even_view();
+    view.moves_per_minute = 0;
+    view.weights = Weights {
+        imbalance: 0,
+        ..Weights::default()
+    };
+    for range in &mut view.ranges {
+        range.owner = Some(0);
+        range.load = 0.0;
+    }
+    let mut count = [12, 0, 0, 0];
+    for action in actions(&view, NOW, 1) {
+        let Action::Move { from, to, reason, .. } = action else {
+            panic!("{action:?}");
+        };
+        assert_eq!(reason, Reason::Fill);
+        count[from] -= 1;
+        count[to] += 1;
+    }
+    assert_eq!(count, [3, 3, 3, 3]);
+    // A difference of one range stays, and so does all once there is load.
+    for (i, range) in view.ranges.iter_mut().enumerate() {
+        range.owner = Some(i % 4);
+    }
+    view.ranges.pop();
+    assert_eq!(actions(&view, NOW, 3), []);
+    view.ranges[0].load = 0.5;
+    view.ranges.iter_mut().for_each(|range| range.owner = Some(0));
+    assert_eq!(actions(&view, NOW, 3), []);
+}
+
 #[test]
 fn weights_and_budget() {
     let uneven = |weights: Weights, moves_per_minute: u32| {
