A leader whose disk syncs nothing steps down; silent links end; why a call was not tried again

Causes and changes, each with a test that failed first: - A leader that heard a quorum led on with a disk that synced nothing. Core::check_disk steps down after five shortest election timeouts without progress (tests/core_rules.rs); it is not elected before its own vote is synced. - Links to peers that fell silent without a reset ended only by the time-outs of each request: TCP_USER_TIMEOUT and keep-alive on both ends.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -21,7 +21,7 @@
     reason::Reason,
     retry::{after_attempt, NextStep, OpenAttempts, RetryView},
     retry_budget::RetryBudget,
-    routed_retry::{after_try, of_known_service, reached_server, RoutedStep, RoutedView},
+    routed_retry::{after_try, of_known_service, reached_server, EndCause, RoutedStep, RoutedView},
     server_queue::{Admission, Demand, Refusal, ServerQueue, Turn},
     tenure::{Role, Tenure, Tenures},
 };
--- a/src/call/routed_retry.rs
+++ b/src/call/routed_retry.rs
@@ -35,13 +35,47 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoutedStep {
     /// The result is final and goes to the caller at once.
-    End,
+    End(EndCause),
     /// The call is tried again at once.
     Retry,
     /// The call waits for the next change of ownership, and is tried again.
     AwaitChange,
 }
 
+/// Why a call by a route is not tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndCause {
+    /// The server's answer is the result.
+    Answered,
+    /// The call may have run, and must not run twice.
+    MayHaveRun,
+    /// Too little time is left.
+    NoTime,
+    /// The call was sent to as many servers as its route allows.
+    AttemptsUsed,
+    /// The retry budget of the service is spent.
+    BudgetSpent,
+    /// No other server is there that would do better.
+    NoOther,
+    /// The key had no owner for as long as calls wait for one.
+    NoOwner,
+}
+
+impl EndCause {
+    /// Returns the word for it in log lines.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::MayHaveRun => "may-have-run",
+            Self::NoTime => "no-time",
+            Self::AttemptsUsed => "attempts-used",
+            Self::BudgetSpent => "budget-spent",
+            Self::NoOther => "no-other-server",
+            Self::NoOwner => "no-owner-in-time",
+        }
+    }
+}
+
 /// Tells if a try with this result reached a server, be it only to be refused there.
 pub fn reached_server(result: &CallResult) -> bool {
     match (result.outcome, result.reason) {
@@ -67,38 +101,55 @@
 /// Decides what follows a try. What may have run is repeated only if it is idempotent, and whatever reaches a second
 /// server is paid for out of `budget`.
 pub fn after_try(result: &CallResult, view: RoutedView, budget: &mut RetryBudget) -> RoutedStep {
-    let wants_more = match result.outcome {
-        // A server that fails a call while others do not.
-        Outcome::Answered => view.idempotent && result.status >= 500 && result.status != 504,
-        Outcome::NotRun => true,
-        Outcome::Unknown => view.idempotent,
-    };
-    if !wants_more || view.now + TRY_MIN >= view.deadline {
-        return RoutedStep::End;
+    if let Some(cause) = final_cause(result, view) {
+        return RoutedStep::End(cause);
     }
     let waits = result.reason.is_some_and(waits_for_owner);
     if view.divided && waits {
-        let may_wait = view.now < view.park_until && (view.sent < view.sent_max);
-        return if may_wait && (view.sent == 0 || budget.spend()) {
-            RoutedStep::AwaitChange
-        } else {
-            RoutedStep::End
-        };
+        return after_missing_owner(view, budget);
     }
     if view.divided || !view.has_other || is_final(result.reason) {
-        return RoutedStep::End;
+        return RoutedStep::End(EndCause::NoOther);
+    }
+    if view.sent >= view.sent_max {
+        return RoutedStep::End(EndCause::AttemptsUsed);
     }
     if !reached_server(result) {
-        return if view.refusals < REFUSALS_MAX && view.sent < view.sent_max {
-            RoutedStep::Retry
-        } else {
-            RoutedStep::End
+        return match view.refusals < REFUSALS_MAX {
+            true => RoutedStep::Retry,
+            false => RoutedStep::End(EndCause::NoOther),
         };
     }
-    if view.sent < view.sent_max && budget.spend() {
-        RoutedStep::Retry
-    } else {
-        RoutedStep::End
+    match budget.spend() {
+        true => RoutedStep::Retry,
+        false => RoutedStep::End(EndCause::BudgetSpent),
+    }
+}
+
+/// Returns why a result is final, whatever servers and budget there are.
+fn final_cause(result: &CallResult, view: RoutedView) -> Option<EndCause> {
+    match result.outcome {
+        // A server that fails a call while others do not.
+        Outcome::Answered if !view.idempotent || result.status < 500 || result.status == 504 => {
+            Some(EndCause::Answered)
+        }
+        Outcome::Unknown if !view.idempotent => Some(EndCause::MayHaveRun),
+        _ if view.now + TRY_MIN >= view.deadline => Some(EndCause::NoTime),
+        _ => None,
+    }
+}
+
+/// Decides about a call whose key has no owner that could take it.
+fn after_missing_owner(view: RoutedView, budget: &mut RetryBudget) -> RoutedStep {
+    if view.sent >= view.sent_max {
+        return RoutedStep::End(EndCause::AttemptsUsed);
+    }
+    if view.now >= view.park_until {
+        return RoutedStep::End(EndCause::NoOwner);
+    }
+    match view.sent == 0 || budget.spend() {
+        true => RoutedStep::AwaitChange,
+        false => RoutedStep::End(EndCause::BudgetSpent),
     }
 }
 
--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -96,6 +96,8 @@
     pub(super) election_at: Ms,
     pub(super) heartbeat_at: Ms,
     pub(super) synced_index: u64,
+    /// Since when nothing was synced although something waits for it, as a leader saw it.
+    pub(super) stalled_since: Option<Ms>,
     pub(super) incoming: Option<Incoming>,
     pub(super) confirmed_by: Vec<u64>,
     /// Members whose disks are known to be gone.
@@ -127,6 +129,7 @@
             commit: log.snapshot_index(),
             handed_out: log.snapshot_index(),
             synced_index: log.last_index(),
+            stalled_since: None,
             log,
             role: Role::Follower,
             leader: None,
@@ -231,6 +234,7 @@
         }
         if self.is_leader() {
             self.check_quorum(now);
+            self.check_disk(now);
         } else if now >= self.election_at {
             self.wait_for_election(now);
             self.start_pre_vote(now);
--- a/src/consensus/core_writes.rs
+++ b/src/consensus/core_writes.rs
@@ -14,6 +14,7 @@
             return;
         }
         self.written = self.written.max(number);
+        self.stalled_since = None;
         while let Some((write, end)) = self.log_writes.front().copied() {
             if write > self.written {
                 break;
--- a/src/consensus/replication.rs
+++ b/src/consensus/replication.rs
@@ -16,6 +16,9 @@
 const SNAPSHOT_PART_BYTES: usize = 256 * 1024;
 /// A leader that heard no quorum for this many shortest election timeouts steps down.
 const CHECK_QUORUM_ELECTIONS: u64 = 2;
+/// A leader whose disk has synced nothing that waits for this many shortest election timeouts steps down. A slow
+/// disk, of some 15 ms a sync, stays far below it.
+const DISK_STALL_ELECTIONS: u64 = 5;
 
 impl Core {
     /// Sends each member what it lacks, unless an earlier message to it is under way.
@@ -193,12 +196,30 @@
         let elected_at = leadership.elected_at;
         let heard = self.quorum_heard_at(now).unwrap_or_default().max(elected_at);
         if now >= heard + Ms(self.cfg.timing.election.0 * CHECK_QUORUM_ELECTIONS) {
-            self.follow(self.hard.term, None, now);
-            self.leader = None;
-            self.wait_for_election(now);
+            self.step_down(now);
+        }
+    }
+
+    /// A leader whose disk syncs nothing any more gives way to one whose disk does. It is not elected again before
+    /// its own vote is synced.
+    pub(super) fn check_disk(&mut self, now: Ms) {
+        if self.written >= self.last_write {
+            self.stalled_since = None;
+            return;
+        }
+        let since = *self.stalled_since.get_or_insert(now);
+        if now >= since + Ms(self.cfg.timing.election.0 * DISK_STALL_ELECTIONS) {
+            self.step_down(now);
         }
     }
 
+    fn step_down(&mut self, now: Ms) {
+        self.follow(self.hard.term, None, now);
+        self.leader = None;
+        self.stalled_since = None;
+        self.wait_for_election(now);
+    }
+
     fn quorum_heard_at(&self, now: Ms) -> Option<Ms> {
         let heard = |core: &Self, id: u64| match core.peer(id) {
             Some(peer) => peer.echoed_at.0,
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -2,8 +2,8 @@
     super::{call_path::Counted, daemon_cx::DaemonCx, dispatch::Dispatch},
     crate::{
         call::{
-            after_try, of_known_service, reached_server, Call, CallResult, OpenAttempts, Outcome, Reason,
-            RetryBudget, RoutedStep, RoutedView,
+            after_try, of_known_service, reached_server, Call, CallResult, EndCause, OpenAttempts, Outcome,
+            Reason, RetryBudget, RoutedStep, RoutedView,
         },
         clock::Ms,
         control::Suspicion,
@@ -167,7 +167,10 @@
                 has_other: self.has_other(&call.service, &tried),
             };
             let step = self.budget_of(&call.service, |budget| after_try(&result, view, budget));
-            if step == RoutedStep::End {
+            if let RoutedStep::End(cause) = step {
+                if cause != EndCause::Answered {
+                    self.log_last_try(&call, &result, view, cause);
+                }
                 return earlier.settle(result);
             }
             log_event!(
@@ -185,6 +188,15 @@
         }
     }
 
+    fn log_last_try(&self, call: &Call, result: &CallResult, view: RoutedView, cause: EndCause) {
+        log_event!(
+            self.log, Event::CallNotRetried;
+            "request_id" => &call.request_id, "cause" => cause.word(),
+            "reason" => result.reason.map_or("", Reason::word), "status" => result.status,
+            "sent" => view.sent, "refusals" => view.refusals, "left_ms" => (view.deadline - view.now).0
+        );
+    }
+
     /// Sends the call to one server. Returns the server, if it was chosen among several.
     async fn try_once(
         self: &Rc<Self>,
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -65,6 +65,8 @@
     RoutedCallEnded = "CF2008", Info, "routed call ended";
     /// A try of a call at a local server has ended.
     ServerTryEnded = "CF2009", Info, "try at a server ended";
+    /// A call by a route that failed is not tried again.
+    CallNotRetried = "CF2010", Info, "call not tried again";
     /// A call whose caller no longer waits is stopped.
     CallCancelled = "CF2101", Info, "call cancelled";
     /// A recorded answer was given again.
--- a/src/link/link_client.rs
+++ b/src/link/link_client.rs
@@ -2,10 +2,11 @@
     super::{
         frame_batch::send_waiting,
         handshake::{self, FrameStream},
-        LinkError, LinkIdentity,
+        socket, LinkError, LinkIdentity,
     },
     crate::{
-        event::Event,
+        clock::Clock,
+        event::{Event, RateLimit},
         log_event,
         wire::peer::{frame::Body, CallCancel, Frame},
     },
@@ -45,6 +46,8 @@
 pub struct Links {
     identity: LinkIdentity,
     log: Logger,
+    /// Bounds the lines about links that could not be opened: each call tries again while a host is down.
+    failures: RefCell<RateLimit>,
     open: RefCell<HashMap<String, Rc<Mutex<Option<LinkHandle>>>>>,
 }
 
@@ -54,6 +57,7 @@
         Self {
             identity,
             log,
+            failures: RefCell::default(),
             open: RefCell::default(),
         }
     }
@@ -118,7 +122,13 @@
             return Ok(link.clone());
         }
         let stream = self.open(address).await.map_err(|e| {
-            log_event!(self.log, Event::LinkFailed; "peer" => address, "error" => e.to_string());
+            let passed = self.failures.borrow_mut().pass(Clock::System.now());
+            if let Some(suppressed) = passed {
+                log_event!(
+                    self.log, Event::LinkFailed;
+                    "peer" => address, "error" => e.to_string(), "suppressed" => suppressed
+                );
+            }
             LinkError::NotSent(e.to_string())
         })?;
         log_event!(self.log, Event::LinkOpened; "peer" => address);
@@ -130,7 +140,7 @@
     async fn open(&self, address: &str) -> std::io::Result<FrameStream> {
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
-        stream.set_nodelay(true)?;
+        socket::prepare(&stream)?;
         handshake::connect(stream, &self.identity).await
     }
 
--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -2,7 +2,7 @@
     super::{
         frame_batch::send_waiting,
         handshake::{self, FrameStream},
-        LinkIdentity,
+        socket, LinkIdentity,
     },
     crate::{
         clock::Clock,
@@ -61,7 +61,8 @@
     let from = stream
         .peer_addr()
         .map_or_else(|e| e.to_string(), |a| a.to_string());
-    let _ = stream.set_nodelay(true);
+    // A socket without these options works as well, until its peer falls silent.
+    let _ = socket::prepare(&stream);
     let stream = match handshake::accept(stream, &identity).await {
         Ok((stream, _)) => stream,
         Err(e) => {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,6 +7,7 @@
 mod link_client;
 mod link_error;
 mod link_server;
+mod socket;
 
 pub(crate) use key_ring::from_hex;
 pub use {
--- a/src/placement/balance.rs
+++ b/src/placement/balance.rs
@@ -56,11 +56,11 @@
         .collect();
 }
 
-/// Spreads the ranges of a service that nobody calls yet evenly. Such moves delay no call and cost nothing, and
+/// Spreads the ranges of a new service that nobody calls yet evenly. Such moves delay no call and cost nothing, and
 /// servers announce themselves one after the other: the first one would keep all.
 pub(super) fn spread_idle(draft: &mut Draft<'_>) {
     let view = draft.view;
-    if view.is_splitting || view.ranges.iter().any(|r| r.load > 0.0) {
+    if !view.is_new || view.is_splitting || view.ranges.iter().any(|r| r.load > 0.0) {
         return;
     }
     for _ in 0..view.ranges.len() {
--- a/src/placement/piece.rs
+++ b/src/placement/piece.rs
@@ -12,7 +12,7 @@
 /// The same for each unit of the weight of unavailable time.
 const UNAVAILABLE_PRICE: f64 = 1.0;
 /// Ranges for each server up to which ranges are cut. Each is a row in what a server is told to hold.
-const RANGES_PER_SERVER_MAX: usize = 24;
+const RANGES_PER_SERVER_MAX: usize = 40;
 /// Least price of a move, which keeps the gain of a move for its price finite.
 const PRICE_MIN: f64 = 0.05;
 /// Least gain of a move, as a part of the best gain.
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -2,7 +2,7 @@
     super::{
         known_ranges::{KnownRange, KnownRanges},
         load_book::LoadBook,
-        plan, Action, Memory, Plan, RangeView, ServerView, ServiceView, Side, Snapshot,
+        plan, Action, Memory, Plan, RangeView, Reason, ServerView, ServiceView, Side, Snapshot,
     },
     crate::{
         clock::Ms,
@@ -17,6 +17,9 @@
     },
 };
 
+/// Time for which a service counts as new after this leader gave its first ranges to servers. Servers that start
+/// together have announced themselves by then.
+const NEW_SERVICE: Ms = Ms(30_000);
 /// Time between two plans while every range has an owner.
 const PLAN_EACH: Ms = Ms(1000);
 
@@ -40,6 +43,9 @@
     known: KnownRanges,
     memory: Memory,
     planned_at: Option<Ms>,
+    /// When ranges that never had an owner were given to servers last, by service. Another leader knows nothing of it,
+    /// so that its start moves nothing.
+    new_at: Vec<(String, Ms)>,
     seed: u64,
 }
 
@@ -78,6 +84,7 @@
             decided.actions.retain(|a| matches!(a, Action::Assign { .. }));
         }
         self.note_moves(&decided, now);
+        self.note_new(&decided, now);
         let mut changes = to_changes(&decided, &snapshot);
         if is_due {
             changes.split_step = split::next_step(state).map(|to| SplitStep { to: to.into() });
@@ -93,6 +100,7 @@
             book: self.book.clone(),
             known,
             memory: self.memory.clone(),
+            new_at: self.new_at.clone(),
             ..Self::new(self.seed)
         };
         let snapshot = shown.snapshot(state, now);
@@ -108,6 +116,31 @@
         }
     }
 
+    fn note_new(&mut self, decided: &Plan, now: Ms) {
+        for action in &decided.actions {
+            let Action::Assign {
+                service,
+                reason: Reason::New,
+                ..
+            } = action
+            else {
+                continue;
+            };
+            let found = self.new_at.binary_search_by(|(name, _)| name.cmp(service));
+            match found {
+                Ok(i) => self.new_at[i].1 = now,
+                Err(i) => self.new_at.insert(i, (service.clone(), now)),
+            }
+        }
+    }
+
+    fn is_new(&self, service: &str, now: Ms) -> bool {
+        let found = self
+            .new_at
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        found.is_ok_and(|i| now - self.new_at[i].1 < NEW_SERVICE)
+    }
+
     fn snapshot(&self, state: &State, now: Ms) -> Snapshot {
         let tables = state.services().iter();
         let views = tables.filter_map(|table| {
@@ -136,6 +169,7 @@
             moves_per_minute: service.moves_per_minute,
             settle: service.settle,
             joins_ranges: service.joins_ranges,
+            is_new: self.is_new(&table.service, now),
             loss: state.schema().loss,
             is_splitting: stage != SplitStage::Idle,
             is_paused: stage == SplitStage::Paused,
--- a/src/placement/snapshot.rs
+++ b/src/placement/snapshot.rs
@@ -24,6 +24,8 @@
     pub moves_per_minute: u32,
     /// True: neighbouring ranges with the same owner may be joined.
     pub joins_ranges: bool,
+    /// True: its ranges got their first owners a short time ago.
+    pub is_new: bool,
     /// Time for which a range that was moved stays where it is, but for losses and drains.
     pub settle: Ms,
     /// What is done when servers are lost.
--- a/src/placement/tidy.rs
+++ b/src/placement/tidy.rs
@@ -15,7 +15,8 @@
 /// Joins cold neighbours, and sends a former hot key home to the server of its neighbours.
 pub(super) fn tidy(draft: &mut Draft<'_>, memory: &mut ServiceMemory, now: Ms) {
     let view = draft.view;
-    if view.ranges.is_empty() {
+    // The ranges of a new service are counted to spread them, so none are joined before that is over.
+    if view.ranges.is_empty() || view.is_new {
         return;
     }
     let cold = draft.total_load / view.ranges.len() as f64 * COLD;
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// Longer than a leader goes on whose disk syncs nothing, in ms.
+const STALL: u64 = 4000;
+
 /// A core of member 1 of 3 whose log holds an entry of term 2 that is not known to be committed.
 struct Driven {
     core: Core,
@@ -121,6 +124,34 @@
     driven
 }
 
+/// A leader that hears its members but whose disk syncs nothing gives way, and is not elected by its own vote.
+#[test]
+fn stalled_disk_steps_down() {
+    let mut driven = leading();
+    driven.accept(3);
+    let now = driven.now;
+    driven.core.propose(vec![Bytes::from_static(b"new")], now);
+    let stalled = |driven: &mut Driven, syncs: bool| {
+        for _ in 0..STALL {
+            driven.now += Ms(1);
+            driven.accept(3);
+            driven.core.tick(driven.now);
+            let writes = driven.core.take_outputs().writes;
+            if let Some((last, _)) = writes.last().filter(|_| syncs) {
+                driven.core.written(*last, driven.now);
+            }
+        }
+    };
+    stalled(&mut driven, true);
+    assert!(driven.core.is_leader());
+    let now = driven.now;
+    driven.core.propose(vec![Bytes::from_static(b"newer")], now);
+    stalled(&mut driven, false);
+    assert!(!driven.core.is_leader());
+    stalled(&mut driven, false);
+    assert!(!driven.core.is_leader());
+}
+
 /// Members change one at a time, and only once an entry of the leader's own term is committed.
 #[test]
 fn one_change_at_a_time() {
--- a/tests/range_planner.rs
+++ b/tests/range_planner.rs
@@ -194,6 +194,7 @@
 #[test]
 fn idle_ranges_spread() {
     let mut view = even_view();
+    view.is_new = true;
     view.moves_per_minute = 0;
     view.weights = Weights {
         imbalance: 0,
@@ -213,7 +214,27 @@
         count[to] += 1;
     }
     assert_eq!(count, [3, 3, 3, 3]);
-    // A difference of one range stays, and so does all once there is load.
+    // None are joined meanwhile, or the numbers of ranges would differ again.
+    view.joins_ranges = true;
+    view.settle = Ms::ZERO;
+    view.ranges.iter_mut().for_each(|range| range.owner = Some(0));
+    view.servers.truncate(1);
+    let mut many = view.clone();
+    many.ranges = (0..40)
+        .map(|i| RangeView {
+            span: KeyRange {
+                start: key(i),
+                end: (i < 39).then(|| key(i + 1)),
+            },
+            ..view.ranges[0].clone()
+        })
+        .collect();
+    many.ranges[0].span.start = Key::default();
+    assert_eq!(actions(&many, NOW, 3), []);
+    many.is_new = false;
+    assert_ne!(actions(&many, NOW, 3), []);
+    view.servers = (0..4).map(server).collect();
+    // A difference of one range stays, and so does all once there is load or the service is not new.
     for (i, range) in view.ranges.iter_mut().enumerate() {
         range.owner = Some(i % 4);
     }
@@ -222,6 +243,9 @@
     view.ranges[0].load = 0.5;
     view.ranges.iter_mut().for_each(|range| range.owner = Some(0));
     assert_eq!(actions(&view, NOW, 3), []);
+    view.ranges[0].load = 0.0;
+    view.is_new = false;
+    assert_eq!(actions(&view, NOW, 3), []);
 }
 
 #[test]
--- a/tests/routed_retries.rs
+++ b/tests/routed_retries.rs
@@ -2,8 +2,8 @@
 
 use clementinefold::{
     call::{
-        after_try, of_known_service, reached_server, CallResult, Outcome, Reason, RetryBudget, RoutedStep,
-        RoutedView,
+        after_try, of_known_service, reached_server, CallResult, EndCause, Outcome, Reason, RetryBudget,
+        RoutedStep, RoutedView,
     },
     clock::Ms,
 };
@@ -40,7 +40,7 @@
             let result = CallResult::failed(*reason);
             if result.outcome == Outcome::Unknown {
                 let step = step(&result, view(false, divided), &mut RetryBudget::default());
-                assert_eq!(step, RoutedStep::End, "{reason:?}");
+                assert_eq!(step, RoutedStep::End(EndCause::MayHaveRun), "{reason:?}");
             }
         }
         for status in [200, 404, 500, 503] {
@@ -49,7 +49,7 @@
                 view(false, divided),
                 &mut RetryBudget::default(),
             );
-            assert_eq!(step, RoutedStep::End, "{status}");
+            assert_eq!(step, RoutedStep::End(EndCause::Answered), "{status}");
         }
     }
 }
@@ -66,7 +66,7 @@
         );
         assert_eq!(
             step(&result, second, &mut RetryBudget::default()),
-            RoutedStep::End,
+            RoutedStep::End(EndCause::AttemptsUsed),
             "{reason:?}"
         );
     }
@@ -80,7 +80,10 @@
     let full = CallResult::failed(Reason::ServerFull);
     assert_eq!(step(&refused, view(false, false), &mut budget), RoutedStep::Retry);
     assert_eq!(step(&full, view(false, false), &mut budget), RoutedStep::Retry);
-    assert_eq!(step(&full, view(false, false), &mut budget), RoutedStep::End);
+    assert_eq!(
+        step(&full, view(false, false), &mut budget),
+        RoutedStep::End(EndCause::BudgetSpent)
+    );
     assert_eq!(step(&refused, view(false, false), &mut budget), RoutedStep::Retry);
 }
 
@@ -93,17 +96,20 @@
     );
     assert_eq!(
         step(&answered(504), view(true, false), &mut budget),
-        RoutedStep::End
+        RoutedStep::End(EndCause::Answered)
     );
     assert_eq!(
         step(&answered(404), view(true, false), &mut budget),
-        RoutedStep::End
+        RoutedStep::End(EndCause::Answered)
     );
     let alone = RoutedView {
         has_other: false,
         ..view(true, false)
     };
-    assert_eq!(step(&answered(500), alone, &mut budget), RoutedStep::End);
+    assert_eq!(
+        step(&answered(500), alone, &mut budget),
+        RoutedStep::End(EndCause::NoOther)
+    );
 }
 
 #[test]
@@ -125,10 +131,17 @@
             now: Ms(600),
             ..view(false, true)
         };
-        assert_eq!(step(&result, late, &mut budget), RoutedStep::End, "{reason:?}");
+        assert_eq!(
+            step(&result, late, &mut budget),
+            RoutedStep::End(EndCause::NoOwner),
+            "{reason:?}"
+        );
     }
     let overloaded = CallResult::failed(Reason::Overloaded);
-    assert_eq!(step(&overloaded, view(true, true), &mut budget), RoutedStep::End);
+    assert_eq!(
+        step(&overloaded, view(true, true), &mut budget),
+        RoutedStep::End(EndCause::NoOther)
+    );
 }
 
 #[test]
@@ -141,7 +154,7 @@
         let result = CallResult::failed(*reason);
         assert_eq!(
             step(&result, late, &mut RetryBudget::default()),
-            RoutedStep::End,
+            RoutedStep::End(EndCause::NoTime),
             "{reason:?}"
         );
     }
