--- a/src/cli/ctl/command_line.rs
+++ b/src/cli/ctl/command_line.rs
@@ -164,6 +164,8 @@
             .args([
                 file("file"),
                 base(),
+                option("version", "NUMBER", "Version of the schema; it changes nothing unless it is the highest")
+                    .value_parser(ValueParser::from(clap::value_parser!(u64).range(1..))),
                 wait_flag("Wait until every live session has applied it"),
             ]),
         Command::new("drain")
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -248,6 +248,7 @@
     Ok(match name {
         "apply" => CommandRequest {
             schema: Some(read_schema(sub, "file")?.1),
+            version: sub.get_one::<u64>("version").copied().unwrap_or_default(),
             ..request
         },
         "release" => CommandRequest {
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -1,10 +1,10 @@
 use {
-    super::{daemon_cx::DaemonCx, dispatch::Dispatch},
+    super::{daemon_cx::DaemonCx, dispatch::Dispatch, routed_path::RoutedRequest},
     crate::{
         call::{after_attempt, Call, CallResult, NextStep, OpenAttempts, Outcome, Reason, RetryView},
         clock::Ms,
         control::Suspicion,
-        edge::{self, HttpFault, HttpRequest, HttpResponse},
+        edge::{self, HttpFault, HttpRequest, HttpResponse, RouteHeaders},
         event::Event,
         key::Key,
         link::LinkError,
@@ -55,12 +55,39 @@
         edge::caller_response(result, &request_id)
     }
 
+    /// Runs a call that names the host of a route.
+    async fn run_by_route(
+        self: &Rc<Self>,
+        request: HttpRequest,
+        headers: RouteHeaders,
+    ) -> (CallResult, String) {
+        let target = request.uri.path_and_query().map_or("/", |target| target.as_str());
+        let id = headers.request_id;
+        let routed = RoutedRequest {
+            attempt: id.clone(),
+            host: headers.host,
+            method: request.method.as_str().to_owned(),
+            target: target.to_owned(),
+            headers: headers.passed,
+            body: request.body,
+            key: headers.key.map(Key::new),
+            deadline: headers.deadline,
+        };
+        let started = self.clock.now();
+        (self.run_routed(routed, started).await, id)
+    }
+
     async fn read_and_run(self: &Rc<Self>, request: HttpRequest) -> (CallResult, String) {
         let state = self.state();
         if !state.has_schema() {
             log_event!(self.log, Event::CallNotRun; "reason" => Reason::NoConfiguration.word());
             return (CallResult::failed(Reason::NoConfiguration), String::new());
         }
+        match edge::read_route_headers(&request.headers) {
+            Ok(None) => {}
+            Ok(Some(headers)) => return self.run_by_route(request, headers).await,
+            Err(reason) => return (CallResult::failed(reason), String::new()),
+        }
         match edge::read_call(request, state.schema()) {
             Ok(call) => {
                 let result = self.run_call(&call).await;
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -117,7 +117,9 @@
         let state = self.state();
         let text = state.schema_text().unpack().unwrap_or_default();
         let schema: Value = serde_json::from_slice(&text).unwrap_or(Value::Null);
-        json!({ "revision": state.revision().to_string(), "schema": schema })
+        json!({
+            "revision": state.revision().to_string(), "version": state.schema_version(), "schema": schema
+        })
     }
 
     /// Tells whether every live session has the revision in `query`, or else the one of this daemon.
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -71,7 +71,7 @@
         result
     }
 
-    async fn run_routed(self: &Rc<Self>, request: RoutedRequest, started: Ms) -> CallResult {
+    pub(super) async fn run_routed(self: &Rc<Self>, request: RoutedRequest, started: Ms) -> CallResult {
         let state = self.state();
         let schema = state.schema().clone();
         let path = request.target.split('?').next().unwrap_or_default();
--- a/src/edge/caller_edge.rs
+++ b/src/edge/caller_edge.rs
@@ -17,6 +17,8 @@
 const REQUEST_ID_HEADER: &str = "fold-request-id";
 /// Header with the time that the caller waits.
 const DEADLINE_HEADER: &str = "fold-deadline-ms";
+/// Header with the host of a call by a route.
+const HOST_HEADER: &str = "fold-host";
 /// Most characters of a request id.
 const REQUEST_ID_MAX_CHARS: usize = 128;
 /// Start of the names of the system's own headers.
@@ -65,6 +67,40 @@
     })
 }
 
+/// What a caller says of a call by a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteHeaders {
+    /// Host of the route, in lower case.
+    pub host: String,
+    /// Id of the caller's attempt; empty if it gave none.
+    pub request_id: String,
+    /// Key of the call, if it has one.
+    pub key: Option<Bytes>,
+    /// Time that the caller waits, if it says so.
+    pub deadline: Option<Ms>,
+    /// Headers that are passed on.
+    pub passed: Vec<Header>,
+}
+
+/// Reads the headers of a call by a route. `None`: it names no host, so it is a call to a service.
+///
+/// # Errors
+/// A header cannot be read.
+pub fn read_route_headers(headers: &HeaderMap) -> Result<Option<RouteHeaders>, Reason> {
+    let Some(host) = headers.get(HOST_HEADER) else {
+        return Ok(None);
+    };
+    let host = host.to_str().map_err(|_| Reason::BadHeader)?;
+    let key = headers.get(KEY_HEADER);
+    Ok(Some(RouteHeaders {
+        host: host.to_ascii_lowercase(),
+        request_id: request_id(headers)?.unwrap_or_default(),
+        key: key.map(|coded| percent_decode(coded.as_bytes()).collect::<Vec<u8>>().into()),
+        deadline: deadline(headers)?,
+        passed: passed_on(headers),
+    }))
+}
+
 /// Returns the answer for the caller.
 pub fn caller_response(result: CallResult, request_id: &str) -> HttpResponse {
     let mut response = Response::new(result.body);
@@ -132,28 +168,37 @@
 }
 
 fn read_request_id(headers: &HeaderMap, kind: &CallKind) -> Result<String, Reason> {
+    match request_id(headers)? {
+        Some(id) => Ok(id),
+        None if kind.idempotent => Ok(String::new()),
+        None => Err(Reason::MissingRequestId),
+    }
+}
+
+fn request_id(headers: &HeaderMap) -> Result<Option<String>, Reason> {
     let Some(value) = headers.get(REQUEST_ID_HEADER) else {
-        return if kind.idempotent {
-            Ok(String::new())
-        } else {
-            Err(Reason::MissingRequestId)
-        };
+        return Ok(None);
     };
     let id = value.to_str().map_err(|_| Reason::BadHeader)?;
     let visible = id.bytes().all(|b| b.is_ascii_graphic());
     if id.is_empty() || id.len() > REQUEST_ID_MAX_CHARS || !visible {
         return Err(Reason::BadHeader);
     }
-    Ok(id.to_owned())
+    Ok(Some(id.to_owned()))
 }
 
 fn read_deadline(headers: &HeaderMap, kind: &CallKind) -> Result<Ms, Reason> {
+    let deadline = deadline(headers)?;
+    Ok(deadline.map_or(kind.deadline, |ms| ms.min(kind.max_deadline)))
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Ms>, Reason> {
     let Some(value) = headers.get(DEADLINE_HEADER) else {
-        return Ok(kind.deadline);
+        return Ok(None);
     };
     let ms: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
     match ms {
-        Some(ms) if ms > 0 => Ok(Ms(ms).min(kind.max_deadline)),
+        Some(ms) if ms > 0 => Ok(Some(Ms(ms))),
         Some(_) | None => Err(Reason::BadHeader),
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,7 +13,7 @@
 mod server_orders;
 
 pub use {
-    caller_edge::{add_headers, caller_response, read_call},
+    caller_edge::{add_headers, caller_response, read_call, read_route_headers, RouteHeaders},
     http_server::{
         json_response, json_text_response, plain_response, serve_http, HttpFault, HttpRequest, HttpResponse,
     },
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -3,7 +3,8 @@
         control::{CommandId, Revision},
         key::Key,
         link::from_hex,
-        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand, SplitAction},
+        schema::PackedText,
+        wire::control::{operator_command, Drain, MoveSpan, OperatorCommand, SplitAction, VersionedSchema},
     },
     serde::{Deserialize, Serialize},
 };
@@ -18,6 +19,9 @@
     pub base: String,
     /// The schema file, for `apply`.
     pub schema: Option<serde_json::Value>,
+    /// Version of the schema, for `apply`; 0 for one without a version.
+    #[serde(skip_serializing_if = "has_no_version")]
+    pub version: u64,
     /// Name of the host, for `drain`, `undrain` and `move`.
     pub host: String,
     /// Address of one server of the host; empty for all, or for any with `move`.
@@ -32,6 +36,19 @@
     pub fingerprint: String,
 }
 
+fn has_no_version(version: &u64) -> bool {
+    *version == 0
+}
+
+fn versioned(version: u64, schema: &serde_json::Value) -> VersionedSchema {
+    let text = PackedText::pack(schema.to_string().as_bytes());
+    VersionedSchema {
+        version,
+        packed_schema: text.as_bytes().clone(),
+        packed_source: text.as_bytes().clone(),
+    }
+}
+
 /// Reads the changing call `name` of an operator.
 ///
 /// # Errors
@@ -53,7 +70,10 @@
                 .schema
                 .as_ref()
                 .ok_or("schema: the schema file is needed")?;
-            operator_command::Body::ApplySchema(schema.to_string())
+            match request.version {
+                0 => operator_command::Body::ApplySchema(schema.to_string()),
+                version => operator_command::Body::ReplaceSchema(versioned(version, schema)),
+            }
         }
         "drain" => operator_command::Body::Drain(drain()),
         "undrain" => operator_command::Body::Undrain(drain()),
