Calls are held back at the entry while the owner of their key refuses most of their kind

Change: EntryThrottle, pure, by server and kind; a held-back call is refused at once with the time that the server's daemon told last (CF2011).

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -15,7 +15,7 @@
         link::{KeyRing, Links},
         metrics::{Metric, Metrics},
         placement::LoadMeter,
-        route::{Balancer, Candidate, FirstArrivals, WeightedTurns},
+        route::{Balancer, Candidate, EntryThrottle, FirstArrivals, WeightedTurns},
         settings::Settings,
         wire::control::Committed,
     },
@@ -62,6 +62,7 @@
     pub turns: RefCell<WeightedTurns>,
     /// Longest times that callers of routes gave.
     pub first_arrivals: RefCell<FirstArrivals>,
+    pub throttle: RefCell<EntryThrottle>,
     /// Retries of calls that came by a route, by service; sorted.
     pub route_budgets: RefCell<Vec<(String, RetryBudget)>>,
     pub state: RefCell<Rc<State>>,
@@ -154,6 +155,7 @@
             control_hosts: RefCell::new(control_hosts),
             turns: RefCell::new(WeightedTurns::new(rng.random_range(0..TURN_PHASES))),
             first_arrivals: RefCell::default(),
+            throttle: RefCell::default(),
             route_budgets: RefCell::default(),
             state: RefCell::default(),
             state_changed: Notify::new(),
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -253,17 +253,49 @@
                 session,
                 peer_address,
             } => {
+                if let Err(retry_after) = self.throttle_send(call, &peer_address) {
+                    return CallResult {
+                        retry_after,
+                        ..CallResult::failed(Reason::Overloaded)
+                    };
+                }
                 log_event!(
                     self.log, Event::CallForwarded;
                     "request_id" => &call.request_id, "service" => &call.service, "key" => key.to_string(),
                     "session" => session, "peer" => &peer_address
                 );
-                self.forward(call, &peer_address, terms.deadline).await
+                let result = self.forward(call, &peer_address, terms.deadline).await;
+                self.note_throttle(call, &peer_address, &result);
+                result
             }
             route::Route::Nowhere(reason) => CallResult::failed(reason),
         }
     }
 
+    /// Tells if a call may be sent to the daemon of the key's owner, or else when it may come back.
+    fn throttle_send(&self, call: &Call, peer_address: &str) -> Result<(), Ms> {
+        let (mut throttle, mut rng) = (self.throttle.borrow_mut(), self.rng.borrow_mut());
+        let sent = throttle.send(peer_address, &call.kind, self.clock.now(), &mut *rng);
+        if sent.is_err() {
+            log_event!(
+                self.log, Event::CallHeldBack;
+                "request_id" => &call.request_id, "service" => &call.service, "peer" => peer_address
+            );
+        }
+        sent
+    }
+
+    fn note_throttle(&self, call: &Call, peer_address: &str, result: &CallResult) {
+        let now = self.clock.now();
+        let mut throttle = self.throttle.borrow_mut();
+        match result.reason {
+            Some(Reason::Overloaded) => {
+                throttle.refused(peer_address, &call.kind, result.retry_after, now);
+            }
+            Some(_) | None => throttle.taken(peer_address, &call.kind, now),
+        }
+    }
+
     /// Runs a call by a route that its entry daemon has sent here.
     pub(super) async fn run_routed_here(
         self: &Rc<Self>,
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -67,6 +67,8 @@
     ServerTryEnded = "CF2009", Info, "try at a server ended";
     /// A call by a route that failed is not tried again.
     CallNotRetried = "CF2010", Info, "call not tried again";
+    /// A call is refused at its entry daemon, since the owner of its key refuses most of its kind.
+    CallHeldBack = "CF2011", Info, "call held back";
     /// A call whose caller no longer waits is stopped.
     CallCancelled = "CF2101", Info, "call cancelled";
     /// A recorded answer was given again.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,12 +1,14 @@
 //! Which daemon and which server a call goes to.
 
 mod balancer;
+mod entry_throttle;
 mod first_arrivals;
 mod router;
 mod weighted_turns;
 
 pub use {
     balancer::{Balancer, Signal, Target},
+    entry_throttle::EntryThrottle,
     first_arrivals::FirstArrivals,
     router::{candidates, route_by_key, Candidate, Route},
     weighted_turns::WeightedTurns,
