--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -55,6 +55,12 @@
         edge::caller_response(result, &request_id)
     }
 
+    /// Returns the result of a request that is no call.
+    fn refused_request(&self, reason: Reason) -> CallResult {
+        log_event!(self.log, Event::CallNotRun; "reason" => reason.word());
+        CallResult::failed(reason)
+    }
+
     /// Runs a call that names the host of a route.
     async fn run_by_route(
         self: &Rc<Self>,
@@ -80,23 +86,19 @@
     async fn read_and_run(self: &Rc<Self>, request: HttpRequest) -> (CallResult, String) {
         let state = self.state();
         if !state.has_schema() {
-            log_event!(self.log, Event::CallNotRun; "reason" => Reason::NoConfiguration.word());
-            return (CallResult::failed(Reason::NoConfiguration), String::new());
+            return (self.refused_request(Reason::NoConfiguration), String::new());
         }
         match edge::read_route_headers(&request.headers) {
             Ok(None) => {}
             Ok(Some(headers)) => return self.run_by_route(request, headers).await,
-            Err(reason) => return (CallResult::failed(reason), String::new()),
+            Err(reason) => return (self.refused_request(reason), String::new()),
         }
         match edge::read_call(request, state.schema()) {
             Ok(call) => {
                 let result = self.run_call(&call).await;
                 (result, call.request_id)
             }
-            Err(reason) => {
-                log_event!(self.log, Event::CallNotRun; "reason" => reason.word());
-                (CallResult::failed(reason), String::new())
-            }
+            Err(reason) => (self.refused_request(reason), String::new()),
         }
     }
 
