An offer of a new disk reaches the leader through any control host

A host that lost its disk offers itself to the seeds of its settings only, and there are three; with five voters the leader may be none of them. With one voter missing all the while the final fault took two more disks, and two of five were left: no leader, RECOVER and CONFIG. Ruled out: elections themselves (all seven hosts were up and asked for votes). Change: a host that is not the leader passes an offer on to the leader it follows, once. Also: the silence of a member counts from when the leader met it, not from the start of time; learners were removed 3 ms after they were added, and added again.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -146,12 +146,12 @@
             term: self.hard.term,
             body: None,
         }]);
-        self.meet_peers();
+        self.meet_peers(now);
         self.replicate(now);
     }
 
     /// Keeps a progress for each other member in force.
-    pub(super) fn meet_peers(&mut self) {
+    pub(super) fn meet_peers(&mut self, now: Ms) {
         let others = self.membership().members.iter().map(|m| m.id);
         let others: Vec<u64> = others.filter(|id| *id != self.hard.id).collect();
         let next = self.log.last_index();
@@ -159,7 +159,7 @@
             leadership.peers.retain(|p| others.contains(&p.id));
             for id in others {
                 if let Err(i) = leadership.peers.binary_search_by_key(&id, |p| p.id) {
-                    leadership.peers.insert(i, Progress::new(id, next));
+                    leadership.peers.insert(i, Progress::new(id, next, now));
                 }
             }
         }
--- a/src/consensus/member_change.rs
+++ b/src/consensus/member_change.rs
@@ -74,7 +74,7 @@
             term: self.hard.term,
             body: Some(entry::Body::Membership(membership)),
         }]);
-        self.meet_peers();
+        self.meet_peers(now);
         self.replicate(now);
         Ok(index)
     }
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -10,6 +10,8 @@
     pub matched: u64,
     /// Latest send time, by the leader's clock, of a message that was answered in this term.
     pub echoed_at: Ms,
+    /// When the leader began to count the member.
+    pub met_at: Ms,
     /// Last index of entries that are on their way, and when they were sent.
     pub awaiting: Option<(u64, Ms)>,
     /// Snapshot that is being sent: its index, the offset, and when the part was sent.
@@ -22,12 +24,13 @@
 
 impl Progress {
     /// Returns the progress of a member of which nothing is known.
-    pub fn new(id: u64, next: u64) -> Self {
+    pub fn new(id: u64, next: u64, now: Ms) -> Self {
         Self {
             id,
             next,
             matched: 0,
             echoed_at: Ms::ZERO,
+            met_at: now,
             awaiting: None,
             snapshot: None,
             process: 0,
@@ -43,7 +46,7 @@
                 echoed_at: self.echoed_at,
                 process,
                 process_since: now,
-                ..Self::new(self.id, self.next)
+                ..Self::new(self.id, self.next, self.met_at)
             };
         }
     }
--- a/src/consensus/replication.rs
+++ b/src/consensus/replication.rs
@@ -246,6 +246,13 @@
         Some((lag, peer.echoed_at))
     }
 
+    /// Returns at the leader for how long a member was not heard, counted from when the leader met it. Zero: it is
+    /// no other member, or this one does not lead.
+    pub fn peer_silence(&self, id: u64, now: Ms) -> Ms {
+        let peer = self.peer(id);
+        peer.map_or(Ms::ZERO, |peer| now - peer.echoed_at.max(peer.met_at))
+    }
+
     pub(super) fn leadership(&self) -> Option<&Leadership> {
         match &self.role {
             Role::Leader(leadership) => Some(leadership),
--- a/src/control/duty_members.rs
+++ b/src/control/duty_members.rs
@@ -3,11 +3,10 @@
         control_duty::ControlDuty, member_plan::next_member_change, members::members_answer, start::random,
     },
     crate::{
-        clock::Ms,
         event::Event,
         log_event,
         wire::{
-            consensus::{envelope, Envelope},
+            consensus::{envelope, DiskAnswer, Envelope},
             peer::{InForceAnswer, InForceRequest, MembersAnswer, MembersRequest},
         },
     },
@@ -72,11 +71,31 @@
                     self.core.member_gone(gone);
                 }
                 self.founding.disk_answered(from, address, *answer, now);
+                if answer.seeks && !answer.relayed {
+                    self.relay_offer(&envelope, *answer);
+                }
             }
             _ => self.core.receive(envelope, now),
         }
     }
 
+    /// Passes an offer on to the leader. A host that offers itself may know other hosts only.
+    fn relay_offer(&self, envelope: &Envelope, answer: DiskAnswer) {
+        let leader = self.other_leader();
+        if leader.is_empty() {
+            return;
+        }
+        let relayed = DiskAnswer {
+            relayed: true,
+            ..answer
+        };
+        let envelope = Envelope {
+            body: Some(envelope::Body::DiskAnswer(relayed)),
+            ..envelope.clone()
+        };
+        self.post(leader, &envelope);
+    }
+
     /// Looks for a cell while the disk belongs to none.
     pub(super) fn form_cell(&mut self) {
         let now = self.config.clock.now();
@@ -109,10 +128,7 @@
         let now = self.config.clock.now();
         let offers: Vec<_> = self.founding.offers(now).cloned().collect();
         let core = &self.core;
-        let silence = |id| {
-            core.peer_state(id)
-                .map_or(Ms::ZERO, |(_, heard_at)| now - heard_at)
-        };
+        let silence = |id| core.peer_silence(id, now);
         let change = next_member_change(core.membership(), &offers, voters, core.id(), silence);
         if let Some(change) = change {
             if self.core.change_member(&change, now).is_ok() {
--- a/src/control/founding.rs
+++ b/src/control/founding.rs
@@ -82,6 +82,7 @@
         let offer = Body::DiskAnswer(DiskAnswer {
             formed: false,
             seeks: true,
+            relayed: false,
         });
         let offers = self
             .control_hosts
@@ -108,6 +109,7 @@
         let offer = Body::DiskAnswer(DiskAnswer {
             formed: true,
             seeks: true,
+            relayed: false,
         });
         let mut hosts = self.control_hosts.clone();
         hosts.extend(known.iter().filter(|a| **a != self.address).cloned());
@@ -119,7 +121,11 @@
 
     /// Answers the question which disk this is.
     pub fn answer(&self, query: &Envelope, formed: bool) -> (String, Envelope) {
-        let body = Body::DiskAnswer(DiskAnswer { formed, seeks: false });
+        let body = Body::DiskAnswer(DiskAnswer {
+            formed,
+            seeks: false,
+            relayed: false,
+        });
         (query.from_address.clone(), self.envelope(query.from, body))
     }
 
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -124,6 +124,30 @@
     driven
 }
 
+/// A member that a new leader has not heard yet is not taken for one that is silent since the start of time.
+#[test]
+fn silence_counts_from_meeting() {
+    let mut driven = leading();
+    driven.accept(3);
+    let elected = driven.now;
+    // The member itself was started after 1000 ms.
+    assert!(driven.core.peer_silence(3, elected) < elected - Ms(1000));
+    assert_eq!(
+        driven.core.peer_silence(3, elected + Ms(700)),
+        driven.core.peer_silence(3, elected) + Ms(700)
+    );
+    driven.now += Ms(500);
+    let add = MemberChange::Add(Member {
+        id: 4,
+        address: "h4".into(),
+        ..Member::default()
+    });
+    let now = driven.now;
+    driven.core.change_member(&add, now).unwrap();
+    assert_eq!(driven.core.peer_silence(4, now), Ms::ZERO);
+    assert_eq!(driven.core.peer_silence(2, now), Ms(500));
+}
+
 /// A leader that hears its members but whose disk syncs nothing gives way, and is not elected by its own vote.
 #[test]
 fn stalled_disk_steps_down() {
