--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -55,6 +55,8 @@
     /// Index up to which changes that this duty itself proposed must be applied before it proposes more.
     pub(super) own_until: u64,
     pub(super) watches: Watches,
+    /// The last configuration that watches were answered with, by its log index.
+    pub(super) sent_revision: u64,
     pub(super) parts: StateParts,
     /// Peer addresses by disk incarnation, as messages named them; sorted.
     pub(super) addresses: Vec<(u64, String)>,
@@ -104,6 +106,7 @@
             proposals: Proposals::default(),
             own_until: 0,
             watches,
+            sent_revision: 0,
             parts: StateParts::default(),
             addresses: Vec::new(),
             failure: None,
@@ -141,11 +144,23 @@
         self.carry_out();
         self.lead();
         self.carry_out();
-        let hosts = self.member_addresses();
-        self.watches.answer(self.config.clock.now(), &hosts);
+        self.answer_watches();
         true
     }
 
+    fn answer_watches(&mut self) {
+        let hosts = self.member_addresses();
+        let (watches, bytes) = self.watches.answer(self.config.clock.now(), &hosts);
+        let revision = self.state.revision().index;
+        if watches > 0 && revision != self.sent_revision {
+            self.sent_revision = revision;
+            log_event!(
+                self.config.log, Event::ConfigurationSent;
+                "revision" => revision, "watches" => watches, "bytes" => bytes
+            );
+        }
+    }
+
     fn take(&mut self, input: ControlInput, batch: &mut Batch) {
         let now = self.config.clock.now();
         match input {
--- a/src/control/watches.rs
+++ b/src/control/watches.rs
@@ -61,21 +61,25 @@
         });
     }
 
-    /// Answers the watches for which there are changes or whose time is over.
-    pub fn answer(&mut self, now: Ms, control_hosts: &[String]) {
+    /// Answers the watches for which there are changes or whose time is over. Returns how many, and the bytes of all
+    /// their changes.
+    pub fn answer(&mut self, now: Ms, control_hosts: &[String]) -> (usize, usize) {
         let due = |w: &WaitingWatch| w.applied != self.applied || w.until <= now;
         if !self.waiting.iter().any(due) {
-            return;
+            return (0, 0);
         }
         let (due, waiting): (Vec<_>, Vec<_>) = self.waiting.drain(..).partition(due);
         self.waiting = waiting;
+        let (count, mut bytes) = (due.len(), 0);
         for watch in due {
             let answer = WatchAnswer {
                 control_hosts: control_hosts.to_vec(),
                 ..self.changes_after(watch.applied)
             };
+            bytes += answer.encoded_len();
             drop(watch.tx.send(answer));
         }
+        (count, bytes)
     }
 
     /// Declines all who wait.
--- a/src/daemon/control_client.rs
+++ b/src/daemon/control_client.rs
@@ -53,12 +53,10 @@
     /// # Errors
     /// No answer came in time, or the host is out of touch with the leader.
     pub async fn ask_any_control(&self, body: Body) -> Result<Body, LinkError> {
-        let hosts = self.control_hosts.borrow().clone();
-        let position = (self.process as usize).wrapping_add(self.watched.get()) % hosts.len().max(1);
-        let Some(address) = hosts.get(position) else {
+        let Some(address) = self.watched_host() else {
             return Err(LinkError::NotSent("there is no control host".into()));
         };
-        let answer = match timeout(WATCH_TIMEOUT, self.links.request(address, body)).await {
+        let answer = match timeout(WATCH_TIMEOUT, self.links.request(&address, body)).await {
             Ok(Ok(body)) if declined(&body).is_none() => Ok(body),
             Ok(Ok(_)) => Err(LinkError::Lost("the control host has no leader".into())),
             Ok(Err(e)) => Err(e),
@@ -70,6 +68,13 @@
         answer
     }
 
+    /// Returns the peer address of the control host that this daemon follows now.
+    pub fn watched_host(&self) -> Option<String> {
+        let hosts = self.control_hosts.borrow();
+        let position = (self.process as usize).wrapping_add(self.watched.get()) % hosts.len().max(1);
+        hosts.get(position).cloned()
+    }
+
     /// Asks the host that led last and follows the word of those that decline.
     async fn ask_leader(&self, body: Body, limit: Duration) -> Result<Body, LinkError> {
         let asked = RefCell::new(String::new());
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -7,6 +7,7 @@
         grant::Touched,
         lease::{ClockVerdict, SleepDetector},
         log_event,
+        metrics::Metric,
         wire::{
             control::{change, OpenSession, SetServers},
             peer::{frame::Body, OpenSessionRequest, Renew},
@@ -104,7 +105,10 @@
             loads: self.meter.borrow_mut().report(sent_at),
             process: self.process,
         };
-        match self.ask_in_lease(Body::Renew(renew)).await {
+        let answer = self.ask_in_lease(Body::Renew(renew)).await;
+        self.metrics
+            .time(Metric::RenewalMs, &[], self.clock.now() - sent_at);
+        match answer {
             Ok(Body::RenewAnswer(answer)) if answer.sent_at_ms == sent_at.0 && answer.session == session => {
                 Some(match (answer.renewed, answer.lagging) {
                     (true, _) => Renewal::Renewed,
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -1,9 +1,15 @@
 use {
     super::daemon_cx::DaemonCx,
     crate::{
+        clock::Ms,
         control::State,
-        wire::peer::{frame::Body, StateRequest, Watch},
+        event::{Event, RateLimit},
+        link::LinkError,
+        log_event,
+        metrics::Metric,
+        wire::peer::{frame::Body, StateRequest, Watch, WatchAnswer},
     },
+    prost::Message,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -14,8 +20,11 @@
 impl DaemonCx {
     /// Follows the committed changes and applies them to the state of this daemon.
     pub async fn watch_state(self: Rc<Self>) {
+        let mut failures = RateLimit::default();
         loop {
             let applied = self.state().applied();
+            let host = self.watched_host().unwrap_or_default();
+            let asked_at = self.clock.now();
             let watch = Watch {
                 applied,
                 session: self.session.get().unwrap_or_default(),
@@ -25,14 +34,54 @@
                 Ok(Body::WatchAnswer(answer)) => {
                     self.learn_control_hosts(&answer.control_hosts);
                     if !answer.changes.is_empty() {
-                        self.apply_changes(&answer.changes);
+                        self.apply_answer(&answer, &host, self.clock.now() - asked_at);
                     }
                 }
-                Ok(_) | Err(_) => sleep(WATCH_PAUSE).await,
+                Ok(_) => sleep(WATCH_PAUSE).await,
+                Err(e) => {
+                    self.note_failed_watch(&host, asked_at, &e, &mut failures);
+                    sleep(WATCH_PAUSE).await;
+                }
             }
         }
     }
 
+    /// Applies the changes of an answer that came after `waited`. A new configuration is logged with its age.
+    fn apply_answer(&self, answer: &WatchAnswer, host: &str, waited: Ms) {
+        let before = self.state().revision();
+        let started = self.clock.now();
+        self.apply_changes(&answer.changes);
+        let state = self.state();
+        let revision = state.revision();
+        if revision == before {
+            return;
+        }
+        let brought = answer.changes.iter().find(|c| c.index == revision.index);
+        let proposed_at = brought
+            .and_then(|c| c.change.as_ref())
+            .map_or(0, |c| c.proposed_at_ms);
+        let age = self.clock.wall() - Ms(proposed_at);
+        self.metrics.time(Metric::ConfigurationAgeMs, &[], age);
+        log_event!(
+            self.log, Event::ConfigurationInForce;
+            "revision" => revision.index, "version" => state.schema_version(), "age_ms" => age.0, "host" => host,
+            "waited_ms" => waited.0, "bytes" => answer.encoded_len(), "changes" => answer.changes.len(),
+            "apply_ms" => (self.clock.now() - started).0
+        );
+    }
+
+    fn note_failed_watch(&self, host: &str, asked_at: Ms, error: &LinkError, failures: &mut RateLimit) {
+        self.metrics.count(Metric::WatchesFailed, &[]);
+        let now = self.clock.now();
+        if let Some(suppressed) = failures.pass(now) {
+            log_event!(
+                self.log, Event::WatchFailed;
+                "host" => host, "applied" => self.state().applied(), "waited_ms" => (now - asked_at).0,
+                "error" => error.to_string(), "suppressed" => suppressed
+            );
+        }
+    }
+
     /// Reads the whole state in parts. A state older than the present one is not taken.
     async fn fetch_state(&self) {
         let mut image = 0;
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -143,6 +143,11 @@
     /// A local server does not hold what it was granted with its last heartbeat.
     GrantNotTaken = "CF4110", Warning, "grant not taken";
 
+    /// A configuration is in force at this daemon from here on.
+    ConfigurationInForce = "CF4111", Info, "configuration in force";
+    /// A control host did not answer a watch.
+    WatchFailed = "CF4112", Warning, "watch failed";
+
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
     /// The control role has stopped after an error.
@@ -155,6 +160,8 @@
     RangeAssigned = "CF5005", Info, "range assigned";
     /// An operator's command was decided.
     CommandDecided = "CF5006", Info, "operator command decided";
+    /// The watches that waited for a configuration were answered with it.
+    ConfigurationSent = "CF5007", Info, "configuration sent";
     /// The control role does not start on its data folder.
     ControlRefused = "CF5101", Error, "control role refused its data folder";
     /// The first members of a new cell were written.
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -54,6 +54,12 @@
     ServerWaiting = "server_waiting", "gauge", ["service"];
     /// Log index of the configuration in force here.
     Revision = "revision", "gauge", [];
+    /// Time from the proposal of a configuration until it is in force here, by the wall clocks of both hosts, in ms.
+    ConfigurationAgeMs = "configuration_age_ms", "timer", [];
+    /// Time from a renewal of the session to its answer, in ms.
+    RenewalMs = "renewal_ms", "timer", [];
+    /// Watches that a control host did not answer.
+    WatchesFailed = "watches_failed", "counter", [];
     /// Time from a caller's whole request to its answer, in ms.
     CallMs = "call_ms", "timer", [];
     /// 1 while the lease of this daemon holds, else 0.
