--- a/benches/capacity/control.rs
+++ b/benches/capacity/control.rs
@@ -141,7 +141,15 @@
             let waiting: Vec<_> = (0..watchers)
                 .map(|session| {
                     let (tx, rx) = oneshot::channel();
-                    assert!(handle.send(ControlInput::Watch(Watch { applied, session }, tx)));
+                    assert!(handle.send(ControlInput::Watch(
+                        Watch {
+                            applied,
+                            session,
+                            takes_patches: true,
+                            ..Watch::default()
+                        },
+                        tx
+                    )));
                     rx
                 })
                 .collect();
@@ -194,7 +202,14 @@
     let mut quiet = 0;
     while quiet < 2 || applied == 0 {
         let (tx, rx) = oneshot::channel();
-        assert!(handle.send(ControlInput::Watch(Watch { applied, session: 0 }, tx)));
+        assert!(handle.send(ControlInput::Watch(
+            Watch {
+                applied,
+                takes_patches: true,
+                ..Watch::default()
+            },
+            tx
+        )));
         match rx.blocking_recv() {
             Ok(answer) if !answer.changes.is_empty() => {
                 applied = answer.changes.last().map_or(applied, |change| change.index);
--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -71,9 +71,8 @@
                 self.release_quarantine(fingerprint)
             }
             Some(operator_command::Body::Split(action)) => self.split_command(index, *action),
-            Some(operator_command::Body::ReplaceSchema(_)) | None => {
-                Err(refused("the command is not known", ""))
-            }
+            Some(operator_command::Body::ReplaceSchema(_) | operator_command::Body::PatchSchema(_))
+            | None => Err(refused("the command is not known", "")),
         };
         match result {
             Ok(effect) => {
--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -4,6 +4,7 @@
         founding::Founding,
         note,
         proposals::{Proposals, Waiter},
+        schema_patch::PatchBase,
         state_parts::StateParts,
         watches::{self, Watches},
         ControlConfig, ControlError, ControlInput, State,
@@ -349,6 +350,7 @@
     fn apply(&mut self, entry: &Entry) {
         let record = committed(entry);
         let change = record.change.clone().unwrap_or_default();
+        let base = PatchBase::of(&self.state);
         let applied = self.state.apply(entry.index, &change);
         let now = self.config.clock.now();
         if let Some(view) = &mut self.view {
@@ -357,7 +359,10 @@
         }
         self.proposals
             .committed(entry.index, entry.term, &change, &applied, &self.state);
-        self.watches.committed(record);
+        self.watches.committed(Committed {
+            change: Some(base.lighten(change, &self.state)),
+            ..record
+        });
     }
 
     /// Replaces the state by that of a snapshot from the leader.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod proposals;
 mod range_table;
 mod revision;
+mod schema_patch;
 mod session;
 mod split_changes;
 mod start;
--- a/src/control/note.rs
+++ b/src/control/note.rs
@@ -54,6 +54,7 @@
         | Applied::SuspectsCleared
         | Applied::ServersSet(_)
         | Applied::RangeReleased { .. }
+        | Applied::PatchMisfit
         | Applied::Ignored(_) => {}
     }
 }
--- /dev/null
+++ b/src/control/schema_patch.rs
@@ -0,0 +1,147 @@
+use {
+    super::{Applied, Revision, State},
+    crate::{
+        schema::PackedText,
+        wire::control::{
+            change, command_answer, operator_command, Change, OperatorCommand, SchemaPatch, TextPatch,
+            VersionedSchema,
+        },
+    },
+    bytes::Bytes,
+};
+
+/// The schema before a change, which daemons hold as the change reaches them.
+pub(super) struct PatchBase {
+    revision: Revision,
+    schema: PackedText,
+    source: PackedText,
+}
+
+impl PatchBase {
+    /// Returns the schema that is in force.
+    pub fn of(state: &State) -> Self {
+        Self {
+            revision: state.revision,
+            schema: state.schema_text.clone(),
+            source: state.schema_source.clone(),
+        }
+    }
+
+    /// Returns a change that does the same as `change` did and has few bytes. `state` is the state after it.
+    ///
+    /// A whole schema of many routes takes seconds over a full link, and most changes touch a few routes.
+    pub fn lighten(&self, change: Change, state: &State) -> Change {
+        let Some(change::Body::OperatorCommand(command)) = &change.body else {
+            return change;
+        };
+        let revised = state.revision != self.revision;
+        let body = match &command.body {
+            Some(operator_command::Body::ReplaceSchema(versioned)) if !revised => {
+                // What was overtaken or refused changes nothing without its text either.
+                operator_command::Body::ReplaceSchema(VersionedSchema {
+                    version: versioned.version,
+                    ..VersionedSchema::default()
+                })
+            }
+            Some(operator_command::Body::ReplaceSchema(versioned)) => self.patch(versioned.version, state),
+            Some(operator_command::Body::ApplySchema(_)) if revised => self.patch(0, state),
+            _ => return change,
+        };
+        Change {
+            body: Some(change::Body::OperatorCommand(OperatorCommand {
+                body: Some(body),
+                ..command.clone()
+            })),
+            ..change
+        }
+    }
+
+    fn patch(&self, version: u64, state: &State) -> operator_command::Body {
+        operator_command::Body::PatchSchema(SchemaPatch {
+            version,
+            base: Some(self.revision.to_wire()),
+            revision: Some(state.revision.to_wire()),
+            schema: Some(between(&self.schema, &state.schema_text)),
+            source: Some(between(&self.source, &state.schema_source)),
+        })
+    }
+}
+
+/// Tells if a change is a patch of the schema.
+pub(super) fn is_patch(change: &Change) -> bool {
+    let Some(change::Body::OperatorCommand(command)) = &change.body else {
+        return false;
+    };
+    matches!(command.body, Some(operator_command::Body::PatchSchema(_)))
+}
+
+/// Takes what the operator wrote out of a patch.
+pub(super) fn strip_source(change: &mut Change) {
+    if let Some(change::Body::OperatorCommand(command)) = &mut change.body {
+        if let Some(operator_command::Body::PatchSchema(patch)) = &mut command.body {
+            patch.source = None;
+        }
+    }
+}
+
+impl State {
+    /// Applies a change of the schema that came as a patch.
+    pub(super) fn apply_patch(
+        &mut self,
+        index: u64,
+        now_ms: u64,
+        command: &OperatorCommand,
+        patch: &SchemaPatch,
+    ) -> Applied {
+        let base = patch.base.as_ref().map(Revision::from_wire);
+        if base != Some(self.revision) {
+            return Applied::PatchMisfit;
+        }
+        let Some(body) = self.patched(patch) else {
+            return Applied::PatchMisfit;
+        };
+        self.applied = index;
+        let whole = OperatorCommand {
+            body: Some(body),
+            ..command.clone()
+        };
+        let mut answer = self.operator_command(index, now_ms, &whole);
+        if let (Some(command_answer::Body::Accepted(accepted)), Some(revision)) =
+            (&mut answer.body, &patch.revision)
+        {
+            // The digest covers the compressed bytes, which another build may have made.
+            self.revision = Revision::from_wire(revision);
+            accepted.clone_from(revision);
+        }
+        Applied::Command(answer)
+    }
+
+    /// Returns the whole change of the schema. `None`: the patch is for another schema.
+    fn patched(&self, patch: &SchemaPatch) -> Option<operator_command::Body> {
+        let schema = patch.schema.as_ref()?.apply(&self.schema_text.unpack()?)?;
+        if patch.version == 0 {
+            return Some(operator_command::Body::ApplySchema(
+                String::from_utf8(schema).ok()?,
+            ));
+        }
+        let packed_source = match &patch.source {
+            Some(source) => packed(&source.apply(&self.schema_source.unpack()?)?),
+            None => Bytes::new(),
+        };
+        Some(operator_command::Body::ReplaceSchema(VersionedSchema {
+            version: patch.version,
+            packed_schema: packed(&schema),
+            packed_source,
+        }))
+    }
+}
+
+fn between(old: &PackedText, new: &PackedText) -> TextPatch {
+    // Both were accepted, so they can be unpacked.
+    let (old, new) = (old.unpack().unwrap_or_default(), new.unpack().unwrap_or_default());
+    TextPatch::between(&old, &new)
+}
+
+fn packed(text: &[u8]) -> Bytes {
+    PackedText::pack(text).as_bytes().clone()
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -7,8 +7,8 @@
         key::KeyRange,
         schema::{PackedText, Schema},
         wire::control::{
-            change, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession, SetServers,
-            SplitStage, SplitState,
+            change, operator_command, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession,
+            SetServers, SplitStage, SplitState,
         },
     },
     std::sync::Arc,
@@ -83,6 +83,8 @@
     SplitStaged(SplitStage),
     /// An operator's command was decided.
     Command(CommandAnswer),
+    /// The patch of the schema is for another one. Nothing was applied: the whole state is needed.
+    PatchMisfit,
     /// The change no longer fits the state and did nothing.
     Ignored(&'static str),
 }
@@ -165,6 +167,11 @@
 
     /// Applies the change committed at `index`. A change that no longer fits the state does nothing.
     pub fn apply(&mut self, index: u64, change: &Change) -> Applied {
+        if let Some(change::Body::OperatorCommand(command)) = &change.body {
+            if let Some(operator_command::Body::PatchSchema(patch)) = &command.body {
+                return self.apply_patch(index, change.proposed_at_ms, command, patch);
+            }
+        }
         self.applied = index;
         match &change.body {
             Some(change::Body::OpenSession(open)) => self.open_session(index, open),
--- a/src/control/watches.rs
+++ b/src/control/watches.rs
@@ -1,4 +1,5 @@
 use {
+    super::schema_patch::{is_patch, strip_source},
     crate::{
         clock::Ms,
         wire::{
@@ -21,7 +22,7 @@
 
 /// A watch that waits for changes.
 struct WaitingWatch {
-    applied: u64,
+    req: Watch,
     until: Ms,
     tx: oneshot::Sender<WatchAnswer>,
 }
@@ -55,7 +56,7 @@
     /// Lets someone wait for the changes after `req.applied`.
     pub fn wait(&mut self, req: &Watch, tx: oneshot::Sender<WatchAnswer>, now: Ms) {
         self.waiting.push(WaitingWatch {
-            applied: req.applied,
+            req: *req,
             until: now + WATCH_MAX,
             tx,
         });
@@ -64,7 +65,7 @@
     /// Answers the watches for which there are changes or whose time is over. Returns how many, and the bytes of all
     /// their changes.
     pub fn answer(&mut self, now: Ms, control_hosts: &[String]) -> (usize, usize) {
-        let due = |w: &WaitingWatch| w.applied != self.applied || w.until <= now;
+        let due = |w: &WaitingWatch| w.req.applied != self.applied || w.until <= now;
         if !self.waiting.iter().any(due) {
             return (0, 0);
         }
@@ -74,7 +75,7 @@
         for watch in due {
             let answer = WatchAnswer {
                 control_hosts: control_hosts.to_vec(),
-                ..self.changes_after(watch.applied)
+                ..self.changes_for(&watch.req)
             };
             bytes += answer.encoded_len();
             drop(watch.tx.send(answer));
@@ -89,6 +90,19 @@
         }
     }
 
+    /// Returns the changes that a daemon lacks, in the form that it takes.
+    fn changes_for(&self, req: &Watch) -> WatchAnswer {
+        let mut answer = self.changes_after(req.applied);
+        let mut changes = answer.changes.iter_mut().flat_map(|c| &mut c.change);
+        if !req.takes_patches && changes.any(|change| is_patch(change)) {
+            return needs_state();
+        }
+        if req.without_source {
+            changes.for_each(strip_source);
+        }
+        answer
+    }
+
     fn changes_after(&self, applied: u64) -> WatchAnswer {
         let oldest = self.history.first().map_or(self.applied + 1, |c| c.index);
         if applied > self.applied {
@@ -96,10 +110,7 @@
             return declined();
         }
         if applied + 1 < oldest {
-            return WatchAnswer {
-                needs_state: true,
-                ..WatchAnswer::default()
-            };
+            return needs_state();
         }
         let from = (applied + 1 - oldest) as usize;
         let mut bytes = 0;
@@ -117,6 +128,13 @@
     }
 }
 
+fn needs_state() -> WatchAnswer {
+    WatchAnswer {
+        needs_state: true,
+        ..WatchAnswer::default()
+    }
+}
+
 /// Returns the answer of a host that cannot serve a watch.
 pub(super) fn declined() -> WatchAnswer {
     WatchAnswer {
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -6,7 +6,7 @@
     crate::{
         call::{RetryBudget, Tenures},
         clock::{Clock, Ms},
-        control::{ControlHandle, Server, State},
+        control::{Applied, ControlHandle, Server, State},
         edge::ServerDialect,
         event::RateLimit,
         grant::Touched,
@@ -198,9 +198,10 @@
     }
 
     /// Applies committed changes in order and wakes those who wait for a change. The state is copied only
-    /// if someone still holds the present one.
-    pub fn apply_changes(&self, changes: &[Committed]) {
+    /// if someone still holds the present one. False: a change is for another state, and the whole state is needed.
+    pub fn apply_changes(&self, changes: &[Committed]) -> bool {
         let mut touched = Touched::default();
+        let mut fits = true;
         {
             let mut held = self.state.borrow_mut();
             let state = Rc::make_mut(&mut held);
@@ -208,12 +209,14 @@
                 let follows = committed.index == state.applied() + 1;
                 if let (true, Some(change)) = (follows, &committed.change) {
                     let applied = state.apply(committed.index, change);
+                    fits &= applied != Applied::PatchMisfit;
                     self.decisions.borrow_mut().note(committed, &applied);
                     touched.note(&applied, self.session.get());
                 }
             }
         }
         self.touch(touched);
+        fits
     }
 
     /// Has the grants compared with what changed.
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -28,13 +28,17 @@
             let watch = Watch {
                 applied,
                 session: self.session.get().unwrap_or_default(),
+                // Operators read what they wrote at the hosts that serve them.
+                takes_patches: true,
+                without_source: self.settings.operator_address.is_none(),
             };
             match self.ask_any_control(Body::Watch(watch)).await {
                 Ok(Body::WatchAnswer(answer)) if answer.needs_state => self.fetch_state().await,
                 Ok(Body::WatchAnswer(answer)) => {
                     self.learn_control_hosts(&answer.control_hosts);
-                    if !answer.changes.is_empty() {
-                        self.apply_answer(&answer, &host, self.clock.now() - asked_at);
+                    let waited = self.clock.now() - asked_at;
+                    if !answer.changes.is_empty() && !self.apply_answer(&answer, &host, waited) {
+                        self.fetch_state().await;
                     }
                 }
                 Ok(_) => sleep(WATCH_PAUSE).await,
@@ -46,15 +50,22 @@
         }
     }
 
-    /// Applies the changes of an answer that came after `waited`. A new configuration is logged with its age.
-    fn apply_answer(&self, answer: &WatchAnswer, host: &str, waited: Ms) {
+    /// Applies the changes of an answer that came after `waited`. A new configuration is logged with its age. False:
+    /// the whole state is needed.
+    fn apply_answer(&self, answer: &WatchAnswer, host: &str, waited: Ms) -> bool {
         let before = self.state().revision();
         let started = self.clock.now();
-        self.apply_changes(&answer.changes);
+        let fits = self.apply_changes(&answer.changes);
         let state = self.state();
         let revision = state.revision();
+        if !fits {
+            log_event!(
+                self.log, Event::ChangeMisfit;
+                "host" => host, "applied" => state.applied(), "revision" => revision.index
+            );
+        }
         if revision == before {
-            return;
+            return fits;
         }
         let brought = answer.changes.iter().find(|c| c.index == revision.index);
         let proposed_at = brought
@@ -68,6 +79,7 @@
             "waited_ms" => waited.0, "bytes" => answer.encoded_len(), "changes" => answer.changes.len(),
             "apply_ms" => (self.clock.now() - started).0
         );
+        fits
     }
 
     fn note_failed_watch(&self, host: &str, asked_at: Ms, error: &LinkError, failures: &mut RateLimit) {
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -147,6 +147,8 @@
     ConfigurationInForce = "CF4111", Info, "configuration in force";
     /// A control host did not answer a watch.
     WatchFailed = "CF4112", Warning, "watch failed";
+    /// A change of the configuration is for another state than that of this daemon, which reads the whole state.
+    ChangeMisfit = "CF4113", Warning, "change does not fit the state";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
--- a/src/grant/touched.rs
+++ b/src/grant/touched.rs
@@ -65,6 +65,7 @@
             | Applied::GuardReady(_)
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
+            | Applied::PatchMisfit
             | Applied::Ignored(_) => {}
         }
     }
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -7,6 +7,7 @@
 mod schema_checks;
 mod schema_types;
 mod service;
+mod text_patch;
 
 pub use {
     call_kind::CallKind,
--- a/tests/control_log.rs
+++ b/tests/control_log.rs
@@ -65,7 +65,10 @@
 }
 
 fn watch(control: &ControlHandle, applied: u64) -> WatchAnswer {
-    let req = Watch { applied, session: 0 };
+    let req = Watch {
+        applied,
+        ..Watch::default()
+    };
     ask(control, |tx| ControlInput::Watch(req, tx), |a| !a.declined)
 }
 
--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -3,7 +3,7 @@
 use {
     clementinefold::{
         clock::Clock,
-        control::{start_control, ControlConfig, ControlHandle, ControlInput, State},
+        control::{start_control, Applied, ControlConfig, ControlHandle, ControlInput, State},
         schema::PackedText,
         settings::LeaseSettings,
         wire::{
@@ -104,7 +104,11 @@
 }
 
 fn watch(control: &ControlHandle, applied: u64) -> WatchAnswer {
-    let req = Watch { applied, session: 0 };
+    let req = Watch {
+        applied,
+        takes_patches: true,
+        ..Watch::default()
+    };
     ask(control, |tx| ControlInput::Watch(req, tx), |a| !a.declined)
 }
 
@@ -140,3 +144,74 @@
     assert_eq!(daemon, state(&control));
     control.send(ControlInput::Stop);
 }
+
+#[test]
+fn patch_for_another_schema_changes_nothing() {
+    let dir = tempfile::tempdir().unwrap();
+    let control = start(dir.path());
+    replace(&control, 1, 1200);
+    let first = state(&control);
+    replace(&control, 2, 1300);
+    let second = state(&control);
+    replace(&control, 3, 1400);
+    let answer = watch(&control, second.applied());
+    let last = answer.changes.last().unwrap();
+    let mut daemon = first.clone();
+    let applied = daemon.apply(last.index, last.change.as_ref().unwrap());
+    assert_eq!((applied, &daemon), (Applied::PatchMisfit, &first));
+    control.send(ControlInput::Stop);
+}
+
+#[test]
+fn source_left_out_where_nobody_reads_it() {
+    let dir = tempfile::tempdir().unwrap();
+    let control = start(dir.path());
+    let watched = |applied, without_source| {
+        let req = Watch {
+            applied,
+            without_source,
+            takes_patches: true,
+            ..Watch::default()
+        };
+        ask(&control, |tx| ControlInput::Watch(req, tx), |a| !a.declined)
+    };
+    replace(&control, 1, 1200);
+    replace(&control, 2, 1300);
+    let (whole, without) = (watched(0, false), watched(0, true));
+    assert!(
+        without.encoded_len() * 10 < whole.encoded_len() * 6,
+        "about half is left out"
+    );
+    let mut daemon = State::default();
+    for committed in &without.changes {
+        daemon.apply(committed.index, committed.change.as_ref().unwrap());
+    }
+    let control_state = state(&control);
+    assert_eq!(daemon.schema(), control_state.schema());
+    assert_eq!(daemon.revision(), control_state.revision());
+    assert!(daemon.schema_source().is_empty() && !control_state.schema_source().is_empty());
+    control.send(ControlInput::Stop);
+}
+
+#[test]
+fn older_daemon_reads_whole_state() {
+    let dir = tempfile::tempdir().unwrap();
+    let control = start(dir.path());
+    let watched = |applied| {
+        let req = Watch {
+            applied,
+            ..Watch::default()
+        };
+        ask(&control, |tx| ControlInput::Watch(req, tx), |a| !a.declined)
+    };
+    replace(&control, 1, 1200);
+    let newest = replace(&control, 2, 1300);
+    assert!(watched(newest - 1).needs_state);
+    replace(&control, 2, 1400);
+    let overtaken = watched(newest);
+    assert!(
+        !overtaken.needs_state && !overtaken.changes.is_empty(),
+        "it changes nothing"
+    );
+    control.send(ControlInput::Stop);
+}
