--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -85,19 +85,24 @@
         }
     }
 
-    /// The highest version is in force. A version that is not above it is accepted and changes nothing, so a
-    /// resend needs no recorded answer.
+    /// The highest version is in force. A version that is not above it changes nothing and is accepted if it is valid,
+    /// so a resend needs no recorded answer.
     fn replace_schema(
         &mut self,
         index: u64,
         versioned: &VersionedSchema,
         command: &OperatorCommand,
     ) -> CommandAnswer {
-        if versioned.version > self.schema_version {
-            let text = PackedText::from_bytes(versioned.packed_schema.clone());
-            if let Err(refused) = self.apply_schema(text) {
-                return answer(command_answer::Body::Refused(refused));
-            }
+        let text = PackedText::from_bytes(versioned.packed_schema.clone());
+        let newer = versioned.version > self.schema_version;
+        let checked = match newer {
+            true => self.apply_schema(text).map(drop),
+            false => read_schema(&text).map(drop),
+        };
+        if let Err(refused) = checked {
+            return answer(command_answer::Body::Refused(refused));
+        }
+        if newer {
             self.schema_version = versioned.version;
             self.schema_source = PackedText::from_bytes(versioned.packed_source.clone());
             self.revision = self.revision.next(index, &command.encode_to_vec());
@@ -107,9 +112,7 @@
 
     /// Ranges of services that stay divided by key keep their owners; boundaries count for new ones only.
     fn apply_schema(&mut self, text: PackedText) -> Result<Effect, Refused> {
-        let json = text.to_text();
-        let json = json.ok_or_else(|| refused("the schema cannot be unpacked", ""))?;
-        let schema = Schema::from_json(&json).map_err(|e| refused(&e.to_string(), ""))?;
+        let schema = read_schema(&text)?;
         if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
             return Err(refused("the schema is for another cluster", "cluster"));
         }
@@ -221,6 +224,12 @@
     }
 }
 
+fn read_schema(text: &PackedText) -> Result<Schema, Refused> {
+    let json = text.to_text();
+    let json = json.ok_or_else(|| refused("the schema cannot be unpacked", ""))?;
+    Schema::from_json(&json).map_err(|e| refused(&e.to_string(), ""))
+}
+
 fn answer(body: command_answer::Body) -> CommandAnswer {
     CommandAnswer { body: Some(body) }
 }
--- a/tests/versioned_schema.rs
+++ b/tests/versioned_schema.rs
@@ -84,6 +84,22 @@
     );
 }
 
+#[test]
+fn invalid_refused_when_overtaken() {
+    let mut f = Fixture::default();
+    assert!(accepted(&f.replace(7, schema(70))));
+    let before = f.state.clone();
+    for version in [3, 7] {
+        let refused = f.replace(version, schema(70).replace("\"one\"", "\"\""));
+        assert!(
+            matches!(refused.body, Some(command_answer::Body::Refused(_))),
+            "{version}"
+        );
+        assert_eq!(f.state.revision(), before.revision());
+        assert!(accepted(&f.replace(version, schema(70))), "{version} is valid");
+    }
+}
+
 #[test]
 fn kept_in_images() {
     let mut f = Fixture::default();
