--- a/benches/capacity/links.rs
+++ b/benches/capacity/links.rs
@@ -4,7 +4,10 @@
         link::{serve_links, KeyRing, LinkIdentity, Links},
         wire::peer::{frame::Body, Renew, RenewAnswer},
     },
-    std::{rc::Rc, time::Instant},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{
         net::TcpListener,
         runtime::Builder,
@@ -14,6 +17,8 @@
 
 /// Links that are opened for the memory of one.
 const LINKS: usize = 500;
+/// Longest time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Requests that are timed.
 const REQUESTS: u32 = 50_000;
 /// Requests that are on their way at the same time.
@@ -49,7 +54,7 @@
         let (memory, cpu, started) = (resident("self"), cpu_us(), Instant::now());
         let mut open = Vec::new();
         for _ in 0..LINKS {
-            let links = Links::new(identity.clone(), log.clone());
+            let links = Links::new(identity.clone(), CONNECT_TIMEOUT, log.clone());
             links.request(&address, renew()).await.unwrap();
             open.push(links);
         }
@@ -61,7 +66,7 @@
         );
         drop(open);
 
-        let links = Rc::new(Links::new(identity, log));
+        let links = Rc::new(Links::new(identity, CONNECT_TIMEOUT, log));
         links.request(&address, renew()).await.unwrap();
         for in_flight in [1, IN_FLIGHT] {
             let (cpu, started) = (cpu_us(), Instant::now());
--- a/src/daemon/control_client.rs
+++ b/src/daemon/control_client.rs
@@ -21,8 +21,8 @@
 
 /// Longest time to wait for an answer of a control host.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Longest time to wait for the answer to a watch, which a control host holds back until there are changes.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest time to wait for a part of the state, which takes seconds over a full link.
+const STATE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Pause before the next control host is asked while none leads.
 const LEADER_PAUSE: Duration = Duration::from_millis(20);
 /// Messages that wait for the link to one control host before further ones are dropped.
@@ -36,36 +36,66 @@
     /// # Errors
     /// No answer came in time, or no host leads.
     pub async fn ask_control(&self, body: Body) -> Result<Body, LinkError> {
-        self.ask_leader(body, CONTROL_TIMEOUT).await
+        let asked = RefCell::new(String::new());
+        let answer = timeout(CONTROL_TIMEOUT, self.ask_leader(body, &asked)).await;
+        answer.unwrap_or_else(|_| {
+            self.turn_to_next_control_host(&asked.borrow());
+            Err(no_answer())
+        })
     }
 
-    /// Sends a request to the leader and gives up after a third of the time that a lease is good for.
+    /// Sends a request to the leader and waits for its answer as long as a lease is good for. After a third of that
+    /// time, later requests go to another host: this one may be on its way over a full link, or its host may be lost.
     ///
     /// # Errors
     /// No answer came in time, or no host leads.
     pub async fn ask_in_lease(&self, body: Body) -> Result<Body, LinkError> {
-        let limit = Ms(self.settings.lease.ttl.0 / 3);
-        self.ask_leader(body, limit.as_duration()).await
+        let ttl = self.settings.lease.ttl;
+        let asked = RefCell::new(String::new());
+        let turn_away = async {
+            sleep(Ms(ttl.0 / 3).as_duration()).await;
+            self.turn_to_next_control_host(&asked.borrow());
+            std::future::pending::<()>().await;
+        };
+        let ask = async {
+            tokio::select! {
+                answer = self.ask_leader(body, &asked) => answer,
+                () = turn_away => Err(no_answer()),
+            }
+        };
+        timeout(ttl.as_duration(), ask)
+            .await
+            .unwrap_or_else(|_| Err(no_answer()))
     }
 
-    /// Sends a request to a control host that need not lead. The daemons spread over all of them.
+    /// Sends a request to the control host that this daemon follows, which need not lead. The daemons spread over all
+    /// of them.
     ///
     /// # Errors
     /// No answer came in time, or the host is out of touch with the leader.
-    pub async fn ask_any_control(&self, body: Body) -> Result<Body, LinkError> {
+    pub async fn ask_watched_host(&self, body: Body) -> Result<Body, LinkError> {
         let Some(address) = self.watched_host() else {
             return Err(LinkError::NotSent("there is no control host".into()));
         };
-        let answer = match timeout(WATCH_TIMEOUT, self.links.request(&address, body)).await {
+        self.ask_control_host(&address, body, STATE_TIMEOUT).await
+    }
+
+    /// Sends a request to a control host that need not lead.
+    ///
+    /// # Errors
+    /// No answer came within `limit`, or the host is out of touch with the leader.
+    pub async fn ask_control_host(
+        &self,
+        address: &str,
+        body: Body,
+        limit: Duration,
+    ) -> Result<Body, LinkError> {
+        match timeout(limit, self.control_links.request(address, body)).await {
             Ok(Ok(body)) if declined(&body).is_none() => Ok(body),
             Ok(Ok(_)) => Err(LinkError::Lost("the control host has no leader".into())),
             Ok(Err(e)) => Err(e),
-            Err(_) => Err(LinkError::Lost("no answer in time".into())),
-        };
-        if answer.is_err() {
-            self.watched.set(self.watched.get().wrapping_add(1));
+            Err(_) => Err(no_answer()),
         }
-        answer
     }
 
     /// Returns the peer address of the control host that this daemon follows now.
@@ -75,38 +105,46 @@
         hosts.get(position).cloned()
     }
 
-    /// Asks the host that led last and follows the word of those that decline.
-    async fn ask_leader(&self, body: Body, limit: Duration) -> Result<Body, LinkError> {
-        let asked = RefCell::new(String::new());
-        let ask = async {
-            loop {
-                let address = self.leader.borrow().clone();
-                asked.replace(address.clone());
-                let answer = self.links.request(&address, body.clone()).await;
-                let leader = match &answer {
-                    Ok(body) => declined(body),
-                    Err(LinkError::NotSent(_)) => Some(""),
-                    Err(LinkError::Lost(_)) => {
-                        self.turn_to_next_control_host(&address);
-                        None
-                    }
-                };
-                let Some(leader) = leader else {
-                    return answer;
-                };
-                if leader.is_empty() || leader == address {
+    /// Follows the next control host, unless this daemon has turned away from `failed` already.
+    pub fn turn_from_watched_host(&self, failed: &str) {
+        if self.watched_host().is_some_and(|host| host == failed) {
+            self.watched.set(self.watched.get().wrapping_add(1));
+        }
+    }
+
+    /// Follows `host` from here on, if it is known.
+    pub fn follow_control_host(&self, host: &str) {
+        let hosts = self.control_hosts.borrow();
+        if let Some(position) = hosts.iter().position(|known| known == host) {
+            let offset = (self.process as usize) % hosts.len();
+            self.watched.set(position + hosts.len() - offset);
+        }
+    }
+
+    /// Asks the host that led last and follows the word of those that decline. `asked` is set to the host that is
+    /// being asked. Who answers is asked first from then on.
+    async fn ask_leader(&self, body: Body, asked: &RefCell<String>) -> Result<Body, LinkError> {
+        loop {
+            let address = self.leader.borrow().clone();
+            asked.replace(address.clone());
+            let answer = self.control_links.request(&address, body.clone()).await;
+            let leader = match &answer {
+                Ok(body) => declined(body),
+                Err(LinkError::NotSent(_)) => Some(""),
+                Err(LinkError::Lost(_)) => {
                     self.turn_to_next_control_host(&address);
-                    sleep(LEADER_PAUSE).await;
-                } else {
-                    leader.clone_into(&mut self.leader.borrow_mut());
+                    return answer;
                 }
-            }
-        };
-        match timeout(limit, ask).await {
-            Ok(answer) => answer,
-            Err(_) => {
-                self.turn_to_next_control_host(&asked.into_inner());
-                Err(LinkError::Lost("no answer in time".into()))
+            };
+            let Some(leader) = leader else {
+                self.leader.replace(address);
+                return answer;
+            };
+            if leader.is_empty() || leader == address {
+                self.turn_to_next_control_host(&address);
+                sleep(LEADER_PAUSE).await;
+            } else {
+                leader.clone_into(&mut self.leader.borrow_mut());
             }
         }
     }
@@ -175,7 +213,12 @@
         let (shortest, longest) = LINK_PAUSE;
         let mut pause = shortest;
         while let Some(message) = ring.recv().await {
-            if self.links.send(&address, Body::Control(message)).await.is_ok() {
+            if self
+                .control_links
+                .send(&address, Body::Control(message))
+                .await
+                .is_ok()
+            {
                 pause = shortest;
                 continue;
             }
@@ -187,6 +230,10 @@
     }
 }
 
+fn no_answer() -> LinkError {
+    LinkError::Lost("no answer in time".into())
+}
+
 /// Returns the leader that a control host names as it declines a request; empty if it knows none.
 fn declined(body: &Body) -> Option<&str> {
     match body {
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -37,7 +37,10 @@
     pub clock: Clock,
     pub log: Logger,
     pub metrics: Metrics,
+    /// Links for calls and guards.
     pub links: Links,
+    /// Links for requests to control hosts, which never wait behind calls of the same host.
+    pub control_links: Links,
     pub operator_keys: KeyRing,
     /// Limit of the log lines on refused requests of operators and servers.
     pub refusals: RefCell<RateLimit>,
@@ -120,6 +123,7 @@
     pub log: Logger,
     pub metrics: Metrics,
     pub links: Links,
+    pub control_links: Links,
     pub operator_keys: KeyRing,
     pub control: Option<ControlHandle>,
     pub dialect: Rc<dyn ServerDialect>,
@@ -142,6 +146,7 @@
             log: parts.log,
             metrics: parts.metrics,
             links: parts.links,
+            control_links: parts.control_links,
             operator_keys: parts.operator_keys,
             refusals: RefCell::default(),
             decisions: RefCell::default(),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -35,6 +35,11 @@
 /// Time between two looks at the calls that still run while the daemon stops.
 const STOP_PAUSE: Duration = Duration::from_millis(10);
 
+/// Longest time to connect to a peer for a call, which another daemon may take instead.
+const CALL_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time to connect to a control host. It is above the delay of a full link, and lets others be tried within a
+/// lease.
+const CONTROL_CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Messages of the control duty that wait for the I/O duty before further ones are dropped.
 const CONTROL_RING_MESSAGES: usize = 4096;
 /// Longest time for the ranges to move away before the daemon refuses new calls.
@@ -148,7 +153,8 @@
     let cx = Rc::new(DaemonCx::new(DaemonParts {
         clock: Clock::System,
         metrics: Metrics::new(settings.statsd_address)?,
-        links: Links::new(identity.clone(), log.clone()),
+        links: Links::new(identity.clone(), CALL_CONNECT_TIMEOUT, log.clone()),
+        control_links: Links::new(identity.clone(), CONTROL_CONNECT_TIMEOUT, log.clone()),
         operator_keys: KeyRing::load_or_open(settings.operator_key_file.as_deref())?,
         control,
         log: log.clone(),
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -14,13 +14,18 @@
         },
     },
     std::{rc::Rc, time::Duration},
-    tokio::time::{sleep, timeout},
+    tokio::{
+        task::JoinSet,
+        time::{sleep, sleep_until, timeout, Instant},
+    },
 };
 
 /// Pause after a failed try to open a session.
 const OPEN_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time until the list of servers is sent again after a failure, or while a lost one is held.
 const SERVERS_PAUSE: Duration = Duration::from_millis(50);
+/// Renewals that wait for their answers before no further one is sent.
+const RENEWALS_MAX: usize = 8;
 /// Time between two looks at the clocks.
 const CLOCK_PAUSE: Ms = Ms(10);
 
@@ -69,18 +74,34 @@
         }
     }
 
-    /// Renews the session until control says that it has ended.
-    async fn renew_until_end(&self, session: u64) {
+    /// Renews the session until control says that it has ended. A renewal whose answer is on its way does not hold up
+    /// the next one, and counts however late it comes.
+    async fn renew_until_end(self: &Rc<Self>, session: u64) {
+        let mut open = JoinSet::new();
         let mut held = false;
+        let mut next_at = Instant::now();
         while self.session.get() == Some(session) {
-            let sent_at = self.clock.now();
-            match self.renew(session, sent_at).await {
-                Some(Renewal::Renewed) => self.lease.renewed(sent_at, &self.settings.lease),
-                Some(Renewal::Lagging) => {
+            if Instant::now() >= next_at {
+                if open.len() < RENEWALS_MAX {
+                    open.spawn_local(self.clone().renew(session));
+                }
+                next_at = Instant::now() + self.settings.lease.renew.as_duration();
+            }
+            let answered = tokio::select! {
+                Some(answered) = open.join_next() => answered.ok().flatten(),
+                () = sleep_until(next_at) => None,
+                () = self.renew_now.notified() => {
+                    next_at = Instant::now();
+                    None
+                }
+            };
+            match answered {
+                Some((sent_at, Renewal::Renewed)) => self.lease.renewed(sent_at, &self.settings.lease),
+                Some((_, Renewal::Lagging)) => {
                     let applied = self.state().applied();
                     log_event!(self.log, Event::ConfigurationLags; "session" => session, "applied" => applied);
                 }
-                Some(Renewal::Ended) => return,
+                Some((_, Renewal::Ended)) => return,
                 None => {}
             }
             let holds = self.lease.is_valid(self.clock.now());
@@ -89,15 +110,13 @@
             }
             held = holds;
             self.metrics.lease(holds);
-            let spent = self.clock.now() - sent_at;
-            let pause = (self.settings.lease.renew - spent).as_duration();
-            let _ = timeout(pause, self.renew_now.notified()).await;
         }
         std::future::pending::<()>().await;
     }
 
     /// Renews the session once. `None`: no answer.
-    async fn renew(&self, session: u64, sent_at: Ms) -> Option<Renewal> {
+    async fn renew(self: Rc<Self>, session: u64) -> Option<(Ms, Renewal)> {
+        let sent_at = self.clock.now();
         let renew = Renew {
             session,
             sent_at_ms: sent_at.0,
@@ -110,11 +129,12 @@
             .time(Metric::RenewalMs, &[], self.clock.now() - sent_at);
         match answer {
             Ok(Body::RenewAnswer(answer)) if answer.sent_at_ms == sent_at.0 && answer.session == session => {
-                Some(match (answer.renewed, answer.lagging) {
+                let renewal = match (answer.renewed, answer.lagging) {
                     (true, _) => Renewal::Renewed,
                     (false, true) => Renewal::Lagging,
                     (false, false) => Renewal::Ended,
-                })
+                };
+                Some((sent_at, renewal))
             }
             Ok(_) | Err(_) => None,
         }
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -11,45 +11,95 @@
     },
     prost::Message,
     std::{rc::Rc, time::Duration},
-    tokio::time::sleep,
+    tokio::{
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
 };
 
 /// Pause after a watch failed.
 const WATCH_PAUSE: Duration = Duration::from_millis(50);
+/// Time without an answer after which another control host is asked too. It is above the time for which a control host
+/// holds a watch back until there are changes.
+const WATCH_PATIENCE: Duration = Duration::from_millis(1500);
+/// Longest time to wait for the answer to a watch. It is above the delay of a full link.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// How a watch ended.
+struct Watched {
+    host: String,
+    asked_at: Ms,
+    answer: Result<Body, LinkError>,
+}
 
 impl DaemonCx {
     /// Follows the committed changes and applies them to the state of this daemon.
+    ///
+    /// A watch that has no answer for long is kept while another host is asked: over a full link its answer comes late,
+    /// and a new one would come no sooner.
     pub async fn watch_state(self: Rc<Self>) {
         let mut failures = RateLimit::default();
+        let mut open = JoinSet::new();
         loop {
-            let applied = self.state().applied();
             let host = self.watched_host().unwrap_or_default();
             let asked_at = self.clock.now();
-            let watch = Watch {
-                applied,
-                session: self.session.get().unwrap_or_default(),
-                // Operators read what they wrote at the hosts that serve them.
-                takes_patches: true,
-                without_source: self.settings.operator_address.is_none(),
+            open.spawn_local(self.clone().watch(host.clone(), asked_at));
+            let (host, asked_at, answer) = match timeout(WATCH_PATIENCE, open.join_next()).await {
+                Ok(Some(Ok(Watched {
+                    host,
+                    asked_at,
+                    answer,
+                }))) => (host, asked_at, answer),
+                // A task of the set ends without a result only with the whole process.
+                Ok(_) => continue,
+                Err(_) => (host, asked_at, Err(LinkError::Lost("no answer yet".into()))),
             };
-            match self.ask_any_control(Body::Watch(watch)).await {
-                Ok(Body::WatchAnswer(answer)) if answer.needs_state => self.fetch_state().await,
+            match answer {
                 Ok(Body::WatchAnswer(answer)) => {
-                    self.learn_control_hosts(&answer.control_hosts);
-                    let waited = self.clock.now() - asked_at;
-                    if !answer.changes.is_empty() && !self.apply_answer(&answer, &host, waited) {
-                        self.fetch_state().await;
-                    }
+                    open = JoinSet::new();
+                    self.follow_control_host(&host);
+                    self.take_answer(&answer, &host, self.clock.now() - asked_at)
+                        .await;
                 }
-                Ok(_) => sleep(WATCH_PAUSE).await,
+                Ok(_) => {}
                 Err(e) => {
                     self.note_failed_watch(&host, asked_at, &e, &mut failures);
+                    self.turn_from_watched_host(&host);
                     sleep(WATCH_PAUSE).await;
                 }
             }
         }
     }
 
+    async fn watch(self: Rc<Self>, host: String, asked_at: Ms) -> Watched {
+        let watch = Watch {
+            applied: self.state().applied(),
+            session: self.session.get().unwrap_or_default(),
+            takes_patches: true,
+            // Operators read what they wrote at the hosts that serve them.
+            without_source: self.settings.operator_address.is_none(),
+        };
+        let answer = self
+            .ask_control_host(&host, Body::Watch(watch), WATCH_TIMEOUT)
+            .await;
+        Watched {
+            host,
+            asked_at,
+            answer,
+        }
+    }
+
+    async fn take_answer(&self, answer: &WatchAnswer, host: &str, waited: Ms) {
+        if answer.needs_state {
+            self.fetch_state().await;
+            return;
+        }
+        self.learn_control_hosts(&answer.control_hosts);
+        if !answer.changes.is_empty() && !self.apply_answer(answer, host, waited) {
+            self.fetch_state().await;
+        }
+    }
+
     /// Applies the changes of an answer that came after `waited`. A new configuration is logged with its age. False:
     /// the whole state is needed.
     fn apply_answer(&self, answer: &WatchAnswer, host: &str, waited: Ms) -> bool {
@@ -103,7 +153,7 @@
                 image,
                 offset: bytes.len() as u64,
             };
-            let Ok(Body::StateAnswer(part)) = self.ask_any_control(Body::StateRequest(request)).await else {
+            let Ok(Body::StateAnswer(part)) = self.ask_watched_host(Body::StateRequest(request)).await else {
                 sleep(WATCH_PAUSE).await;
                 return;
             };
--- a/src/link/link_client.rs
+++ b/src/link/link_client.rs
@@ -26,8 +26,6 @@
 
 /// Frames that wait for the socket of a link before a sender has to wait.
 const RING_FRAMES: usize = 1024;
-/// Longest time to connect to a peer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A link without requests for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -45,6 +43,8 @@
 /// The links that this daemon opened, one for each peer. They belong to one thread.
 pub struct Links {
     identity: LinkIdentity,
+    /// Longest time to connect to a peer.
+    connect_timeout: Duration,
     log: Logger,
     /// Bounds the lines about links that could not be opened: each call tries again while a host is down.
     failures: RefCell<RateLimit>,
@@ -52,10 +52,11 @@
 }
 
 impl Links {
-    /// Returns an empty set of links.
-    pub fn new(identity: LinkIdentity, log: Logger) -> Self {
+    /// Returns an empty set of links. Each of them is given up if it takes longer than `connect_timeout` to connect.
+    pub fn new(identity: LinkIdentity, connect_timeout: Duration, log: Logger) -> Self {
         Self {
             identity,
+            connect_timeout,
             log,
             failures: RefCell::default(),
             open: RefCell::default(),
@@ -138,7 +139,7 @@
     }
 
     async fn open(&self, address: &str) -> std::io::Result<FrameStream> {
-        let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let connect = timeout(self.connect_timeout, TcpStream::connect(address));
         let stream = connect.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
         socket::prepare(&stream)?;
         handshake::connect(stream, &self.identity).await
--- /dev/null
+++ b/tests/late_answers.rs
@@ -0,0 +1,190 @@
+//! A daemon whose control host answers late, as over a full link: the test is the control host.
+
+#[path = "support/processes.rs"]
+#[allow(dead_code)]
+mod processes;
+
+use {
+    clementinefold::{
+        link::{serve_links, KeyRing, LinkIdentity},
+        schema::PackedText,
+        wire::{
+            control::{change, operator_command, Change, Committed, OperatorCommand, VersionedSchema},
+            peer::{frame::Body, OpenSessionAnswer, ProposeAnswer, RenewAnswer, WatchAnswer},
+        },
+    },
+    processes::{free_address, Process},
+    serde_json::json,
+    std::{cell::Cell, fs, net::SocketAddr, path::Path, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        runtime::Builder,
+        task::{spawn_local, LocalSet},
+        time::{sleep, timeout},
+    },
+};
+
+/// Delay of the answers: above a third of the lease of 3 s, and above the time for which a control host holds a watch,
+/// but two of them fit into a lease.
+const DELAY: Duration = Duration::from_millis(1600);
+/// Renewals that are answered before the test looks at the lease.
+const RENEWALS: u32 = 6;
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+const PATIENCE: Duration = Duration::from_secs(30);
+const SCHEMA: &str = r#"{"cluster":"test","services":[{"name":"s"}],"routes":[{"name":"r","host":"one","path_prefix":"/","timeout_ms":9,"attempts":1,"targets":[{"service":"s","weight":1}]}]}"#;
+
+/// What the control host has answered.
+#[derive(Default)]
+struct Answered {
+    sessions: Cell<u32>,
+    renewals: Cell<u32>,
+}
+
+fn schema_change() -> Committed {
+    let versioned = VersionedSchema {
+        version: 1,
+        packed_schema: PackedText::pack(SCHEMA.as_bytes()).as_bytes().clone(),
+        ..VersionedSchema::default()
+    };
+    Committed {
+        index: 1,
+        change: Some(Change {
+            proposed_at_ms: 0,
+            body: Some(change::Body::OperatorCommand(OperatorCommand {
+                body: Some(operator_command::Body::ReplaceSchema(versioned)),
+                ..OperatorCommand::default()
+            })),
+        }),
+    }
+}
+
+async fn answer(body: Body, answered: Rc<Answered>) -> Option<Body> {
+    Some(match body {
+        Body::OpenSession(_) => {
+            answered.sessions.set(answered.sessions.get() + 1);
+            Body::OpenSessionAnswer(OpenSessionAnswer {
+                session: 1,
+                index: 1,
+                ..OpenSessionAnswer::default()
+            })
+        }
+        Body::Propose(_) => Body::ProposeAnswer(ProposeAnswer {
+            index: 1,
+            ..ProposeAnswer::default()
+        }),
+        Body::Renew(renew) => {
+            sleep(DELAY).await;
+            answered.renewals.set(answered.renewals.get() + 1);
+            Body::RenewAnswer(RenewAnswer {
+                session: renew.session,
+                sent_at_ms: renew.sent_at_ms,
+                renewed: true,
+                ..RenewAnswer::default()
+            })
+        }
+        Body::Watch(watch) => {
+            sleep(DELAY).await;
+            let changes = if watch.applied == 0 {
+                vec![schema_change()]
+            } else {
+                vec![]
+            };
+            Body::WatchAnswer(WatchAnswer {
+                changes,
+                ..WatchAnswer::default()
+            })
+        }
+        _ => return None,
+    })
+}
+
+fn start_daemon(dir: &Path, control: SocketAddr, metrics: SocketAddr) -> Process {
+    let settings = json!({
+        "cluster": "test",
+        "host": "host-1",
+        "failure_domain": "domain-1",
+        "region": "region-1",
+        "caller_address": free_address().to_string(),
+        "server_address": free_address().to_string(),
+        "peer_address": free_address().to_string(),
+        "metrics_address": metrics.to_string(),
+        "control_hosts": [control.to_string()],
+        "services": ["s"],
+        "unauthenticated_links": true,
+        "lease": { "ttl_ms": 3000, "renew_ms": 500, "drift_ms": 100 },
+        "log": { "format": "json", "level": "info" },
+    });
+    fs::write(dir.join("daemon.json"), settings.to_string()).unwrap();
+    let args = ["--settings".into(), "daemon.json".into()];
+    Process::start(env!("CARGO_BIN_EXE_clementined"), &args, dir, "daemon.log")
+}
+
+/// Tells if the daemon says that its lease holds.
+async fn lease_holds(metrics: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(metrics).await else {
+        return false;
+    };
+    let request = b"GET /metrics HTTP/1.1\r\nHost: daemon\r\nConnection: close\r\n\r\n";
+    let mut text = String::new();
+    stream.write_all(request).await.unwrap();
+    stream.read_to_string(&mut text).await.unwrap();
+    text.contains("clementinefold_lease 1")
+}
+
+/// What was seen of the daemon.
+struct Seen {
+    sessions: u32,
+    lease_holds: bool,
+    log: String,
+}
+
+/// Runs a daemon under a control host whose answers are late until `done` holds.
+fn with_late_control(done: impl Fn(&Answered, &str) -> bool) -> Seen {
+    let dir = tempfile::tempdir().unwrap();
+    let log = dir.path().join("daemon.log");
+    let read_log = || fs::read_to_string(&log).unwrap();
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let (control, metrics) = (free_address(), free_address());
+        let listener = TcpListener::bind(control).await.unwrap();
+        let me = LinkIdentity {
+            cluster: "test".into(),
+            host: "control-1".into(),
+            peer_address: control.to_string(),
+            keys: Rc::new(KeyRing::open()),
+        };
+        let answered = Rc::new(Answered::default());
+        let for_links = answered.clone();
+        let no_log = slog::Logger::root(slog::Discard, slog::o!());
+        spawn_local(serve_links(listener, me, no_log, move |body| {
+            answer(body, for_links.clone())
+        }));
+        let _daemon = start_daemon(dir.path(), control, metrics);
+        let waited = timeout(PATIENCE, async {
+            while !done(&answered, &read_log()) {
+                sleep(LOOK_PAUSE).await;
+            }
+        });
+        assert!(waited.await.is_ok(), "not seen in time: {}", read_log());
+        Seen {
+            sessions: answered.sessions.get(),
+            lease_holds: lease_holds(metrics).await,
+            log: read_log(),
+        }
+    })
+}
+
+#[test]
+fn lease_outlives_late_renewals() {
+    let seen = with_late_control(|answered, _| answered.renewals.get() >= RENEWALS);
+    assert!(seen.lease_holds, "{}", seen.log);
+    assert!(!seen.log.contains("CF4003"), "the lease ran out: {}", seen.log);
+    assert_eq!(seen.sessions, 1, "{}", seen.log);
+}
+
+#[test]
+fn late_configuration_comes_into_force() {
+    let seen = with_late_control(|_, log| log.contains("CF4111"));
+    assert!(seen.log.contains(r#""version":1"#), "{}", seen.log);
+}
--- a/tests/link_hello.rs
+++ b/tests/link_hello.rs
@@ -22,6 +22,7 @@
 const OTHER_KEY: [u8; 32] = [8; 32];
 /// Time for what must happen at some point.
 const PATIENCE: Duration = Duration::from_secs(20);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 fn identity(cluster: &str, keys: KeyRing) -> LinkIdentity {
     LinkIdentity {
@@ -186,7 +187,11 @@
 async fn record_hello(address: SocketAddr) -> (Links, [Body; 2]) {
     let between = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let own = between.local_addr().unwrap().to_string();
-    let links = Links::new(identity("agency", KeyRing::single(KEY.to_vec())), no_log());
+    let links = Links::new(
+        identity("agency", KeyRing::single(KEY.to_vec())),
+        CONNECT_TIMEOUT,
+        no_log(),
+    );
     let request = links.request(&own, renew());
     let relay = async {
         let (stream, _) = between.accept().await.unwrap();
@@ -217,7 +222,11 @@
         let address = listener.local_addr().unwrap();
         let impostor = identity("agency", KeyRing::single(OTHER_KEY.to_vec()));
         spawn_local(serve_links(listener, impostor, no_log(), |_| async { None }));
-        let links = Links::new(identity("agency", KeyRing::single(KEY.to_vec())), no_log());
+        let links = Links::new(
+            identity("agency", KeyRing::single(KEY.to_vec())),
+            CONNECT_TIMEOUT,
+            no_log(),
+        );
         let answer = links.request(&address.to_string(), renew()).await;
         assert!(matches!(answer, Err(LinkError::NotSent(_))), "{answer:?}");
     });
@@ -245,7 +254,7 @@
         ];
         for (i, (server, client, expected)) in steps.into_iter().enumerate() {
             server_keys.replace(ring(server));
-            let links = Links::new(identity("agency", ring(client)), no_log());
+            let links = Links::new(identity("agency", ring(client)), CONNECT_TIMEOUT, no_log());
             let answer = links.request(&address.to_string(), renew()).await;
             assert_eq!(answer.is_ok(), expected, "step {i}: {answer:?}");
         }
