--- a/src/call/call_result.rs
+++ b/src/call/call_result.rs
@@ -28,6 +28,8 @@
     pub revision: u64,
     /// Load of the server behind the daemon that answered, if it told one.
     pub load: Option<ServerLoad>,
+    /// Time that the daemon that answered had the call. Zero: it was this daemon.
+    pub held: Ms,
 }
 
 impl CallResult {
@@ -43,6 +45,7 @@
             replayed: false,
             revision: 0,
             load: None,
+            held: Ms::ZERO,
         }
     }
 
@@ -58,6 +61,7 @@
             replayed: false,
             revision: 0,
             load: None,
+            held: Ms::ZERO,
         }
     }
 
@@ -75,6 +79,7 @@
             replayed: answer.replayed,
             revision: answer.revision,
             load: answer.load,
+            held: answer.held_ms.into(),
         }
     }
 
@@ -90,6 +95,7 @@
             replayed: self.replayed,
             revision,
             load: self.load,
+            held_ms: u32::try_from(self.held.0).unwrap_or(u32::MAX),
         }
     }
 }
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -249,7 +249,8 @@
     }
 
     pub(super) async fn forward(&self, call: &Call, peer_address: &str, deadline: Ms) -> CallResult {
-        let left = deadline - self.clock.now();
+        let sent_at = self.clock.now();
+        let left = deadline - sent_at;
         if left == Ms::ZERO {
             return CallResult::failed(Reason::DeadlineTooShort);
         }
@@ -260,7 +261,13 @@
         };
         let request = self.links.request(peer_address, Body::CallRequest(request));
         match timeout((left + FORWARD_GRACE).as_duration(), request).await {
-            Ok(Ok(Body::CallAnswer(answer))) => CallResult::from_wire(answer),
+            Ok(Ok(Body::CallAnswer(answer))) => {
+                let result = CallResult::from_wire(answer);
+                let now = self.clock.now();
+                let delay = now - sent_at - result.held;
+                self.balancer.borrow_mut().delayed(peer_address, delay, now);
+                result
+            }
             Ok(Ok(_)) => CallResult::failed(Reason::BadAnswer),
             Ok(Err(LinkError::NotSent(_))) => CallResult::failed(Reason::PeerUnreachable),
             Ok(Err(LinkError::Lost(_))) => CallResult::failed(Reason::PeerLost),
--- a/src/daemon/peer_handler.rs
+++ b/src/daemon/peer_handler.rs
@@ -14,7 +14,9 @@
     pub async fn serve_peer(self: Rc<Self>, body: Body) -> Option<Body> {
         match body {
             Body::CallRequest(call) => {
-                let result = self.run_forwarded(call).await;
+                let started = self.clock.now();
+                let mut result = self.run_forwarded(call).await;
+                result.held = self.clock.now() - started;
                 Some(Body::CallAnswer(result.into_wire(self.state().applied())))
             }
             Body::GuardCopy(copy) => Some(Body::GuardCopyAnswer(self.keep_copy(copy))),
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -31,6 +31,10 @@
 const MEAN_SHARE: f64 = 0.2;
 /// A failure by lateness counts if the call had at least this time.
 const LATE_MIN: Ms = Ms(200);
+/// Share of the latest delay of a link in the mean one.
+const DELAY_SHARE: f64 = 0.3;
+/// Time in which a measured delay of a link fades, so that a link that was full is tried again.
+const DELAY_KEPT: Ms = Ms(2_000);
 /// Time after which a server that is no longer seen is forgotten.
 const FORGET: Ms = Ms(120_000);
 
@@ -108,8 +112,8 @@
         age.clamp(SLOW_START_SHARE, 1.0)
     }
 
-    /// Returns the expected time of one more call, relative to other servers.
-    fn cost(&self, candidate: &Candidate, now: Ms) -> f64 {
+    /// Returns the expected time of one more call, relative to other servers. `delay_ms` is that of the way.
+    fn cost(&self, candidate: &Candidate, delay_ms: f64, now: Ms) -> f64 {
         let told = self.told.filter(|(.., at)| now < *at + LOAD_KEPT);
         let (calls, mean_ms) = told.map_or((0, self.mean_ms), |(calls, mean_ms, _)| (calls, mean_ms));
         let slots = f64::from(candidate.slots.max(1));
@@ -117,15 +121,34 @@
         // A call waits only for a server that is nearly full; what is told of it lags.
         let wait = (busy - FULL).max(0.0) * FULL_COST + busy * BUSY_COST;
         let distance = if candidate.is_near { 1.0 } else { FAR_COST };
-        (1.0 + wait) * (1.0 + mean_ms) * distance / self.share(now)
+        (1.0 + wait) * (1.0 + mean_ms) * distance / self.share(now) + delay_ms
     }
 }
 
-/// Chooses servers by what this daemon has seen of them: calls in flight, their time, their failures.
+/// Time that calls spend on the way to a daemon and back, by what was measured.
+#[derive(Clone, Debug)]
+struct LinkDelay {
+    peer: String,
+    mean_ms: f64,
+    at: Ms,
+}
+
+impl LinkDelay {
+    fn ms(&self, now: Ms) -> f64 {
+        let age = (now - self.at).0 as f64 / DELAY_KEPT.0 as f64;
+        self.mean_ms * (1.0 - age).max(0.0)
+    }
+}
+
+/// Chooses servers by what this daemon has seen of them: calls in flight, their time, their failures, and the delay of
+/// the links to them. The load that it answers is large calls to few hosts with thin links: a server that is free is no
+/// use behind a link that is full.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
     /// Sorted by target.
     seen: Vec<Seen>,
+    /// Delays of the links to other daemons, sorted by peer address.
+    links: Vec<LinkDelay>,
     /// When the first server was seen. Servers seen then are not fresh.
     started: Option<Ms>,
 }
@@ -142,9 +165,10 @@
         let mut best: Option<(usize, (bool, f64))> = None;
         for i in drawn {
             let target = &candidates[i].target;
+            let delay_ms = self.delay_ms(&candidates[i].peer_address, now);
             let rank = (
                 self.is_ejected(target, now),
-                self.seen(target, now).cost(&candidates[i], now),
+                self.seen(target, now).cost(&candidates[i], delay_ms, now),
             );
             if best.is_none_or(|(_, least)| rank < least) {
                 best = Some((i, rank));
@@ -188,6 +212,35 @@
         self.seen(target, now).told = Some((calls, f64::from(load.mean_ms), now));
     }
 
+    /// Takes the time that a call to the daemon at `peer` and its answer spent on the way.
+    pub fn delayed(&mut self, peer: &str, delay: Ms, now: Ms) {
+        let delay_ms = delay.0 as f64;
+        match self.link(peer) {
+            Ok(i) => {
+                let mean_ms = self.links[i].ms(now);
+                let link = &mut self.links[i];
+                link.mean_ms = mean_ms + (delay_ms - mean_ms) * DELAY_SHARE;
+                link.at = now;
+            }
+            Err(i) => self.links.insert(
+                i,
+                LinkDelay {
+                    peer: peer.to_owned(),
+                    mean_ms: delay_ms,
+                    at: now,
+                },
+            ),
+        }
+    }
+
+    fn delay_ms(&self, peer: &str, now: Ms) -> f64 {
+        self.link(peer).map_or(0.0, |i| self.links[i].ms(now))
+    }
+
+    fn link(&self, peer: &str) -> Result<usize, usize> {
+        self.links.binary_search_by(|link| link.peer.as_str().cmp(peer))
+    }
+
     /// Counts the end of a call. True: the server is taken out from now on.
     pub fn ended(&mut self, target: &Target, signal: Signal, now: Ms) -> bool {
         let seen = self.seen(target, now);
@@ -218,6 +271,7 @@
     pub fn forget_unused(&mut self, now: Ms) {
         self.seen
             .retain(|seen| seen.in_flight > 0 || now < seen.last_used + FORGET);
+        self.links.retain(|link| now < link.at + FORGET);
     }
 
     fn position(&self, target: &Target) -> Result<usize, usize> {
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -5,6 +5,7 @@
         call::Outcome,
         clock::Ms,
         route::{Balancer, Candidate, Signal, Target},
+        wire::peer::ServerLoad,
     },
     rand::{rngs::SmallRng, SeedableRng},
 };
@@ -115,3 +116,32 @@
     assert_eq!(Signal::of(Outcome::NotRun, true, took), Signal::Refused);
     assert_eq!(Signal::of(Outcome::NotRun, false, took), Signal::None);
 }
+
+#[test]
+fn full_link_avoided() {
+    // Large calls fill the link of one host, whose server is free and fast.
+    let candidates = candidates(4);
+    let mut balancer = Balancer::default();
+    let mut now = Ms(10_000);
+    let load = |mean_ms| ServerLoad {
+        running: 1,
+        waiting: 0,
+        slots: 12,
+        mean_ms,
+    };
+    for (candidate, mean_ms) in candidates.iter().zip([100, 180, 180, 180]) {
+        balancer.told(&candidate.target, &load(mean_ms), now);
+    }
+    let chosen = |balancer: &mut Balancer, now| spread(&mut balancer.clone(), &candidates, 4, now)[0];
+    assert_eq!(chosen(&mut balancer, now), 4, "it is the fastest");
+    for _ in 0..5 {
+        balancer.delayed(&candidates[0].peer_address, Ms(900), now);
+        now += Ms(10);
+    }
+    assert_eq!(chosen(&mut balancer, now), 0, "its link is full");
+    now += Ms(2_000);
+    for (candidate, mean_ms) in candidates.iter().zip([100, 180, 180, 180]) {
+        balancer.told(&candidate.target, &load(mean_ms), now);
+    }
+    assert_eq!(chosen(&mut balancer, now), 4, "it is tried again");
+}
