--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -279,7 +279,7 @@
     pub async fn run_forwarded(self: &Rc<Self>, call: Call) -> CallResult {
         let _counted = Counted::new(self);
         let deadline = self.clock.now() + Ms::from(call.deadline_ms);
-        if self.state().applied() < call.revision {
+        if route::is_too_old(&self.state(), self.session.get(), &call) {
             self.await_applied(call.revision).await;
         }
         if let Some(terms) = &call.route {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -1,7 +1,7 @@
 use {
     super::Target,
     crate::{
-        call::Reason,
+        call::{Call, Reason},
         control::{Session, State},
         key::Key,
     },
@@ -62,6 +62,23 @@
     }
 }
 
+/// Tells if the state is too old to decide on a call that a daemon with a newer one has sent here.
+pub fn is_too_old(state: &State, own_session: Option<u64>, call: &Call) -> bool {
+    if state.applied() >= call.revision {
+        return false;
+    }
+    match (&call.route, state.schema().service(&call.service)) {
+        // The sender has decided on the route, and on the server if the service is not divided.
+        (Some(_), Some(service)) if !service.divided_by_key => false,
+        (Some(_), Some(service)) => {
+            let key = Key::new(call.key.clone());
+            let route = route_by_key(state, own_session, &service.name, &key);
+            !matches!(route, Route::Local { .. })
+        }
+        (None, _) | (Some(_), None) => true,
+    }
+}
+
 /// Returns the servers that can take calls of an undivided service, as seen from a failure domain.
 pub fn candidates(state: &State, service: &str, failure_domain: &str) -> Vec<Candidate> {
     let mut candidates = Vec::new();
