--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -74,6 +74,8 @@
     NotOwner = "not-owner", 503, NotRun;
     /// The daemon knows no configuration yet.
     NoConfiguration = "no-configuration", 503, NotRun;
+    /// The daemon may lack a configuration that others have followed for a while.
+    StaleConfiguration = "stale-configuration", 503, NotRun;
     /// The lease of the daemon does not hold.
     NoLease = "no-lease", 503, NotRun;
     /// The daemon is being drained.
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -88,6 +88,9 @@
         if !state.has_schema() {
             return (self.refused_request(Reason::NoConfiguration), String::new());
         }
+        if self.is_stale() {
+            return (self.refused_request(Reason::StaleConfiguration), String::new());
+        }
         match edge::read_route_headers(&request.headers) {
             Ok(None) => {}
             Ok(Some(headers)) => return self.run_by_route(request, headers).await,
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -8,11 +8,12 @@
         clock::{Clock, Ms},
         control::{Applied, ControlHandle, Server, State},
         edge::ServerDialect,
-        event::RateLimit,
+        event::{Event, RateLimit},
         grant::Touched,
         key::Key,
-        lease::DaemonLease,
+        lease::{ConfigAge, DaemonLease, Freshness},
         link::{KeyRing, Links},
+        log_event,
         metrics::{Metric, Metrics},
         placement::LoadMeter,
         route::{Balancer, Candidate, EntryThrottle, FirstArrivals, WeightedTurns},
@@ -51,6 +52,10 @@
     /// Random number of this process.
     pub process: u64,
     pub lease: DaemonLease,
+    /// How old the configuration may be.
+    pub freshness: RefCell<Freshness>,
+    /// True while calls are refused, since the configuration may be old.
+    pub stale: Cell<bool>,
     pub session: Cell<Option<u64>>,
     /// Log index at which the session was opened or taken over. What the state says of this daemon counts from
     /// there on.
@@ -153,6 +158,8 @@
             control: parts.control,
             process: rng.next_u64(),
             lease: DaemonLease::default(),
+            freshness: RefCell::default(),
+            stale: Cell::new(false),
             session: Cell::new(None),
             session_floor: Cell::new(0),
             fetches_grants: parts.fetches_grants,
@@ -226,14 +233,34 @@
 
     /// Has the grants compared with what changed.
     pub fn touch(&self, touched: Touched) {
-        self.metrics
-            .gauge(Metric::Revision, &[], self.state.borrow().revision().index);
+        let revision = self.state.borrow().revision().index;
+        self.freshness.borrow_mut().held(revision);
+        self.metrics.gauge(Metric::Revision, &[], revision);
         self.candidates.borrow_mut().clear();
         self.touched.borrow_mut().merge(touched);
         self.grants_changed.notify_one();
         self.state_changed.notify_waiters();
     }
 
+    /// Tells if a configuration may be missing that others have followed for a while.
+    pub fn is_stale(&self) -> bool {
+        let (now, lease) = (self.clock.now(), &self.settings.lease);
+        let freshness = self.freshness.borrow();
+        let stale = freshness.age(lease.config_fresh, lease.ttl, now) == ConfigAge::Stale;
+        if self.stale.replace(stale) != stale {
+            let event = match stale {
+                true => Event::ConfigurationStale,
+                false => Event::ConfigurationFresh,
+            };
+            log_event!(
+                self.log, event;
+                "revision" => self.state.borrow().revision().index,
+                "since_proof_ms" => freshness.since_proof(now).0, "round_trip_ms" => freshness.round_trip().0
+            );
+        }
+        stale
+    }
+
     /// Returns an id for an attempt that no other attempt has.
     pub fn new_call_id(&self) -> String {
         let number = self.next_call.get();
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -72,6 +72,10 @@
     }
 
     pub(super) async fn run_routed(self: &Rc<Self>, request: RoutedRequest, started: Ms) -> CallResult {
+        if self.is_stale() {
+            let result = CallResult::failed(Reason::StaleConfiguration);
+            return self.end_routed(&request.attempt, None, started, result);
+        }
         let state = self.state();
         let schema = state.schema().clone();
         let path = request.target.split('?').next().unwrap_or_default();
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -129,6 +129,9 @@
             .time(Metric::RenewalMs, &[], self.clock.now() - sent_at);
         match answer {
             Ok(Body::RenewAnswer(answer)) if answer.sent_at_ms == sent_at.0 && answer.session == session => {
+                let held = self.state().revision().index;
+                let mut freshness = self.freshness.borrow_mut();
+                freshness.answered(sent_at, answer.revision, held, self.clock.now());
                 let renewal = match (answer.renewed, answer.lagging) {
                     (true, _) => Renewal::Renewed,
                     (false, true) => Renewal::Lagging,
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -149,6 +149,10 @@
     WatchFailed = "CF4112", Warning, "watch failed";
     /// A change of the configuration is for another state than that of this daemon, which reads the whole state.
     ChangeMisfit = "CF4113", Warning, "change does not fit the state";
+    /// This daemon may lack a configuration, though a leader is in reach, and refuses calls from here on.
+    ConfigurationStale = "CF4114", Warning, "configuration may be old";
+    /// This daemon answers calls by its configuration again.
+    ConfigurationFresh = "CF4115", Info, "configuration proved";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -72,6 +72,7 @@
             leader: String::new(),
             committed: state.applied(),
             declined: false,
+            revision: state.revision().index,
         }
     }
 
--- a/src/settings/settings_checks.rs
+++ b/src/settings/settings_checks.rs
@@ -270,9 +270,10 @@
         checked_number(&format!("lease.{field}"), value, default.0, range).map(Ms)
     };
     let ttl = span("ttl_ms", part.ttl_ms, default.ttl, 100..=60_000)?;
+    let renew = span("renew_ms", part.renew_ms, default.renew, 10..=ttl.0 / 2)?;
     let settings = LeaseSettings {
         ttl,
-        renew: span("renew_ms", part.renew_ms, default.renew, 10..=ttl.0 / 2)?,
+        renew,
         drift: span("drift_ms", part.drift_ms, default.drift, 1..=ttl.0 / 4)?,
         election: span("election_ms", part.election_ms, default.election, 50..=60_000)?,
         config_lag: span(
@@ -281,6 +282,12 @@
             default.config_lag,
             ttl.0..=8000,
         )?,
+        config_fresh: span(
+            "config_fresh_ms",
+            part.config_fresh_ms,
+            default.config_fresh,
+            renew.0..=8000,
+        )?,
     };
     Ok(settings)
 }
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -108,6 +108,8 @@
     pub election: Ms,
     /// A daemon whose configuration lags for longer than this is not renewed.
     pub config_lag: Ms,
+    /// A daemon that may lack a configuration for longer than this, though a leader is in reach, refuses calls.
+    pub config_fresh: Ms,
 }
 
 impl Default for LeaseSettings {
@@ -118,6 +120,7 @@
             drift: Ms(30),
             election: Ms(180),
             config_lag: Ms(4000),
+            config_fresh: Ms(1800),
         }
     }
 }
--- a/tests/bad_settings.rs
+++ b/tests/bad_settings.rs
@@ -172,6 +172,12 @@
         "9000",
         "lease.config_lag_ms: ",
     ),
+    (
+        "fresh below a renewal",
+        "/lease/config_fresh_ms",
+        "5",
+        "lease.config_fresh_ms: ",
+    ),
 ];
 
 #[test]
--- a/tests/lease_arithmetic.rs
+++ b/tests/lease_arithmetic.rs
@@ -17,6 +17,7 @@
     drift: Ms(30),
     election: Ms(300),
     config_lag: Ms(4000),
+    config_fresh: Ms(1800),
 };
 
 const NONE: [u64; 0] = [];
