--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -6,6 +6,7 @@
 mod guard_wire;
 mod outcome;
 mod reason;
+mod refusal_share;
 mod retry;
 mod retry_budget;
 mod routed_retry;
@@ -19,6 +20,7 @@
     guard_wire::GuardChange,
     outcome::Outcome,
     reason::Reason,
+    refusal_share::RefusalShare,
     retry::{after_attempt, NextStep, OpenAttempts, RetryView},
     retry_budget::RetryBudget,
     routed_retry::{after_try, of_known_service, reached_server, EndCause, RoutedStep, RoutedView},
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -70,7 +70,8 @@
     pub turns: RefCell<WeightedTurns>,
     /// Longest times that callers of routes gave.
     pub first_arrivals: RefCell<FirstArrivals>,
-    pub throttle: RefCell<EntryThrottle>,
+    pub owner_throttle: RefCell<EntryThrottle>,
+    pub service_throttle: RefCell<EntryThrottle>,
     /// Retries of calls that came by a route, by service; sorted.
     pub route_budgets: RefCell<Vec<(String, RetryBudget)>>,
     pub state: RefCell<Rc<State>>,
@@ -167,7 +168,8 @@
             control_hosts: RefCell::new(control_hosts),
             turns: RefCell::new(WeightedTurns::new(rng.random_range(0..TURN_PHASES))),
             first_arrivals: RefCell::default(),
-            throttle: RefCell::default(),
+            owner_throttle: RefCell::new(EntryThrottle::for_owners()),
+            service_throttle: RefCell::new(EntryThrottle::for_services()),
             route_budgets: RefCell::default(),
             state: RefCell::default(),
             state_changed: Notify::new(),
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -11,12 +11,12 @@
         key::Key,
         log_event,
         metrics::Metric,
-        route::{self, Candidate, Signal, Target},
+        route::{self, Candidate, EntryThrottle, Signal, Target},
         schema::{CallKind, Route, Service},
         wire::peer::{Header, RouteTerms},
     },
     bytes::Bytes,
-    std::rc::Rc,
+    std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
 };
 
@@ -153,6 +153,7 @@
         loop {
             let (result, target) = self.try_once(&mut call, terms, &tried).await;
             let result = of_known_service(result);
+            let held_back = target.is_none() && result.reason == Some(Reason::Overloaded);
             tried.extend(target);
             if reached_server(&result) {
                 sent += 1;
@@ -168,7 +169,7 @@
                 sent,
                 sent_max: terms.route.attempts,
                 refusals,
-                has_other: self.has_other(&call.service, &tried),
+                has_other: !held_back && self.has_other(&call.service, &tried),
             };
             let step = self.budget_of(&call.service, |budget| after_try(&result, view, budget));
             if let RoutedStep::End(cause) = step {
@@ -219,6 +220,17 @@
             return (self.try_owner(call, terms).await, None);
         }
         let candidates = self.untried(&call.service, tried);
+        if candidates.is_empty() {
+            return (CallResult::failed(Reason::NoServer), None);
+        }
+        let service = call.service.clone();
+        if let Err(retry_after) = self.throttle_send(&self.service_throttle, call, &service) {
+            let result = CallResult {
+                retry_after,
+                ..CallResult::failed(Reason::Overloaded)
+            };
+            return (result, None);
+        }
         let now = self.clock.now();
         let chosen = {
             let mut rng = self.rng.borrow_mut();
@@ -244,6 +256,7 @@
             self.balancer.borrow_mut().told(target, load, self.clock.now());
         }
         in_flight.end_with(signal_of(&result, self.clock.now() - now));
+        self.note_throttle(&self.service_throttle, call, &service, &result);
         (result, Some(target.clone()))
     }
 
@@ -257,7 +270,7 @@
                 session,
                 peer_address,
             } => {
-                if let Err(retry_after) = self.throttle_send(call, &peer_address) {
+                if let Err(retry_after) = self.throttle_send(&self.owner_throttle, call, &peer_address) {
                     return CallResult {
                         retry_after,
                         ..CallResult::failed(Reason::Overloaded)
@@ -269,34 +282,33 @@
                     "session" => session, "peer" => &peer_address
                 );
                 let result = self.forward(call, &peer_address, terms.deadline).await;
-                self.note_throttle(call, &peer_address, &result);
+                self.note_throttle(&self.owner_throttle, call, &peer_address, &result);
                 result
             }
             route::Route::Nowhere(reason) => CallResult::failed(reason),
         }
     }
 
-    /// Tells if a call may be sent to the daemon of the key's owner, or else when it may come back.
-    fn throttle_send(&self, call: &Call, peer_address: &str) -> Result<(), Ms> {
-        let (mut throttle, mut rng) = (self.throttle.borrow_mut(), self.rng.borrow_mut());
-        let sent = throttle.send(peer_address, &call.kind, self.clock.now(), &mut *rng);
+    /// Tells if a call may be sent, or else when it may come back. `to` is the daemon of the key's owner, or the service
+    /// if any of its servers may take the call.
+    fn throttle_send(&self, throttle: &RefCell<EntryThrottle>, call: &Call, to: &str) -> Result<(), Ms> {
+        let (mut throttle, mut rng) = (throttle.borrow_mut(), self.rng.borrow_mut());
+        let sent = throttle.send(to, &call.kind, self.clock.now(), &mut *rng);
         if sent.is_err() {
             log_event!(
                 self.log, Event::CallHeldBack;
-                "request_id" => &call.request_id, "service" => &call.service, "peer" => peer_address
+                "request_id" => &call.request_id, "service" => &call.service, "to" => to
             );
         }
         sent
     }
 
-    fn note_throttle(&self, call: &Call, peer_address: &str, result: &CallResult) {
+    fn note_throttle(&self, throttle: &RefCell<EntryThrottle>, call: &Call, to: &str, result: &CallResult) {
         let now = self.clock.now();
-        let mut throttle = self.throttle.borrow_mut();
+        let mut throttle = throttle.borrow_mut();
         match result.reason {
-            Some(Reason::Overloaded) => {
-                throttle.refused(peer_address, &call.kind, result.retry_after, now);
-            }
-            Some(_) | None => throttle.taken(peer_address, &call.kind, now),
+            Some(Reason::Overloaded) => throttle.refused(to, &call.kind, result.retry_after, now),
+            Some(_) | None => throttle.taken(to, &call.kind, now),
         }
     }
 
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        call::{Admission, Demand, Reason, Refusal, ServerQueue},
+        call::{Admission, Demand, Reason, Refusal, RefusalShare, ServerQueue},
         clock::{Clock, Ms},
         wire::peer::ServerLoad,
     },
@@ -23,6 +23,7 @@
     clock: Clock,
     queue: RefCell<ServerQueue>,
     waiters: RefCell<Vec<Waiter>>,
+    refusals: RefCell<RefusalShare>,
 }
 
 /// A slot of a backend server. It is free again when this is dropped.
@@ -84,6 +85,7 @@
             clock,
             queue: RefCell::new(ServerQueue::new(slots as usize)),
             waiters: RefCell::default(),
+            refusals: RefCell::default(),
         })
     }
 
@@ -92,6 +94,13 @@
     /// # Errors
     /// Why the call is refused; it was not sent.
     pub async fn enter(self: &Rc<Self>, demand: Demand) -> Result<Slot, Refusal> {
+        let entered = self.enter_queue(demand).await;
+        let now = self.clock.now();
+        self.refusals.borrow_mut().count(entered.is_err(), now);
+        entered
+    }
+
+    async fn enter_queue(self: &Rc<Self>, demand: Demand) -> Result<Slot, Refusal> {
         let now = self.clock.now();
         let admission = self.queue.borrow_mut().admit(now, demand);
         let (ticket, shed) = match admission {
@@ -169,6 +178,7 @@
             waiting: count(queue.waiting()),
             slots: count(queue.slots()),
             mean_ms: u32::try_from(queue.mean().0).unwrap_or(u32::MAX),
+            refused_percent: self.refusals.borrow().percent(self.clock.now()),
         }
     }
 
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -34,7 +34,11 @@
 /// Share of the latest delay of a link in the mean one.
 const DELAY_SHARE: f64 = 0.3;
 /// Time in which a measured delay of a link fades, so that a link that was full is tried again.
-const DELAY_KEPT: Ms = Ms(2_000);
+const DELAY_KEPT: Ms = Ms(4_000);
+/// Time in which the share of calls that a server's daemon refused fades, for the same reason.
+const REFUSED_KEPT: Ms = Ms(4_000);
+/// Share of the calls that a server takes at least, however many it refuses.
+const TAKEN_MIN: f64 = 0.05;
 /// Time after which a server that is no longer seen is forgotten.
 const FORGET: Ms = Ms(120_000);
 
@@ -81,8 +85,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Ms,
-    /// Calls that ran on the server or waited for it, mean time of its calls in ms, and when its daemon told so.
-    told: Option<(u32, f64, Ms)>,
+    /// What its daemon told, and when.
+    told: Option<(ServerLoad, Ms)>,
     /// Start of the slow start. `None`: the server is known to be warm.
     fresh_since: Option<Ms>,
     last_used: Ms,
@@ -112,16 +116,29 @@
         age.clamp(SLOW_START_SHARE, 1.0)
     }
 
+    /// Returns the share of the calls to the server that its daemon refuses.
+    fn refused(&self, now: Ms) -> f64 {
+        let told = self.told.as_ref();
+        told.map_or(0.0, |(load, at)| {
+            let age = (now - *at).0 as f64 / REFUSED_KEPT.0 as f64;
+            f64::from(load.refused_percent) / 100.0 * (1.0 - age).max(0.0)
+        })
+    }
+
     /// Returns the expected time of one more call, relative to other servers. `delay_ms` is that of the way.
     fn cost(&self, candidate: &Candidate, delay_ms: f64, now: Ms) -> f64 {
-        let told = self.told.filter(|(.., at)| now < *at + LOAD_KEPT);
-        let (calls, mean_ms) = told.map_or((0, self.mean_ms), |(calls, mean_ms, _)| (calls, mean_ms));
+        let told = self.told.as_ref().filter(|(_, at)| now < *at + LOAD_KEPT);
+        let (calls, mean_ms) = told.map_or((0, self.mean_ms), |(load, _)| {
+            (load.running + load.waiting, f64::from(load.mean_ms))
+        });
         let slots = f64::from(candidate.slots.max(1));
         let busy = f64::from(calls.max(self.in_flight) + 1) / slots;
         // A call waits only for a server that is nearly full; what is told of it lags.
         let wait = (busy - FULL).max(0.0) * FULL_COST + busy * BUSY_COST;
         let distance = if candidate.is_near { 1.0 } else { FAR_COST };
-        (1.0 + wait) * (1.0 + mean_ms) * distance / self.share(now) + delay_ms
+        // Calls that are refused after all take as many tries.
+        let tries = 1.0 / (1.0 - self.refused(now)).max(TAKEN_MIN);
+        (1.0 + wait) * (1.0 + mean_ms) * distance * tries / self.share(now) + delay_ms
     }
 }
 
@@ -208,8 +225,7 @@
 
     /// Takes the load that the daemon of a server told with an answer.
     pub fn told(&mut self, target: &Target, load: &ServerLoad, now: Ms) {
-        let calls = load.running + load.waiting;
-        self.seen(target, now).told = Some((calls, f64::from(load.mean_ms), now));
+        self.seen(target, now).told = Some((*load, now));
     }
 
     /// Takes the time that a call to the daemon at `peer` and its answer spent on the way.
