--- a/src/control/control_duty.rs
+++ b/src/control/control_duty.rs
@@ -178,7 +178,10 @@
                     ..StateAnswer::default()
                 }));
             }
-            ControlInput::State(req, tx) => drop(tx.send(self.parts.part(&self.state, &req))),
+            ControlInput::State(req, tx) => {
+                let part = self.parts.part(&self.state, self.watches.oldest(), &req);
+                drop(tx.send(part));
+            }
             ControlInput::InForce(req, tx) => drop(tx.send(self.in_force(&req))),
             ControlInput::Members(req, tx) => drop(tx.send(self.members(&req))),
             ControlInput::Message(envelope) => self.receive(envelope),
@@ -371,6 +374,7 @@
             Ok(state) => {
                 self.state = state;
                 self.watches.restart(snapshot.index);
+                self.parts.restart();
             }
             Err(e) => self.failure = Some(e.to_string()),
         }
--- a/src/control/watches.rs
+++ b/src/control/watches.rs
@@ -53,6 +53,11 @@
         self.applied = applied;
     }
 
+    /// Returns the log index of the first change that can still be told.
+    pub fn oldest(&self) -> u64 {
+        self.history.first().map_or(self.applied + 1, |c| c.index)
+    }
+
     /// Lets someone wait for the changes after `req.applied`.
     pub fn wait(&mut self, req: &Watch, tx: oneshot::Sender<WatchAnswer>, now: Ms) {
         self.waiting.push(WaitingWatch {
@@ -104,7 +109,7 @@
     }
 
     fn changes_after(&self, applied: u64) -> WatchAnswer {
-        let oldest = self.history.first().map_or(self.applied + 1, |c| c.index);
+        let oldest = self.oldest();
         if applied > self.applied {
             // The watcher knows more than this host.
             return declined();
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -22,6 +22,8 @@
 /// Time without an answer after which another control host is asked too. It is above the time for which a control host
 /// holds a watch back until there are changes.
 const WATCH_PATIENCE: Duration = Duration::from_millis(1500);
+/// Parts of the state that may fail to come before another control host is asked for the whole.
+const STATE_FAILURES_MAX: u32 = 2;
 /// Longest time to wait for the answer to a watch. It is above the delay of a full link.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -146,16 +148,22 @@
 
     /// Reads the whole state in parts. A state older than the present one is not taken.
     async fn fetch_state(&self) {
-        let mut image = 0;
+        let (mut image, mut failures) = (0, 0);
         let mut bytes = Vec::new();
         loop {
             let request = StateRequest {
                 image,
                 offset: bytes.len() as u64,
+                newer_than: self.state().applied(),
             };
             let Ok(Body::StateAnswer(part)) = self.ask_watched_host(Body::StateRequest(request)).await else {
+                failures += 1;
                 sleep(WATCH_PAUSE).await;
-                return;
+                if failures > STATE_FAILURES_MAX {
+                    self.watched.set(self.watched.get().wrapping_add(1));
+                    return;
+                }
+                continue;
             };
             if part.offset != bytes.len() as u64 || part.part.is_empty() && part.total > part.offset {
                 return;
--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -8,7 +8,7 @@
         settings::LeaseSettings,
         wire::{
             control::{change, operator_command, Change, OperatorCommand, VersionedSchema},
-            peer::{Propose, StateRequest, Watch, WatchAnswer},
+            peer::{Propose, StateAnswer, StateRequest, Watch, WatchAnswer},
         },
     },
     prost::Message,
@@ -24,6 +24,8 @@
 const CONNECTIONS: usize = 100;
 /// Time in which a change is to be in force, in s. An answer may take half of it: the one before it may be on its way.
 const IN_FORCE_S: usize = 2;
+/// Time for which a daemon waits for a part of the state, in s.
+const STATE_TIMEOUT_S: usize = 6;
 /// Most bytes of a small change.
 const CHANGE_BYTES: usize = LINK_BYTES_PER_S / CONNECTIONS * IN_FORCE_S / 2;
 
@@ -63,8 +65,12 @@
 
 /// A schema with 940 routes; the one in the middle has this time-out.
 fn schema(timeout_ms: u32) -> String {
+    schema_of(ROUTES, timeout_ms)
+}
+
+fn schema_of(routes: u32, timeout_ms: u32) -> String {
     let route = |n: u32| {
-        let timeout_ms = if n == ROUTES / 2 { timeout_ms } else { 1200 };
+        let timeout_ms = if n == routes / 2 { timeout_ms } else { 1200 };
         // Names as those of the users, which repeat little.
         let word = n.wrapping_mul(2_654_435_761);
         format!(
@@ -72,7 +78,7 @@
             word >> 16
         )
     };
-    let routes: Vec<String> = (0..ROUTES).map(route).collect();
+    let routes: Vec<String> = (0..routes).map(route).collect();
     format!(
         r#"{{"cluster":"test","services":[{{"name":"s"}}],"routes":[{}]}}"#,
         routes.join(",")
@@ -80,7 +86,11 @@
 }
 
 fn replace(control: &ControlHandle, version: u64, timeout_ms: u32) -> u64 {
-    let schema = PackedText::pack(schema(timeout_ms).as_bytes());
+    replace_by(control, version, &schema(timeout_ms))
+}
+
+fn replace_by(control: &ControlHandle, version: u64, schema: &str) -> u64 {
+    let schema = PackedText::pack(schema.as_bytes());
     let versioned = VersionedSchema {
         version,
         packed_source: schema.as_bytes().clone(),
@@ -112,14 +122,41 @@
     ask(control, |tx| ControlInput::Watch(req, tx), |a| !a.declined)
 }
 
+/// Asks for the part of an image from `offset` on.
+fn part(control: &ControlHandle, image: u64, offset: usize) -> StateAnswer {
+    let req = StateRequest {
+        image,
+        offset: offset as u64,
+        ..StateRequest::default()
+    };
+    ask(control, |tx| ControlInput::State(req, tx), |a| !a.declined)
+}
+
+/// Returns the state as a daemon gets it that has just started.
 fn state(control: &ControlHandle) -> State {
-    let part = ask(
-        control,
-        |tx| ControlInput::State(StateRequest::default(), tx),
-        |a| !a.declined,
-    );
-    assert_eq!(part.total, part.part.len() as u64);
-    State::from_image(&part.part).unwrap()
+    let mut state = image(control);
+    let mut answer = watch(control, state.applied());
+    while !answer.changes.is_empty() {
+        for committed in &answer.changes {
+            state.apply(committed.index, committed.change.as_ref().unwrap());
+        }
+        answer = watch(control, state.applied());
+    }
+    state
+}
+
+fn image(control: &ControlHandle) -> State {
+    let mut bytes = Vec::new();
+    let mut image = 0;
+    loop {
+        let part = part(control, image, bytes.len());
+        assert_eq!(part.offset, bytes.len() as u64);
+        image = part.image;
+        bytes.extend_from_slice(&part.part);
+        if bytes.len() as u64 >= part.total {
+            return State::from_image(&bytes).unwrap();
+        }
+    }
 }
 
 #[test]
@@ -141,7 +178,7 @@
         }
         assert_eq!((daemon.applied(), daemon.schema_version()), (index, version));
     }
-    assert_eq!(daemon, state(&control));
+    assert!(daemon == state(&control), "another state");
     control.send(ControlInput::Stop);
 }
 
@@ -158,7 +195,8 @@
     let last = answer.changes.last().unwrap();
     let mut daemon = first.clone();
     let applied = daemon.apply(last.index, last.change.as_ref().unwrap());
-    assert_eq!((applied, &daemon), (Applied::PatchMisfit, &first));
+    assert_eq!(applied, Applied::PatchMisfit);
+    assert!(daemon == first, "it has changed");
     control.send(ControlInput::Stop);
 }
 
@@ -187,7 +225,7 @@
         daemon.apply(committed.index, committed.change.as_ref().unwrap());
     }
     let control_state = state(&control);
-    assert_eq!(daemon.schema(), control_state.schema());
+    assert!(daemon.schema() == control_state.schema(), "another schema");
     assert_eq!(daemon.revision(), control_state.revision());
     assert!(daemon.schema_source().is_empty() && !control_state.schema_source().is_empty());
     control.send(ControlInput::Stop);
@@ -215,3 +253,30 @@
     );
     control.send(ControlInput::Stop);
 }
+
+#[test]
+fn readers_of_the_state_do_not_send_each_other_back() {
+    let dir = tempfile::tempdir().unwrap();
+    let control = start(dir.path());
+    replace_by(&control, 1, &schema_of(ROUTES * 20, 1200));
+    // Many daemons start together, while the state changes.
+    let mut readers = vec![(0, 0, u64::MAX); 10];
+    for round in 0.. {
+        for (image, bytes, total) in &mut readers {
+            let part = part(&control, *image, *bytes);
+            assert!(
+                *image == 0 || part.image == *image,
+                "round {round}: sent back to the start"
+            );
+            assert!(part.part.len() <= LINK_BYTES_PER_S / CONNECTIONS * STATE_TIMEOUT_S);
+            (*image, *total) = (part.image, part.total);
+            *bytes += part.part.len();
+            replace(&control, 1, 1200);
+        }
+        if readers.iter().all(|(_, bytes, total)| *bytes as u64 >= *total) {
+            assert!(round > 1, "the state has several parts");
+            break;
+        }
+    }
+    control.send(ControlInput::Stop);
+}
