--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -8,9 +8,9 @@
         clock::{Clock, Ms},
         lease::DaemonLease,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Request, Response},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Full},
     hyper::{
         body::Incoming,
         client::conn::http1::{self, SendRequest},
@@ -69,7 +69,8 @@
 /// Limits of the connections to one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Most bytes of an answer's body.
+    /// Most bytes of all bodies of answers that are being read. A server in trouble may send bytes without end on each of
+    /// its connections.
     pub answer_bytes: usize,
     /// Most connections that are kept open between calls.
     pub idle_connections: usize,
@@ -84,6 +85,8 @@
     dialect: Rc<dyn ServerDialect>,
     idle: RefCell<Vec<Connection>>,
     stopped: Rc<Cell<bool>>,
+    /// Bytes of the bodies of answers that are being read.
+    reading: Cell<usize>,
     /// No connection is kept until then.
     distrust_until: Cell<Ms>,
 }
@@ -124,6 +127,7 @@
             lease,
             idle: RefCell::default(),
             stopped: Rc::default(),
+            reading: Cell::new(0),
             distrust_until: Cell::new(Ms::ZERO),
         }
     }
@@ -244,8 +248,7 @@
             self.distrust_until.set(self.clock.now() + DISTRUST);
             return Err(Reason::BadAnswer);
         }
-        let body = Limited::new(body, self.limits.answer_bytes).collect().await;
-        let body = body.map_err(|_| Reason::BadAnswer)?.to_bytes();
+        let body = self.read_body(body).await?;
         let kept_open = self.dialect.kept_open(&parts.headers);
         connection
             .kept
@@ -260,6 +263,26 @@
         })
     }
 
+    /// Reads a body to its end, unless all bodies together grow too large.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, Reason> {
+        let mut held = HeldBytes {
+            reading: &self.reading,
+            bytes: 0,
+        };
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Reason::BadAnswer)?;
+            if let Ok(data) = frame.into_data() {
+                held.add(data.len());
+                if self.reading.get() > self.limits.answer_bytes {
+                    return Err(Reason::BadAnswer);
+                }
+                whole.extend_from_slice(&data);
+            }
+        }
+        Ok(whole.freeze())
+    }
+
     fn request(&self, attempt: &Attempt<'_>) -> Result<Request<Full<Bytes>>, http::Error> {
         let left = attempt.deadline - self.clock.now();
         let head = self.dialect.head(attempt, &self.address, left);
@@ -267,6 +290,25 @@
     }
 }
 
+/// Bytes of one body among those that are being read, until it is dropped.
+struct HeldBytes<'a> {
+    reading: &'a Cell<usize>,
+    bytes: usize,
+}
+
+impl HeldBytes<'_> {
+    fn add(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.reading.set(self.reading.get() + bytes);
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.reading.set(self.reading.get() - self.bytes);
+    }
+}
+
 /// Returns why an attempt failed. Without a byte sent it was certainly not run.
 fn settle(sent: u64, reason: Reason) -> Reason {
     match (sent, reason) {
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -71,7 +71,7 @@
     pub head_bytes: usize,
     /// Most bytes of a request's body.
     pub body_bytes: usize,
-    /// Most bytes of an answer's body.
+    /// Most bytes of all answers' bodies that are read from one server at the same time.
     pub answer_bytes: usize,
     /// Longest time for a caller to send the body after the head.
     pub read: Ms,
--- a/tests/server_answers.rs
+++ b/tests/server_answers.rs
@@ -92,6 +92,26 @@
     row("closed before an answer", Script::Close, Err(Reason::ServerLost)),
     row("reset before an answer", Script::Reset, Err(Reason::ServerLost)),
     row("refused: stale epoch", Script::Refuse("stale-epoch"), Err(Reason::ServerRefused)),
+    row(
+        "body without end",
+        Script::Endless("HTTP/1.1 200 OK\r\nfold-call: CALL\r\ntransfer-encoding: chunked\r\n\r\n"),
+        Err(Reason::BadAnswer),
+    ),
+    row(
+        "body without end or length",
+        Script::Endless("HTTP/1.1 200 OK\r\nfold-call: CALL\r\n\r\n"),
+        Err(Reason::BadAnswer),
+    ),
+    row(
+        "head without end",
+        Script::Endless("HTTP/1.1 200 OK\r\nfold-call: CALL\r\nx-more: "),
+        Err(Reason::ServerLost),
+    ),
+    row(
+        "no answer, without end",
+        Script::Endless(""),
+        Err(Reason::ServerLost),
+    ),
     row("refused: not owner", Script::Refuse("not-owner"), Err(Reason::ServerRefused)),
     row("refused: draining", Script::Refuse("draining"), Err(Reason::ServerDraining)),
     row("refused: overloaded", Script::Refuse("overloaded"), Err(Reason::Overloaded)),
@@ -172,6 +192,28 @@
     }
 }
 
+/// The half of the bytes that may be read at once, and a little more.
+const MOST: &str = "HTTP/1.1 200 OK\r\nfold-call: CALL\r\ntransfer-encoding: chunked\r\n\r\n1f8\r\n";
+
+#[test]
+fn endless_answers_together() {
+    let text: &'static str = (MOST.to_owned() + &"x".repeat(0x1f8)).leak();
+    let server = FakeServer::start(vec![Script::Stall(text), Script::Stall(text)]);
+    run(async {
+        let client = client(&server.address, valid_lease(&Clock::System));
+        let (first, second) = tokio::join!(send(&client, "first"), send(&client, "other"));
+        let mut reasons = [first.result.reason.unwrap(), second.result.reason.unwrap()];
+        reasons.sort_by_key(|reason| reason.word());
+        assert_eq!(reasons, [Reason::BadAnswer, Reason::ServerLate], "one gave way");
+        let next = send(&client, "second").await;
+        assert_eq!(
+            next.result.body,
+            good_answer("second"),
+            "nothing is held any more"
+        );
+    });
+}
+
 #[test]
 fn doubled_answer() {
     let twice = "HTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello\
--- a/tests/support/fake_server.rs
+++ b/tests/support/fake_server.rs
@@ -28,6 +28,10 @@
     Hang,
     /// Answers with a body of this size.
     Large(usize),
+    /// Says this, then sends bytes until the connection is closed.
+    Endless(&'static str),
+    /// Says this, then sends nothing more.
+    Stall(&'static str),
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -130,6 +134,19 @@
             let head = format!("HTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: {bytes}\r\n\r\n");
             say(&head) && say(&"x".repeat(bytes))
         }
+        Script::Endless(text) => {
+            let mut sending = say(text);
+            let piece = "400\r\n".to_owned() + &"x".repeat(0x400) + "\r\n";
+            while sending {
+                sending = say(&piece);
+            }
+            false
+        }
+        Script::Stall(text) => {
+            say(text);
+            let _ = stream.read(&mut [0; 64]);
+            false
+        }
         Script::Close => false,
         Script::Reset => {
             reset(stream);
