--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -35,6 +35,9 @@
 const DELAY_SHARE: f64 = 0.3;
 /// Time in which a measured delay of a link fades, so that a link that was full is tried again.
 const DELAY_KEPT: Ms = Ms(4_000);
+/// Delay from which a link counts as full: a good part of the objective of a call is spent on the way, and one more call
+/// makes the delay longer for all that share the link, those of control hosts among them.
+const LINK_FULL: Ms = Ms(300);
 /// Time in which the share of calls that a server's daemon refused fades, for the same reason.
 const REFUSED_KEPT: Ms = Ms(4_000);
 /// Share of the calls that a server takes at least, however many it refuses.
@@ -171,8 +174,8 @@
 }
 
 impl Balancer {
-    /// Returns the position of the best of some random candidates, of which half are near. Servers that are taken
-    /// out are passed over unless there is no other.
+    /// Returns the position of the best of some random candidates, of which half are near. Servers that are taken out, or
+    /// whose links are full, are passed over unless there is no other.
     pub fn choose(&mut self, candidates: &[Candidate], now: Ms, rng: &mut impl Rng) -> Option<usize> {
         let mut drawn = Vec::with_capacity(COMPARED);
         for n in 0..COMPARED.min(candidates.len()) {
@@ -184,7 +187,7 @@
             let target = &candidates[i].target;
             let delay_ms = self.delay_ms(&candidates[i].peer_address, now);
             let rank = (
-                self.is_ejected(target, now),
+                self.is_ejected(target, now) || delay_ms >= LINK_FULL.0 as f64,
                 self.seen(target, now).cost(&candidates[i], delay_ms, now),
             );
             if best.is_none_or(|(_, least)| rank < least) {
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -124,8 +124,8 @@
     let mut balancer = Balancer::default();
     let mut now = Ms(10_000);
     let load = |mean_ms| ServerLoad {
-        running: 1,
-        waiting: 0,
+        running: if mean_ms == 100 { 1 } else { 11 },
+        waiting: 9,
         slots: 12,
         mean_ms,
         refused_percent: 0,
