--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -22,8 +22,12 @@
 /// Time without an answer after which another control host is asked too. It is above the time for which a control host
 /// holds a watch back until there are changes.
 const WATCH_PATIENCE: Duration = Duration::from_millis(1500);
+/// Time for which a control host may lack a configuration that the leader has named, before another one is followed.
+const FOLLOW_PATIENCE: Ms = Ms(300);
 /// Parts of the state that may fail to come before another control host is asked for the whole.
 const STATE_FAILURES_MAX: u32 = 2;
+/// Watches that wait for their answers before no further one is sent.
+const WATCHES_MAX: usize = 4;
 /// Longest time to wait for the answer to a watch. It is above the delay of a full link.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -45,7 +49,9 @@
         loop {
             let host = self.watched_host().unwrap_or_default();
             let asked_at = self.clock.now();
-            open.spawn_local(self.clone().watch(host.clone(), asked_at));
+            if open.len() < WATCHES_MAX {
+                open.spawn_local(self.clone().watch(host.clone(), asked_at));
+            }
             let (host, asked_at, answer) = match timeout(WATCH_PATIENCE, open.join_next()).await {
                 Ok(Some(Ok(Watched {
                     host,
@@ -58,7 +64,10 @@
             };
             match answer {
                 Ok(Body::WatchAnswer(answer)) => {
-                    open = JoinSet::new();
+                    if answer.needs_state || !answer.changes.is_empty() {
+                        // What the others bring is known then. An answer without news may be of a host that lags.
+                        open = JoinSet::new();
+                    }
                     self.follow_control_host(&host);
                     self.take_answer(&answer, &host, self.clock.now() - asked_at)
                         .await;
@@ -97,6 +106,11 @@
             return;
         }
         self.learn_control_hosts(&answer.control_hosts);
+        let now = self.clock.now();
+        if answer.changes.is_empty() && self.freshness.borrow().lacks_named(FOLLOW_PATIENCE, now) {
+            // This control host lags behind the leader itself.
+            self.turn_from_watched_host(host);
+        }
         if !answer.changes.is_empty() && !self.apply_answer(answer, host, waited) {
             self.fetch_state().await;
         }
--- a/src/lease/freshness.rs
+++ b/src/lease/freshness.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Tells if the leader named a configuration longer ago than `patience` that is still missing.
+    pub fn lacks_named(&self, patience: Ms, now: Ms) -> bool {
+        self.open
+            .first()
+            .is_some_and(|(sent_at, _)| *sent_at + patience < now)
+    }
+
     /// Returns the time since the newest proof.
     pub fn since_proof(&self, now: Ms) -> Ms {
         now - self.proved_at
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -15,7 +15,7 @@
     },
     processes::{free_address, Process},
     serde_json::json,
-    std::{cell::Cell, fs, net::SocketAddr, path::Path, rc::Rc, time::Duration},
+    std::{cell::Cell, fs, future::Future, net::SocketAddr, path::Path, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -34,6 +34,9 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 const SCHEMA: &str = r#"{"cluster":"test","services":[{"name":"s"}],"routes":[{"name":"r","host":"one","path_prefix":"/","timeout_ms":9,"attempts":1,"targets":[{"service":"s","weight":1}]}]}"#;
 
+/// Control hosts that lag behind the leader, and know no change yet.
+const LAGGING: usize = 7;
+
 /// What the control host has answered.
 #[derive(Default)]
 struct Answered {
@@ -80,6 +83,7 @@
                 session: renew.session,
                 sent_at_ms: renew.sent_at_ms,
                 renewed: true,
+                revision: 1,
                 ..RenewAnswer::default()
             })
         }
@@ -99,7 +103,8 @@
     })
 }
 
-fn start_daemon(dir: &Path, control: SocketAddr, metrics: SocketAddr) -> Process {
+fn start_daemon(dir: &Path, control: &[SocketAddr], metrics: SocketAddr) -> Process {
+    let control: Vec<String> = control.iter().map(ToString::to_string).collect();
     let settings = json!({
         "cluster": "test",
         "host": "host-1",
@@ -109,7 +114,7 @@
         "server_address": free_address().to_string(),
         "peer_address": free_address().to_string(),
         "metrics_address": metrics.to_string(),
-        "control_hosts": [control.to_string()],
+        "control_hosts": control,
         "services": ["s"],
         "unauthenticated_links": true,
         "lease": { "ttl_ms": 3000, "renew_ms": 500, "drift_ms": 100 },
@@ -139,28 +144,55 @@
     log: String,
 }
 
-/// Runs a daemon under a control host whose answers are late until `done` holds.
-fn with_late_control(done: impl Fn(&Answered, &str) -> bool) -> Seen {
+/// Serves links at a new address.
+async fn listen<H, F>(handler: H) -> SocketAddr
+where
+    H: Fn(Body) -> F + Clone + 'static,
+    F: Future<Output = Option<Body>> + 'static,
+{
+    let address = free_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    let me = LinkIdentity {
+        cluster: "test".into(),
+        host: "control-1".into(),
+        peer_address: address.to_string(),
+        keys: Rc::new(KeyRing::open()),
+    };
+    let no_log = slog::Logger::root(slog::Discard, slog::o!());
+    spawn_local(serve_links(listener, me, no_log, handler));
+    address
+}
+
+/// A control host that is in touch with the leader, but has none of its changes.
+async fn lag(body: Body) -> Option<Body> {
+    match body {
+        Body::Watch(_) => {
+            sleep(LOOK_PAUSE).await;
+            Some(Body::WatchAnswer(WatchAnswer::default()))
+        }
+        Body::Renew(_) => Some(Body::RenewAnswer(RenewAnswer {
+            declined: true,
+            ..RenewAnswer::default()
+        })),
+        _ => None,
+    }
+}
+
+/// Runs a daemon under a control host whose answers are late, and others that lag, until `done` holds.
+fn with_late_control(lagging: usize, done: impl Fn(&Answered, &str) -> bool) -> Seen {
     let dir = tempfile::tempdir().unwrap();
     let log = dir.path().join("daemon.log");
     let read_log = || fs::read_to_string(&log).unwrap();
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
-        let (control, metrics) = (free_address(), free_address());
-        let listener = TcpListener::bind(control).await.unwrap();
-        let me = LinkIdentity {
-            cluster: "test".into(),
-            host: "control-1".into(),
-            peer_address: control.to_string(),
-            keys: Rc::new(KeyRing::open()),
-        };
         let answered = Rc::new(Answered::default());
         let for_links = answered.clone();
-        let no_log = slog::Logger::root(slog::Discard, slog::o!());
-        spawn_local(serve_links(listener, me, no_log, move |body| {
-            answer(body, for_links.clone())
-        }));
-        let _daemon = start_daemon(dir.path(), control, metrics);
+        let mut control = vec![listen(move |body| answer(body, for_links.clone())).await];
+        for _ in 0..lagging {
+            control.push(listen(lag).await);
+        }
+        let metrics = free_address();
+        let _daemon = start_daemon(dir.path(), &control, metrics);
         let waited = timeout(PATIENCE, async {
             while !done(&answered, &read_log()) {
                 sleep(LOOK_PAUSE).await;
@@ -177,7 +209,7 @@
 
 #[test]
 fn lease_outlives_late_renewals() {
-    let seen = with_late_control(|answered, _| answered.renewals.get() >= RENEWALS);
+    let seen = with_late_control(0, |answered, _| answered.renewals.get() >= RENEWALS);
     assert!(seen.lease_holds, "{}", seen.log);
     assert!(!seen.log.contains("CF4003"), "the lease ran out: {}", seen.log);
     assert_eq!(seen.sessions, 1, "{}", seen.log);
@@ -185,6 +217,12 @@
 
 #[test]
 fn late_configuration_comes_into_force() {
-    let seen = with_late_control(|_, log| log.contains("CF4111"));
+    let seen = with_late_control(0, |_, log| log.contains("CF4111"));
+    assert!(seen.log.contains(r#""version":1"#), "{}", seen.log);
+}
+
+#[test]
+fn lagging_control_host_left() {
+    let seen = with_late_control(LAGGING, |_, log| log.contains("CF4111"));
     assert!(seen.log.contains(r#""version":1"#), "{}", seen.log);
 }
