--- a/tests/thin_links.rs
+++ b/tests/thin_links.rs
@@ -1,19 +1,19 @@
 //! Configurations on their way to daemons whose links are full.
 
+#[path = "support/control_duty.rs"]
+mod control_duty;
+
 use {
     clementinefold::{
-        clock::Clock,
-        control::{start_control, Applied, ControlConfig, ControlHandle, ControlInput, State},
+        control::{Applied, ControlHandle, ControlInput, State},
         schema::PackedText,
-        settings::LeaseSettings,
         wire::{
             control::{change, operator_command, Change, OperatorCommand, VersionedSchema},
             peer::{Propose, StateAnswer, StateRequest, Watch, WatchAnswer},
         },
     },
+    control_duty::{ask, start},
     prost::Message,
-    std::{net::SocketAddr, path::Path, time::Duration},
-    tokio::sync::{mpsc, oneshot},
 };
 
 /// Routes of a large configuration of the users.
@@ -29,40 +29,6 @@
 /// Most bytes of a small change.
 const CHANGE_BYTES: usize = LINK_BYTES_PER_S / CONNECTIONS * IN_FORCE_S / 2;
 
-fn start(dir: &Path) -> ControlHandle {
-    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
-    let (outbox, _) = mpsc::channel(1);
-    let config = ControlConfig {
-        data_dir: dir.to_owned(),
-        address,
-        first_voters: vec![address],
-        control_hosts: vec![address],
-        voters: None,
-        lease: LeaseSettings::default(),
-        clock: Clock::System,
-        outbox,
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-    };
-    start_control(config).unwrap().0
-}
-
-/// Sends requests until one is not declined.
-fn ask<T>(
-    control: &ControlHandle,
-    input: impl Fn(oneshot::Sender<T>) -> ControlInput,
-    done: impl Fn(&T) -> bool,
-) -> T {
-    for _ in 0..3000 {
-        let (tx, rx) = oneshot::channel();
-        assert!(control.send(input(tx)));
-        match rx.blocking_recv() {
-            Ok(answer) if done(&answer) => return answer,
-            Ok(_) | Err(_) => std::thread::sleep(Duration::from_millis(10)),
-        }
-    }
-    panic!("always declined");
-}
-
 /// A schema with 940 routes; the one in the middle has this time-out.
 fn schema(timeout_ms: u32) -> String {
     schema_of(ROUTES, timeout_ms)
@@ -162,7 +128,7 @@
 #[test]
 fn change_of_one_route_sends_one() {
     let dir = tempfile::tempdir().unwrap();
-    let control = start(dir.path());
+    let (control, _thread) = start(dir.path());
     replace(&control, 1, 1200);
     let mut daemon = state(&control);
     for version in 2..8 {
@@ -185,7 +151,7 @@
 #[test]
 fn patch_for_another_schema_changes_nothing() {
     let dir = tempfile::tempdir().unwrap();
-    let control = start(dir.path());
+    let (control, _thread) = start(dir.path());
     replace(&control, 1, 1200);
     let first = state(&control);
     replace(&control, 2, 1300);
@@ -203,7 +169,7 @@
 #[test]
 fn source_left_out_where_nobody_reads_it() {
     let dir = tempfile::tempdir().unwrap();
-    let control = start(dir.path());
+    let (control, _thread) = start(dir.path());
     let watched = |applied, without_source| {
         let req = Watch {
             applied,
@@ -234,7 +200,7 @@
 #[test]
 fn older_daemon_reads_whole_state() {
     let dir = tempfile::tempdir().unwrap();
-    let control = start(dir.path());
+    let (control, _thread) = start(dir.path());
     let watched = |applied| {
         let req = Watch {
             applied,
@@ -257,7 +223,7 @@
 #[test]
 fn readers_of_the_state_do_not_send_each_other_back() {
     let dir = tempfile::tempdir().unwrap();
-    let control = start(dir.path());
+    let (control, _thread) = start(dir.path());
     replace_by(&control, 1, &schema_of(ROUTES * 20, 1200));
     // Many daemons start together, while the state changes.
     let mut readers = vec![(0, 0, u64::MAX); 10];
