--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         decisions::Decisions,
+        left_servers::LeftServers,
         local_server::{LocalServer, LostServer},
     },
     crate::{
@@ -86,6 +87,8 @@
     pub servers: RefCell<Vec<Rc<LocalServer>>>,
     /// Servers that are gone from here, but not yet from the replicated state.
     pub lost_servers: RefCell<Vec<LostServer>>,
+    /// Local servers that said that they leave, also those that are lost.
+    pub left_servers: RefCell<LeftServers>,
     /// Woken whenever the list of local servers has changed.
     pub servers_changed: Notify,
     /// Peer address of the control host that answered last.
@@ -178,6 +181,7 @@
             renew_now: Notify::new(),
             servers: RefCell::default(),
             lost_servers: RefCell::default(),
+            left_servers: RefCell::default(),
             servers_changed: Notify::new(),
             leader: RefCell::new(leader),
             watched: Cell::new(0),
--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -122,6 +122,9 @@
             .find(|s| s.announced.address == beat.address)
             .cloned();
         let Some(known) = known else {
+            if self.left_servers.borrow().contains(&incarnation) {
+                return Err("it has left");
+            }
             return Ok(self.add_server(beat, None));
         };
         let (started, sequence) = known.beat.get();
@@ -206,15 +209,18 @@
         if server.leaving.replace(true) {
             return;
         }
+        let now = self.clock.now();
+        let incarnation = &server.announced.incarnation;
+        self.left_servers.borrow_mut().note(incarnation, now);
         let schema = self.state().schema().clone();
         let service = schema.service(&server.announced.service);
         let is_divided = service.is_some_and(|s| s.divided_by_key);
         let served = if is_divided { LEAVING_SERVED } else { Ms::ZERO };
-        server.closes_at.set(self.clock.now() + served);
+        server.closes_at.set(now + served);
         log_event!(
             self.log, Event::ServerLeaving;
             "service" => &server.announced.service, "server" => &server.announced.address,
-            "incarnation" => &server.announced.incarnation, "reason" => reason, "served_ms" => served.0
+            "incarnation" => incarnation, "reason" => reason, "served_ms" => served.0
         );
         self.servers_changed.notify_one();
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -14,6 +14,7 @@
 mod guarded_call;
 mod heartbeat;
 mod key_reload;
+mod left_servers;
 mod local_server;
 mod node;
 mod operator_handler;
