--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -96,11 +96,35 @@
     /// Takes the last word of a server: it ends soon. It may run on for as long as one that drains.
     pub fn deregister(&self, instance: &str) {
         let servers = self.servers.borrow().clone();
-        for server in servers.iter().filter(|s| instance_of(&s.announced) == instance) {
+        let mut known = servers
+            .iter()
+            .filter(|s| instance_of(&s.announced) == instance)
+            .peekable();
+        if known.peek().is_none() {
+            self.note_lost_leaving(instance);
+        }
+        for server in known {
             self.note_leaving(server, "it deregistered");
         }
     }
 
+    /// Notes the last word of a server that is not known, or no longer.
+    fn note_lost_leaving(&self, instance: &str) {
+        let lost = self.lost_servers.borrow();
+        let found = lost.iter().find(|l| instance_of(&l.published) == instance);
+        // A server on this host has the same clock; a later start is another process.
+        let started_ms = found.map_or_else(|| self.clock.wall().0, |l| started_of(&l.published));
+        let published = found.map(|l| l.published.clone()).unwrap_or_default();
+        self.left_servers
+            .borrow_mut()
+            .note(instance, started_ms, self.clock.now());
+        log_event!(
+            self.log, Event::ServerLeaving;
+            "service" => &published.service, "server" => &published.address, "incarnation" => instance,
+            "reason" => "it deregistered after it was lost", "served_ms" => 0
+        );
+    }
+
     /// Returns the service of the server that runs on this host.
     pub fn local_service(&self) -> String {
         let servers = self.servers.borrow();
@@ -122,7 +146,11 @@
             .find(|s| s.announced.address == beat.address)
             .cloned();
         let Some(known) = known else {
-            if self.left_servers.borrow().contains(&incarnation) {
+            if self
+                .left_servers
+                .borrow()
+                .contains(&beat.instance, beat.started_ms)
+            {
                 return Err("it has left");
             }
             return Ok(self.add_server(beat, None));
@@ -211,7 +239,10 @@
         }
         let now = self.clock.now();
         let incarnation = &server.announced.incarnation;
-        self.left_servers.borrow_mut().note(incarnation, now);
+        let started_ms = started_of(&server.announced);
+        let mut left = self.left_servers.borrow_mut();
+        left.note(instance_of(&server.announced), started_ms, now);
+        drop(left);
         let schema = self.state().schema().clone();
         let service = schema.service(&server.announced.service);
         let is_divided = service.is_some_and(|s| s.divided_by_key);
--- a/src/daemon/left_servers.rs
+++ b/src/daemon/left_servers.rs
@@ -5,26 +5,39 @@
 /// Most servers that are remembered; the oldest are forgotten first.
 const SERVERS_MAX: usize = 64;
 
-/// Incarnations of local servers that said that they leave, oldest first.
+/// A server that has left: its name, its start in ms since the Unix epoch, and when it left.
+#[derive(Debug)]
+struct LeftServer {
+    instance: String,
+    started_ms: u64,
+    at: Ms,
+}
+
+/// Local servers that said that they leave, oldest first.
 ///
 /// Such a server may be lost before its last heartbeat comes, which must not bring it back.
 #[derive(Debug, Default)]
 pub(super) struct LeftServers {
-    list: Vec<(String, Ms)>,
+    list: Vec<LeftServer>,
 }
 
 impl LeftServers {
-    /// Notes that a server has said that it leaves.
-    pub fn note(&mut self, incarnation: &str, now: Ms) {
-        self.list.retain(|(_, at)| now < *at + KEPT);
+    /// Notes that the server that was started at `started_ms` has said that it leaves.
+    pub fn note(&mut self, instance: &str, started_ms: u64, now: Ms) {
+        self.list.retain(|left| now < left.at + KEPT);
         if self.list.len() == SERVERS_MAX {
             self.list.remove(0);
         }
-        self.list.push((incarnation.to_owned(), now));
+        self.list.push(LeftServer {
+            instance: instance.to_owned(),
+            started_ms,
+            at: now,
+        });
     }
 
-    /// Tells if a server has said that it leaves.
-    pub fn contains(&self, incarnation: &str) -> bool {
-        self.list.iter().any(|(left, _)| left == incarnation)
+    /// Tells if a server has said that it leaves. One that was started later under the same name has not.
+    pub fn contains(&self, instance: &str, started_ms: u64) -> bool {
+        let found = self.list.iter().filter(|left| left.instance == instance);
+        found.into_iter().any(|left| started_ms <= left.started_ms)
     }
 }
