Log which configuration decided a routed call, and how long ago it was known to be the newest

A 404 had no line that names the revision that decided it, so a process that had never been told which configuration is newest could not be told from one that gets no answers from the leader. CF2008 now has revision and proof_age_ms; the latter is null as long as no leader has ever confirmed the configuration. No decision changes: a daemon without a confirmation compares as before.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -266,7 +266,7 @@
             log_event!(
                 self.log, event;
                 "revision" => self.state.borrow().revision().index,
-                "since_proof_ms" => freshness.since_confirmation(now).0, "round_trip_ms" => freshness.round_trip().0
+                "since_proof_ms" => freshness.since_confirmation(now).map(|age| age.0), "round_trip_ms" => freshness.round_trip().0
             );
         }
         is_stale
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -49,6 +49,16 @@
     pub deadline: Option<Ms>,
 }
 
+/// When a call arrived, and the configuration that decides it.
+#[derive(Clone, Copy, Debug)]
+struct CallEntry {
+    started: Ms,
+    /// Log index of the configuration.
+    revision: u64,
+    /// Time since the configuration was last known to be the newest one, or `None` if it never was.
+    proof_age: Option<Ms>,
+}
+
 /// The route, service and time limits of one call, as its entry daemon determined them.
 struct CallTerms<'a> {
     route: &'a Route,
@@ -73,11 +83,16 @@
 
     /// Finds the route and the service of a request, and runs it as a call.
     pub(super) async fn run_routed(self: &Rc<Self>, request: RoutedRequest, started: Ms) -> CallResult {
+        let state = self.state();
+        let entry = CallEntry {
+            started,
+            revision: state.revision().index,
+            proof_age: self.freshness.borrow().since_confirmation(started),
+        };
         if self.is_stale() {
             let result = CallResult::failed(Reason::StaleConfiguration);
-            return self.finish_routed(&request.attempt_id, None, started, result);
+            return self.finish_routed(&request.attempt_id, None, entry, result);
         }
-        let state = self.state();
         let schema = state.schema().clone();
         let path = request.target.split('?').next().unwrap_or_default();
         let route = schema.routes.find(&request.host, path);
@@ -86,7 +101,7 @@
                 true => Reason::UnknownRoute,
                 false => Reason::NoConfiguration,
             };
-            return self.finish_routed(&request.attempt_id, None, started, CallResult::failed(reason));
+            return self.finish_routed(&request.attempt_id, None, entry, CallResult::failed(reason));
         };
         let name = self.round_robin.borrow_mut().next(route).to_owned();
         let Some(service) = schema.service(&name) else {
@@ -103,17 +118,17 @@
         };
         if service.divided_by_key && request.key.is_none() {
             let result = CallResult::failed(Reason::MissingKey);
-            return self.finish_routed(&request.attempt_id, Some(&terms), started, result);
+            return self.finish_routed(&request.attempt_id, Some(&terms), entry, result);
         }
         log_event!(
             self.log, Event::CallRouteChosen;
             "request_id" => &request.attempt_id, "route" => &route.name, "service" => &name,
-            "revision" => state.revision().index, "limit_ms" => limit.0, "priority" => route.priority
+            "revision" => entry.revision, "limit_ms" => limit.0, "priority" => route.priority
         );
         drop(state);
         let call = self.routed_call(request, &terms);
         let result = self.run_attempts(call.clone(), &terms).await;
-        self.finish_routed(&call.request_id, Some(&terms), started, result)
+        self.finish_routed(&call.request_id, Some(&terms), entry, result)
     }
 
     /// Returns an estimate of how long ago the caller's first attempt arrived.
@@ -434,7 +449,7 @@
         &self,
         attempt_id: &str,
         terms: Option<&CallTerms<'_>>,
-        started: Ms,
+        entry: CallEntry,
         mut result: CallResult,
     ) -> CallResult {
         if result.outcome == Outcome::NotRun && result.retry_after == Ms::ZERO {
@@ -445,12 +460,13 @@
         self.metrics
             .count(Metric::RoutedCalls, &[service, outcome, reason]);
         self.metrics
-            .time(Metric::RoutedCallMs, &[service], self.clock.now() - started);
+            .time(Metric::RoutedCallMs, &[service], self.clock.now() - entry.started);
         log_event!(
             self.log, Event::RoutedCallEnded;
             "request_id" => attempt_id, "route" => terms.map_or("", |t| t.route.name.as_str()),
             "service" => service, "outcome" => outcome, "status" => result.status, "reason" => reason,
-            "took_ms" => (self.clock.now() - started).0, "retry_after_ms" => result.retry_after.0
+            "took_ms" => (self.clock.now() - entry.started).0, "retry_after_ms" => result.retry_after.0,
+            "revision" => entry.revision, "proof_age_ms" => entry.proof_age.map(|age| age.0)
         );
         result
     }
--- a/src/lease/config_freshness.rs
+++ b/src/lease/config_freshness.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFreshness {
     /// Send time of the newest renewal whose announced configuration the daemon has.
-    confirmed_at: Ms,
+    confirmed_at: Option<Ms>,
     /// Renewals whose answers announced a configuration that the daemon does not have yet: the send time and the log
     /// index of that configuration, ascending.
     pending: Vec<(Ms, u64)>,
@@ -52,7 +52,7 @@
     pub fn record_held(&mut self, held: u64) {
         for (sent_at, newest) in &self.pending {
             if *newest <= held {
-                self.confirmed_at = self.confirmed_at.max(*sent_at);
+                self.confirmed_at = self.confirmed_at.max(Some(*sent_at));
             }
         }
         self.pending.retain(|(_, newest)| *newest > held);
@@ -61,7 +61,7 @@
     /// Returns whether a configuration that was committed more than `limit` before `now` may be missing. The leader
     /// counts as unreachable after the time `silence` without any answer.
     pub fn age(&self, limit: Ms, silence: Ms, now: Ms) -> ConfigAge {
-        if now <= self.confirmed_at + limit {
+        if now <= self.confirmed_at.unwrap_or_default() + limit {
             return ConfigAge::Fresh;
         }
         let is_slow = self.round_trip >= SLOW_ROUND_TRIP && now <= self.answered_at + silence;
@@ -78,9 +78,9 @@
             .is_some_and(|(sent_at, _)| *sent_at + timeout < now)
     }
 
-    /// Returns the time since the configuration was last confirmed as the newest one.
-    pub fn since_confirmation(&self, now: Ms) -> Ms {
-        now - self.confirmed_at
+    /// Returns the time since the configuration was last confirmed as the newest one, or `None` if it never was.
+    pub fn since_confirmation(&self, now: Ms) -> Option<Ms> {
+        self.confirmed_at.map(|at| now - at)
     }
 
     /// Returns the round trip of the newest answer.
