Answer calls by a configuration only once a leader has confirmed it

What callers saw: 404 for a route that had long been acknowledged, or a run by the service that the route had gone to before, from a daemon whose process had just started.

Cause: a started daemon gets the configurations of the log in their order. Until the first answer to a renewal the age of its configuration counted as unknown, and unknown means to go on, which is right for a daemon that has lost its leader and wrong for a process that has never been told what is newest.

Change: the age of a configuration that this process has never known to be the newest is Unconfirmed, and calls are refused as not run until a leader has confirmed it. Readiness waits for it too. A daemon without a session asks the leader itself, since renewals need a session: the answer to InForce names the newest configuration (a new, optional field; a daemon beside older control hosts waits for its session).

--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -74,7 +74,7 @@
     NotOwner = "not-owner", 503, NotRun;
     /// The daemon has no configuration yet.
     NoConfiguration = "no-configuration", 503, NotRun;
-    /// The daemon may lack a configuration that other daemons already use.
+    /// The daemon may lack a configuration that other daemons already use, or no leader has confirmed the one that it has.
     StaleConfiguration = "stale-configuration", 503, NotRun;
     /// The daemon has no valid lease.
     NoLease = "no-lease", 503, NotRun;
--- a/src/control/cell_membership.rs
+++ b/src/control/cell_membership.rs
@@ -15,13 +15,18 @@
 
 /// The part of the loop that finds or founds the cell, keeps its voters and answers requests about its members.
 impl ControlLoop {
-    /// Returns which hosts have not applied the configuration at the requested index.
+    /// Returns which hosts have not applied the configuration at the requested index, and which configuration is the
+    /// newest one.
     pub(super) fn in_force(&self, req: &InForceRequest) -> InForceAnswer {
         match &self.view {
-            Some(view) => InForceAnswer {
-                committed: self.newest_index(),
-                ..view.in_force(&self.state, req.index)
-            },
+            Some(view) => {
+                let newest = self.newest_index();
+                InForceAnswer {
+                    committed: newest,
+                    revision: (newest != 0).then_some(self.state.revision().index),
+                    ..view.in_force(&self.state, req.index)
+                }
+            }
             None => InForceAnswer {
                 leader: self.remote_leader(),
                 ..InForceAnswer::default()
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -12,7 +12,7 @@
         event::{Event, RateLimit},
         grant::ChangedSpans,
         key::Key,
-        lease::{ConfigAge, ConfigFreshness, DaemonLease},
+        lease::{ConfigFreshness, DaemonLease},
         link::{KeyRing, Links},
         log_event,
         metrics::{Metric, Metrics},
@@ -252,12 +252,12 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Returns whether this daemon may lack a configuration that other daemons have used for a while. Logs each change
-    /// of the result.
+    /// Returns whether this daemon may lack a configuration that other daemons have used for a while, or does not know
+    /// yet which one is the newest. Logs each change of the result.
     pub fn is_stale(&self) -> bool {
         let (now, lease) = (self.clock.now(), &self.settings.lease);
         let freshness = self.freshness.borrow();
-        let is_stale = freshness.age(lease.max_config_age, lease.ttl, now) == ConfigAge::Stale;
+        let is_stale = !freshness.age(lease.max_config_age, lease.ttl, now).is_usable();
         if self.was_stale.replace(is_stale) != is_stale {
             let event = match is_stale {
                 true => Event::ConfigurationStale,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The `clementined` process: its tasks, which serve calls and carry out the decisions of the leader.
 
 mod call_path;
+mod confirm_task;
 mod control_client;
 mod control_handler;
 mod daemon_cx;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -92,9 +92,10 @@
         self.0.deregister(instance);
     }
 
-    /// Returns whether this daemon takes new calls: it knows a configuration and is not being stopped.
+    /// Returns whether this daemon takes new calls: it has had the newest configuration and is not being stopped.
     pub fn is_ready(&self) -> bool {
-        !self.0.is_stopping.get() && self.0.state().has_schema()
+        let is_confirmed = self.0.freshness.borrow().is_confirmed();
+        !self.0.is_stopping.get() && self.0.state().has_schema() && is_confirmed
     }
 
     /// Returns the limits of callers that are in force: the limits of the schema, bounded by those of the settings.
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -89,19 +89,19 @@
             revision: state.revision().index,
             proof_age: self.freshness.borrow().since_confirmation(started),
         };
-        if self.is_stale() {
-            let result = CallResult::failed(Reason::StaleConfiguration);
-            return self.finish_routed(&request.attempt_id, None, entry, result);
+        let unusable = match state.has_schema() {
+            false => Some(Reason::NoConfiguration),
+            true => self.is_stale().then_some(Reason::StaleConfiguration),
+        };
+        if let Some(reason) = unusable {
+            return self.finish_routed(&request.attempt_id, None, entry, CallResult::failed(reason));
         }
         let schema = state.schema().clone();
         let path = request.target.split('?').next().unwrap_or_default();
         let route = schema.routes.find(&request.host, path);
         let Some(route) = route else {
-            let reason = match state.has_schema() {
-                true => Reason::UnknownRoute,
-                false => Reason::NoConfiguration,
-            };
-            return self.finish_routed(&request.attempt_id, None, entry, CallResult::failed(reason));
+            let result = CallResult::failed(Reason::UnknownRoute);
+            return self.finish_routed(&request.attempt_id, None, entry, result);
         };
         let name = self.round_robin.borrow_mut().next(route).to_owned();
         let Some(service) = schema.service(&name) else {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -212,6 +212,7 @@
     spawn_local(cx.clone().watch_clock());
     spawn_local(cx.clone().publish_servers());
     spawn_local(cx.clone().watch_state());
+    spawn_local(cx.clone().confirm_configuration());
     spawn_local(cx.clone().reconcile_grants());
     spawn_local(cx.clone().maintain_guards());
     spawn_local(cx.clone().extend_leases());
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -151,7 +151,8 @@
     /// A change of the configuration does not apply to the state of this daemon, which therefore fetches the whole
     /// state.
     ChangeMismatch = "CF4113", Warning, "change does not fit the state";
-    /// This daemon starts to refuse calls because its configuration may be stale although a leader is reachable.
+    /// This daemon starts to refuse calls because its configuration may be stale although a leader is reachable, or because
+    /// no leader has confirmed it yet.
     ConfigurationStale = "CF4114", Warning, "configuration may be old";
     /// The configuration was confirmed to be current, and this daemon accepts calls again.
     ConfigurationConfirmed = "CF4115", Info, "configuration confirmed";
--- a/src/lease/config_freshness.rs
+++ b/src/lease/config_freshness.rs
@@ -3,7 +3,7 @@
 /// Round trip to the leader from which the link counts as slow. Missing answers after a slow round trip are
 /// attributed to the link. Without one they are attributed to the loss of the leader or of the connection to it.
 const SLOW_ROUND_TRIP: Ms = Ms(400);
-/// Maximum number of renewals that are kept until the configuration that their answers announced has arrived.
+/// Maximum number of requests that are kept until the configuration that their answers announced has arrived.
 const PENDING_MAX: usize = 16;
 
 /// Result of checking the age of a daemon's configuration.
@@ -13,20 +13,33 @@
     Fresh,
     /// A configuration that was committed longer ago may be missing, and the leader is reachable.
     Stale,
+    /// This process has never had the newest configuration, as far as it knows. It may have any older one.
+    Unconfirmed,
     /// The age cannot be determined, since the leader is lost or unreachable. The daemon continues with the
     /// configuration that it has.
     Unknown,
 }
 
-/// Determines how old a daemon's configuration may be, from the leader's answers to renewals.
+impl ConfigAge {
+    /// Returns whether calls may be decided by the configuration.
+    pub const fn is_usable(self) -> bool {
+        match self {
+            Self::Fresh | Self::Unknown => true,
+            Self::Stale | Self::Unconfirmed => false,
+        }
+    }
+}
+
+/// Determines how old a daemon's configuration may be, from the leader's answers to renewals or to other requests that
+/// tell which configuration is the newest.
 ///
 /// It is made for a saturated link. There, the answers that announce a new configuration wait in the same queue as
 /// the configuration itself, so that only their absence shows that the daemon lags behind.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFreshness {
-    /// Send time of the newest renewal whose announced configuration the daemon has.
+    /// Send time of the newest request whose announced configuration the daemon has.
     confirmed_at: Option<Ms>,
-    /// Renewals whose answers announced a configuration that the daemon does not have yet: the send time and the log
+    /// Requests whose answers announced a configuration that the daemon does not have yet: the send time and the log
     /// index of that configuration, ascending.
     pending: Vec<(Ms, u64)>,
     /// When the newest answer arrived.
@@ -36,7 +49,7 @@
 }
 
 impl ConfigFreshness {
-    /// Records an answer that arrived at `now` to the renewal that was sent at `sent_at`. The answer announces the
+    /// Records an answer that arrived at `now` to the request that was sent at `sent_at`. The answer announces the
     /// configuration with log index `newest`; the daemon has the one with log index `held`.
     pub fn record_answer(&mut self, sent_at: Ms, newest: u64, held: u64, now: Ms) {
         self.answered_at = now;
@@ -61,7 +74,10 @@
     /// Returns whether a configuration that was committed more than `limit` before `now` may be missing. The leader
     /// counts as unreachable after the time `silence` without any answer.
     pub fn age(&self, limit: Ms, silence: Ms, now: Ms) -> ConfigAge {
-        if now <= self.confirmed_at.unwrap_or_default() + limit {
+        let Some(confirmed_at) = self.confirmed_at else {
+            return ConfigAge::Unconfirmed;
+        };
+        if now <= confirmed_at + limit {
             return ConfigAge::Fresh;
         }
         let is_slow = self.round_trip >= SLOW_ROUND_TRIP && now <= self.answered_at + silence;
@@ -71,6 +87,11 @@
         }
     }
 
+    /// Returns whether the daemon has ever had the newest configuration.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
     /// Returns whether a configuration is still missing that the leader announced longer ago than `timeout`.
     pub fn lacks_announced(&self, timeout: Ms, now: Ms) -> bool {
         self.pending
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -98,9 +98,8 @@
         let hosts = behind.filter_map(|id| state.session(id).map(|s| s.open.host.clone()));
         InForceAnswer {
             known: true,
-            leader: String::new(),
             behind: hosts.collect(),
-            committed: 0,
+            ..InForceAnswer::default()
         }
     }
 }
--- a/tests/stale_config.rs
+++ b/tests/stale_config.rs
@@ -40,6 +40,8 @@
 /// is represented by the number of its change, and is sent over the same link as the answers.
 fn run(delay: impl Fn(u64) -> Option<u64>) -> Outcome {
     let mut freshness = ConfigFreshness::default();
+    // The daemon has been running for a while.
+    freshness.record_answer(Ms::ZERO, 0, 0, Ms::ZERO);
     let (mut renewals, mut configs) = (InFlight::new(), InFlight::new());
     let (mut sent, mut held, mut outcome) = (0, 0, Outcome::default());
     let mut last_arrival = Ms::ZERO;
@@ -66,7 +68,7 @@
             let (_, sent_at, config) = renewals.remove(0);
             freshness.record_answer(sent_at, config, held, now);
         }
-        if freshness.age(TIMING.max_config_age, TIMING.ttl, now) == ConfigAge::Stale {
+        if !freshness.age(TIMING.max_config_age, TIMING.ttl, now).is_usable() {
             outcome.refused += 1;
             continue;
         }
@@ -116,6 +118,14 @@
 fn announced_configuration_missing() {
     let mut freshness = ConfigFreshness::default();
     let age = |f: &ConfigFreshness, now| f.age(TIMING.max_config_age, TIMING.ttl, Ms(now));
+    assert_eq!(
+        age(&freshness, 0),
+        ConfigAge::Unconfirmed,
+        "no leader has answered"
+    );
+    freshness.record_answer(Ms(9000), 7, 6, Ms(9005));
+    assert_eq!(age(&freshness, 9006), ConfigAge::Unconfirmed, "7 is missing");
+    assert!(!freshness.is_confirmed());
     freshness.record_answer(Ms(10_000), 7, 7, Ms(10_005));
     assert_eq!(age(&freshness, 11_800), ConfigAge::Fresh);
     freshness.record_answer(Ms(11_000), 9, 7, Ms(11_005));
--- a/tests/unconfirmed_config.rs
+++ b/tests/unconfirmed_config.rs
@@ -176,7 +176,11 @@
             sleep(POLL_INTERVAL).await;
         }
     });
-    assert!(found.await.is_ok(), "{text}: {}", fs::read_to_string(log).unwrap());
+    assert!(
+        found.await.is_ok(),
+        "{text}: {}",
+        fs::read_to_string(log).unwrap()
+    );
 }
 
 /// A daemon that has just started gets the configurations one after the other, from the first one on.
