--- /dev/null
+++ b/tests/many_versions.rs
@@ -0,0 +1,89 @@
+//! A daemon that starts after many changes of the configuration.
+
+#[path = "support/control_loop.rs"]
+mod control_loop;
+
+use {
+    clementinefold::{
+        control::{ControlHandle, ControlInput, State},
+        schema::PackedText,
+        wire::{
+            control::{change, operator_command, Change, OperatorCommand, VersionedSchema},
+            peer::{Propose, StateRequest, Watch},
+        },
+    },
+    control_loop::{ask, start},
+};
+
+/// Number of changes of the configuration before the daemon starts.
+const VERSIONS: u64 = 200;
+/// Time in which a started daemon must have the newest configuration, in ms: that in which a change must be in force.
+const CATCH_UP_MS: u64 = 2000;
+/// Time that a daemon of the grown production sites takes to apply one configuration, in ms.
+const APPLY_MS: u64 = 57;
+
+fn replace(control: &ControlHandle, version: u64) -> u64 {
+    let schema = format!(
+        r#"{{"cluster":"test","services":[{{"name":"s"}}],"routes":[{{"name":"r","host":"one","path_prefix":"/","timeout_ms":{version},"attempts":1,"targets":[{{"service":"s","weight":1}}]}}]}}"#
+    );
+    let versioned = VersionedSchema {
+        version,
+        packed_schema: PackedText::pack(schema.as_bytes()).as_bytes().clone(),
+        ..VersionedSchema::default()
+    };
+    let propose = Propose {
+        change: Some(Change {
+            proposed_at_ms: 0,
+            body: Some(change::Body::OperatorCommand(OperatorCommand {
+                body: Some(operator_command::Body::ReplaceSchema(versioned)),
+                ..OperatorCommand::default()
+            })),
+        }),
+    };
+    let input = |tx| ControlInput::Propose(propose.clone(), tx);
+    ask(control, input, |a| !a.declined).index
+}
+
+/// Brings a daemon's state up to `newest` as a daemon does. Returns the number of configurations that it applied.
+fn catch_up(control: &ControlHandle, state: &mut State, newest: u64) -> u64 {
+    let mut applied = 0;
+    while state.applied() < newest {
+        let req = Watch {
+            applied: state.applied(),
+            takes_patches: true,
+            ..Watch::default()
+        };
+        let answer = ask(control, |tx| ControlInput::Watch(req, tx), |a| !a.declined);
+        if answer.needs_state {
+            let req = StateRequest {
+                newer_than: state.applied(),
+                ..StateRequest::default()
+            };
+            let part = ask(control, |tx| ControlInput::State(req, tx), |a| !a.declined);
+            *state = State::from_image(&part.part).unwrap();
+            applied += 1;
+        }
+        for committed in &answer.changes {
+            let before = state.revision();
+            state.apply(committed.index, committed.change.as_ref().unwrap());
+            applied += u64::from(state.revision() != before);
+        }
+    }
+    applied
+}
+
+#[test]
+fn versions_are_not_replayed() {
+    let dir = tempfile::tempdir().unwrap();
+    let (control, _thread) = start(dir.path());
+    let newest = (1..=VERSIONS).map(|version| replace(&control, version)).max().unwrap();
+    let mut state = State::default();
+    let applied = catch_up(&control, &mut state, newest);
+    assert_eq!(state.schema_version(), VERSIONS);
+    assert!(applied * APPLY_MS <= CATCH_UP_MS, "{applied} configurations applied");
+
+    // A daemon that lags by a few versions gets only these.
+    let newest = replace(&control, VERSIONS + 1);
+    assert_eq!(catch_up(&control, &mut state, newest), 1);
+    control.send(ControlInput::Stop);
+}
