Give a daemon that lacks many configurations the whole state

Change: a control host answers a watch that would bring more than 16 configurations with needs_state, and the daemon reads the state, of which it applies one. CF4116 tells of it, as CF4111 does not.

--- a/src/control/schema_patch.rs
+++ b/src/control/schema_patch.rs
@@ -77,6 +77,18 @@
     matches!(command.body, Some(operator_command::Body::PatchSchema(_)))
 }
 
+/// Returns whether a change puts another schema in force. A superseded or refused version has no texts.
+pub(super) fn replaces_schema(change: &Change) -> bool {
+    let Some(change::Body::OperatorCommand(command)) = &change.body else {
+        return false;
+    };
+    match &command.body {
+        Some(operator_command::Body::ReplaceSchema(versioned)) => !versioned.packed_schema.is_empty(),
+        Some(operator_command::Body::ApplySchema(_) | operator_command::Body::PatchSchema(_)) => true,
+        _ => false,
+    }
+}
+
 /// Removes the operator's source text from a patch.
 pub(super) fn strip_source(change: &mut Change) {
     if let Some(change::Body::OperatorCommand(command)) = &mut change.body {
--- a/src/control/watches.rs
+++ b/src/control/watches.rs
@@ -1,5 +1,5 @@
 use {
-    super::schema_patch::{is_patch, strip_source},
+    super::schema_patch::{is_patch, replaces_schema, strip_source},
     crate::{
         clock::Ms,
         wire::{
@@ -18,6 +18,9 @@
 /// Size of the changes after which an answer to a watch takes no more. Schemas are large, and all daemons ask at
 /// once.
 const WATCH_BYTES_SOFT_MAX: usize = 64 * 1024;
+/// Number of configurations in one answer to a watch. A daemon that lacks more of them gets the state instead, because
+/// it needs only the last one and spends milliseconds on each.
+const WATCH_SCHEMAS_MAX: usize = 16;
 /// Number of changes that are kept for daemons that lag. Older ones are dropped when there are twice as many.
 const HISTORY_CHANGES_MAX: usize = 10_000;
 
@@ -100,6 +103,10 @@
     /// Returns the changes that a daemon lacks, in a form that the daemon can read.
     fn changes_for(&self, req: &Watch) -> WatchAnswer {
         let mut answer = self.changes_after(req.applied);
+        let all = answer.changes.iter().flat_map(|c| &c.change);
+        if all.filter(|change| replaces_schema(change)).count() > WATCH_SCHEMAS_MAX {
+            return needs_state();
+        }
         let mut changes = answer.changes.iter_mut().flat_map(|c| &mut c.change);
         if !req.takes_patches && changes.any(|change| is_patch(change)) {
             return needs_state();
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -172,6 +172,7 @@
     async fn fetch_state(&self) {
         let (mut image, mut failures) = (0, 0);
         let mut bytes = Vec::new();
+        let asked_at = self.clock.now();
         loop {
             let request = StateRequest {
                 image,
@@ -196,9 +197,18 @@
                 break;
             }
         }
-        match State::from_image(&bytes) {
-            Some(state) if state.applied() > self.state().applied() => self.set_state(state),
-            Some(_) | None => sleep(WATCH_RETRY_DELAY).await,
-        }
+        let (started, waited) = (self.clock.now(), self.clock.now() - asked_at);
+        let Some(state) = State::from_image(&bytes).filter(|s| s.applied() > self.state().applied()) else {
+            sleep(WATCH_RETRY_DELAY).await;
+            return;
+        };
+        self.set_state(state);
+        let state = self.state();
+        log_event!(
+            self.log, Event::StateFetched;
+            "applied" => state.applied(), "revision" => state.revision().index, "version" => state.schema_version(),
+            "host" => self.watched_host().unwrap_or_default(), "waited_ms" => waited.0, "bytes" => bytes.len(),
+            "apply_ms" => (self.clock.now() - started).0
+        );
     }
 }
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -156,6 +156,8 @@
     ConfigurationStale = "CF4114", Warning, "configuration may be old";
     /// The configuration was confirmed to be current, and this daemon accepts calls again.
     ConfigurationConfirmed = "CF4115", Info, "configuration confirmed";
+    /// This daemon has replaced its state by a whole one from a control host.
+    StateFetched = "CF4116", Info, "state fetched";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
--- a/tests/many_versions.rs
+++ b/tests/many_versions.rs
@@ -76,11 +76,17 @@
 fn versions_are_not_replayed() {
     let dir = tempfile::tempdir().unwrap();
     let (control, _thread) = start(dir.path());
-    let newest = (1..=VERSIONS).map(|version| replace(&control, version)).max().unwrap();
+    let newest = (1..=VERSIONS)
+        .map(|version| replace(&control, version))
+        .max()
+        .unwrap();
     let mut state = State::default();
     let applied = catch_up(&control, &mut state, newest);
     assert_eq!(state.schema_version(), VERSIONS);
-    assert!(applied * APPLY_MS <= CATCH_UP_MS, "{applied} configurations applied");
+    assert!(
+        applied * APPLY_MS <= CATCH_UP_MS,
+        "{applied} configurations applied"
+    );
 
     // A daemon that lags by a few versions gets only these.
     let newest = replace(&control, VERSIONS + 1);
