Read the state from another control host while one is silent

Cause: a daemon that reads the whole state waited up to 6 s for each part from one control host, asked it three times, and did not watch for changes meanwhile. So a frozen or lost control host kept a daemon without the newest configuration for up to 18 s.

Change: after 1.5 s without a part the state is read from the next host too, and the first complete one counts. The first request goes on, since over a saturated link a part may take seconds.

--- a/src/daemon/control_client.rs
+++ b/src/daemon/control_client.rs
@@ -21,8 +21,6 @@
 
 /// Longest time to wait for an answer from the leader.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Longest time to wait for a part of the state, which takes seconds over a saturated link.
-const STATE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time before the next control host is asked while the leader is unknown.
 const LEADER_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Capacity of the queue of messages to one control host. Messages beyond it are dropped.
@@ -70,18 +68,6 @@
             .unwrap_or_else(|_| Err(no_answer()))
     }
 
-    /// Sends a request to the control host that this daemon watches, which need not be the leader. The daemons spread
-    /// over all control hosts.
-    ///
-    /// # Errors
-    /// No answer came in time, or the host has no contact with the leader.
-    pub async fn ask_watched_host(&self, body: Body) -> Result<Body, LinkError> {
-        let Some(address) = self.watched_host() else {
-            return Err(LinkError::NotSent("there is no control host".into()));
-        };
-        self.ask_control_host(&address, body, STATE_TIMEOUT).await
-    }
-
     /// Sends a request to a control host, which need not be the leader.
     ///
     /// # Errors
@@ -100,7 +86,8 @@
         }
     }
 
-    /// Returns the peer address of the control host that this daemon watches, or `None` if it knows no control host.
+    /// Returns the peer address of the control host that this daemon watches, or `None` if it knows no control host. It
+    /// need not be the leader: the daemons spread over all control hosts.
     pub fn watched_host(&self) -> Option<String> {
         let hosts = self.control_hosts.borrow();
         let position = (self.process as usize).wrapping_add(self.watch_offset.get()) % hosts.len().max(1);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -26,6 +26,7 @@
 mod session_task;
 mod slot_gate;
 mod split_status;
+mod state_fetch;
 mod watch_task;
 
 pub use {
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -2,12 +2,11 @@
     super::daemon_cx::DaemonCx,
     crate::{
         clock::Ms,
-        control::State,
         event::{Event, RateLimit},
         link::LinkError,
         log_event,
         metrics::Metric,
-        wire::peer::{frame::Body, StateRequest, Watch, WatchAnswer},
+        wire::peer::{frame::Body, Watch, WatchAnswer},
     },
     prost::Message,
     std::{rc::Rc, time::Duration},
@@ -17,7 +16,7 @@
     },
 };
 
-/// Time before the next attempt after a watch or a fetch of the state has failed.
+/// Time before the next attempt after a watch has failed.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time without an answer after which another control host is watched too. It is longer than a control host delays its
 /// answer while there are no changes.
@@ -25,8 +24,6 @@
 /// Time for which the watched control host may lack a configuration that the leader has announced, before this daemon
 /// switches to another one.
 const MISSING_CONFIG_MAX: Ms = Ms(300);
-/// Failed requests for parts of the state after which another control host is asked for the whole state.
-const FETCH_FAILURES_MAX: u32 = 2;
 /// Limit of watches that wait for their answers at the same time.
 const PENDING_WATCHES_MAX: usize = 4;
 /// Longest time to wait for the answer to a watch. It is longer than the delay of a saturated link.
@@ -102,7 +99,7 @@
         }
     }
 
-    async fn handle_watch_answer(&self, answer: &WatchAnswer, host: &str, waited: Ms) {
+    async fn handle_watch_answer(self: &Rc<Self>, answer: &WatchAnswer, host: &str, waited: Ms) {
         if answer.needs_state {
             self.fetch_state().await;
             return;
@@ -167,48 +164,4 @@
             );
         }
     }
-
-    /// Fetches the whole state in parts. It is ignored unless it is newer than the current one.
-    async fn fetch_state(&self) {
-        let (mut image, mut failures) = (0, 0);
-        let mut bytes = Vec::new();
-        let asked_at = self.clock.now();
-        loop {
-            let request = StateRequest {
-                image,
-                offset: bytes.len() as u64,
-                newer_than: self.state().applied(),
-            };
-            let Ok(Body::StateAnswer(part)) = self.ask_watched_host(Body::StateRequest(request)).await else {
-                failures += 1;
-                sleep(WATCH_RETRY_DELAY).await;
-                if failures > FETCH_FAILURES_MAX {
-                    self.watch_offset.set(self.watch_offset.get().wrapping_add(1));
-                    return;
-                }
-                continue;
-            };
-            if part.offset != bytes.len() as u64 || part.part.is_empty() && part.total > part.offset {
-                return;
-            }
-            image = part.image;
-            bytes.extend_from_slice(&part.part);
-            if bytes.len() as u64 >= part.total {
-                break;
-            }
-        }
-        let (started, waited) = (self.clock.now(), self.clock.now() - asked_at);
-        let Some(state) = State::from_image(&bytes).filter(|s| s.applied() > self.state().applied()) else {
-            sleep(WATCH_RETRY_DELAY).await;
-            return;
-        };
-        self.set_state(state);
-        let state = self.state();
-        log_event!(
-            self.log, Event::StateFetched;
-            "applied" => state.applied(), "revision" => state.revision().index, "version" => state.schema_version(),
-            "host" => self.watched_host().unwrap_or_default(), "waited_ms" => waited.0, "bytes" => bytes.len(),
-            "apply_ms" => (self.clock.now() - started).0
-        );
-    }
 }
