--- a/tests/many_versions.rs
+++ b/tests/many_versions.rs
@@ -1,18 +1,21 @@
-//! A daemon that starts after many changes of the configuration.
+//! A daemon or a control host that starts after many changes of the configuration.
 
 #[path = "support/control_loop.rs"]
 mod control_loop;
 
 use {
     clementinefold::{
+        consensus::{DiskFolder, Storage},
         control::{ControlHandle, ControlInput, State},
         schema::PackedText,
         wire::{
+            consensus::entry,
             control::{change, operator_command, Change, OperatorCommand, VersionedSchema},
             peer::{Propose, StateRequest, Watch},
         },
     },
     control_loop::{ask, start},
+    prost::Message,
 };
 
 /// Number of changes of the configuration before the daemon starts.
@@ -93,3 +96,37 @@
     assert_eq!(catch_up(&control, &mut state, newest), 1);
     control.send(ControlInput::Stop);
 }
+
+/// A control host leads only once it has applied its log.
+#[test]
+fn restart_replays_few_versions() {
+    let dir = tempfile::tempdir().unwrap();
+    let (control, thread) = start(dir.path());
+    (1..=VERSIONS).for_each(|version| {
+        replace(&control, version);
+    });
+    control.send(ControlInput::Stop);
+    thread.join().unwrap();
+    let (_, saved) = Storage::open(DiskFolder::open(dir.path()).unwrap(), 1).unwrap();
+    let snapshot_index = saved.snapshot.map_or(0, |snapshot| snapshot.index);
+    let later = saved.entries.iter().filter(|e| e.index > snapshot_index);
+    let replayed = later.filter(|e| match &e.body {
+        Some(entry::Body::Change(bytes)) => {
+            let body = Change::decode(bytes.clone()).unwrap().body;
+            matches!(body, Some(change::Body::OperatorCommand(_)))
+        }
+        Some(entry::Body::Membership(_)) | None => false,
+    });
+    let replayed = replayed.count() as u64;
+    assert!(
+        replayed * APPLY_MS <= CATCH_UP_MS,
+        "{replayed} configurations replayed"
+    );
+
+    let (control, _thread) = start(dir.path());
+    let newest = replace(&control, VERSIONS + 1);
+    let mut state = State::default();
+    catch_up(&control, &mut state, newest);
+    assert_eq!(state.schema_version(), VERSIONS + 1);
+    control.send(ControlInput::Stop);
+}
