--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -5,18 +5,19 @@
         disk_thread::{DiskThread, WriteBatch},
         proposals::{Proposals, Waiter},
         schema_patch::PatchBase,
+        snapshots::state_from_snapshot,
         state_parts::StateParts,
         watches::{self, Watches},
         ControlConfig, ControlError, ControlInput, State,
     },
     crate::{
-        consensus::{Apply, Core, CoreConfig, CoreEvent, SavedState, StorageError, Write},
+        consensus::{Apply, Core, CoreConfig, CoreEvent, SavedState, Write},
         event::Event,
         lease::LeaderView,
         log_event,
         placement::Placer,
         wire::{
-            consensus::{entry, Entry, Envelope, Snapshot},
+            consensus::{entry, Entry, Envelope},
             control::{change, Change, Committed},
             peer::{OpenSessionRequest, Propose, Renew, RenewAnswer, StateAnswer},
         },
@@ -33,8 +34,6 @@
 const INPUTS_PER_STEP_MAX: usize = 1024;
 /// Longest time between two checks of elections, leases and ranges without an owner.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
-/// Applied entries after which a new snapshot is written.
-const ENTRIES_PER_SNAPSHOT: u64 = 10_000;
 
 /// Changes that are proposed together, each with its waiter.
 type Batch = Vec<(change::Body, Waiter)>;
@@ -45,6 +44,8 @@
     pub(super) config: ControlConfig,
     pub(super) core: Core,
     pub(super) state: State,
+    /// Number of configurations that were applied since the last snapshot.
+    pub(super) configurations_since_snapshot: u64,
     pub(super) bootstrap: CellBootstrap,
     pub(super) disk: DiskThread,
     /// Numbered writes that wait for the disk, which takes one batch at a time.
@@ -111,6 +112,7 @@
             config,
             core,
             state,
+            configurations_since_snapshot: 0,
             bootstrap,
             disk,
             pending_writes: Vec::new(),
@@ -361,11 +363,7 @@
         for event in outputs.events {
             self.handle_core_event(event);
         }
-        let snapshot_index = self.core.log().snapshot_index();
-        if self.state.applied() >= snapshot_index + ENTRIES_PER_SNAPSHOT {
-            self.core
-                .compact(self.state.applied(), self.state.to_image().into());
-        }
+        self.write_snapshot_if_due();
     }
 
     /// Sends all pending writes to the disk together, so that they share one sync.
@@ -383,7 +381,11 @@
         let record = to_committed(entry);
         let change = record.change.clone().unwrap_or_default();
         let base = PatchBase::of(&self.state);
+        let revision = self.state.revision();
         let applied = self.state.apply(entry.index, &change);
+        if self.state.revision() != revision {
+            self.configurations_since_snapshot += 1;
+        }
         let now = self.config.clock.now();
         if let Some(view) = &mut self.view {
             view.record(&self.state, entry.index, &applied, now);
@@ -397,18 +399,6 @@
         });
     }
 
-    /// Replaces the state with that of a snapshot from the leader.
-    fn restore(&mut self, snapshot: &Snapshot) {
-        match state_from_snapshot(snapshot) {
-            Ok(state) => {
-                self.state = state;
-                self.watches.reset(snapshot.index);
-                self.state_parts.clear();
-            }
-            Err(e) => self.end = Some(LoopEnd::Failed(e.to_string())),
-        }
-    }
-
     fn handle_core_event(&mut self, event: CoreEvent) {
         let log = &self.config.log;
         match event {
@@ -474,9 +464,3 @@
         change: Some(change),
     }
 }
-
-fn state_from_snapshot(snapshot: &Snapshot) -> Result<State, ControlError> {
-    let state = State::from_image(&snapshot.image).filter(|s| s.applied() == snapshot.index);
-    let damaged = StorageError::Incomplete("the snapshot holds no state");
-    state.ok_or(ControlError::Storage(damaged))
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod revision;
 mod schema_patch;
 mod session;
+mod snapshots;
 mod split_changes;
 mod start;
 mod state;
