Count all configurations that a daemon lacks, and keep no whole schemas after a restart

Change: what counts is all that the daemon lacks, not what fits into one answer; and after a restart the history begins after the last whole schema. A daemon that lacks one reads the state.

many_versions, now with schemas of a size as in production, failed in both tests before (200 and 201 configurations applied) and passes.

--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -4,7 +4,7 @@
         change_events,
         disk_thread::{DiskThread, WriteBatch},
         proposals::{Proposals, Waiter},
-        schema_patch::PatchBase,
+        schema_patch::{replaces_schema, PatchBase},
         snapshots::state_from_snapshot,
         state_parts::StateParts,
         watches::{self, Watches},
@@ -93,7 +93,14 @@
         let mut watches = Watches::default();
         watches.reset(saved.head.index);
         let applied_entries = saved.entries.iter().filter(|e| e.index <= state.applied());
-        applied_entries.for_each(|e| watches.add_committed(to_committed(e)));
+        for committed in applied_entries.map(to_committed) {
+            // No patch can be made of it any more, and the state is smaller than a few whole schemas.
+            if committed.change.as_ref().is_some_and(replaces_schema) {
+                watches.reset(committed.index);
+            } else {
+                watches.add_committed(committed);
+            }
+        }
         let bootstrap = CellBootstrap::new(
             saved.hard.id,
             config.address,
--- a/src/control/watches.rs
+++ b/src/control/watches.rs
@@ -18,9 +18,9 @@
 /// Size of the changes after which an answer to a watch takes no more. Schemas are large, and all daemons ask at
 /// once.
 const WATCH_BYTES_SOFT_MAX: usize = 64 * 1024;
-/// Number of configurations in one answer to a watch. A daemon that lacks more of them gets the state instead, because
-/// it needs only the last one and spends milliseconds on each.
-const WATCH_SCHEMAS_MAX: usize = 16;
+/// Number of configurations that a daemon may lack to get the changes. A daemon that lacks more of them gets the state
+/// instead, because it needs only the last one and spends milliseconds on each.
+const MISSING_SCHEMAS_MAX: usize = 16;
 /// Number of changes that are kept for daemons that lag. Older ones are dropped when there are twice as many.
 const HISTORY_CHANGES_MAX: usize = 10_000;
 
@@ -36,6 +36,8 @@
 pub(super) struct Watches {
     /// The latest changes, in order and without gaps.
     history: Vec<Committed>,
+    /// Log indexes of the changes in the history that replace the schema, ascending.
+    schemas: Vec<u64>,
     /// Log index of the last committed change.
     applied: u64,
     waiting: Vec<WaitingWatch>,
@@ -45,16 +47,22 @@
     /// Adds the next committed change.
     pub fn add_committed(&mut self, change: Committed) {
         self.applied = change.index;
+        if change.change.as_ref().is_some_and(replaces_schema) {
+            self.schemas.push(change.index);
+        }
         self.history.push(change);
         if self.history.len() >= 2 * HISTORY_CHANGES_MAX {
             let surplus = self.history.len() - HISTORY_CHANGES_MAX;
             self.history.drain(..surplus);
+            let oldest_index = self.oldest_index();
+            self.schemas.retain(|index| *index >= oldest_index);
         }
     }
 
     /// Drops the history, since the state was replaced by the one at `applied`.
     pub fn reset(&mut self, applied: u64) {
         self.history.clear();
+        self.schemas.clear();
         self.applied = applied;
     }
 
@@ -103,10 +111,6 @@
     /// Returns the changes that a daemon lacks, in a form that the daemon can read.
     fn changes_for(&self, req: &Watch) -> WatchAnswer {
         let mut answer = self.changes_after(req.applied);
-        let all = answer.changes.iter().flat_map(|c| &c.change);
-        if all.filter(|change| replaces_schema(change)).count() > WATCH_SCHEMAS_MAX {
-            return needs_state();
-        }
         let mut changes = answer.changes.iter_mut().flat_map(|c| &mut c.change);
         if !req.takes_patches && changes.any(|change| is_patch(change)) {
             return needs_state();
@@ -123,7 +127,8 @@
             // The daemon has newer changes than this host.
             return declined();
         }
-        if applied + 1 < oldest_index {
+        let missing_schemas = self.schemas.len() - self.schemas.partition_point(|index| *index <= applied);
+        if applied + 1 < oldest_index || missing_schemas > MISSING_SCHEMAS_MAX {
             return needs_state();
         }
         let from = (applied + 1 - oldest_index) as usize;
--- a/tests/many_versions.rs
+++ b/tests/many_versions.rs
@@ -16,6 +16,7 @@
     },
     control_loop::{ask, start},
     prost::Message,
+    serde_json::{json, Value},
 };
 
 /// Number of changes of the configuration before the daemon starts.
@@ -25,14 +26,30 @@
 /// Time that a daemon of the grown production sites takes to apply one configuration, in ms.
 const APPLY_MS: u64 = 57;
 
+/// Number of routes, so that an answer of a control host has room for a few whole schemas only.
+const ROUTES: u64 = 200;
+
+/// Returns a schema whose routes have this timeout.
+fn schema(timeout_ms: u64) -> String {
+    let route = |n: u64| {
+        // As in production, the names have few repeated parts and compress badly.
+        let word = (n as u32).wrapping_mul(2_654_435_761);
+        json!({
+            "name": format!("r-{word:08x}"), "host": format!("h{:04x}.example", word >> 16),
+            "path_prefix": format!("/{word:x}/p{n}/"), "timeout_ms": timeout_ms, "attempts": 1,
+            "targets": [{ "service": "s", "weight": 1 }]
+        })
+    };
+    let routes: Vec<Value> = (0..ROUTES).map(route).collect();
+    json!({ "cluster": "test", "services": [{ "name": "s" }], "routes": routes }).to_string()
+}
+
 fn replace(control: &ControlHandle, version: u64) -> u64 {
-    let schema = format!(
-        r#"{{"cluster":"test","services":[{{"name":"s"}}],"routes":[{{"name":"r","host":"one","path_prefix":"/","timeout_ms":{version},"attempts":1,"targets":[{{"service":"s","weight":1}}]}}]}}"#
-    );
+    let packed_schema = PackedText::pack(schema(version).as_bytes()).as_bytes().clone();
     let versioned = VersionedSchema {
         version,
-        packed_schema: PackedText::pack(schema.as_bytes()).as_bytes().clone(),
-        ..VersionedSchema::default()
+        packed_source: packed_schema.clone(),
+        packed_schema,
     };
     let propose = Propose {
         change: Some(Change {
@@ -47,6 +64,23 @@
     ask(control, input, |a| !a.declined).index
 }
 
+fn fetch_state(control: &ControlHandle, newer_than: u64) -> State {
+    let (mut image, mut bytes) = (0, Vec::new());
+    loop {
+        let req = StateRequest {
+            image,
+            offset: bytes.len() as u64,
+            newer_than,
+        };
+        let part = ask(control, |tx| ControlInput::State(req, tx), |a| !a.declined);
+        image = part.image;
+        bytes.extend_from_slice(&part.part);
+        if bytes.len() as u64 >= part.total {
+            return State::from_image(&bytes).unwrap();
+        }
+    }
+}
+
 /// Brings a daemon's state up to `newest` as a daemon does. Returns the number of configurations that it applied.
 fn catch_up(control: &ControlHandle, state: &mut State, newest: u64) -> u64 {
     let mut applied = 0;
@@ -58,12 +92,7 @@
         };
         let answer = ask(control, |tx| ControlInput::Watch(req, tx), |a| !a.declined);
         if answer.needs_state {
-            let req = StateRequest {
-                newer_than: state.applied(),
-                ..StateRequest::default()
-            };
-            let part = ask(control, |tx| ControlInput::State(req, tx), |a| !a.declined);
-            *state = State::from_image(&part.part).unwrap();
+            *state = fetch_state(control, state.applied());
             applied += 1;
         }
         for committed in &answer.changes {
@@ -126,7 +155,11 @@
     let (control, _thread) = start(dir.path());
     let newest = replace(&control, VERSIONS + 1);
     let mut state = State::default();
-    catch_up(&control, &mut state, newest);
+    let applied = catch_up(&control, &mut state, newest);
     assert_eq!(state.schema_version(), VERSIONS + 1);
+    assert!(
+        applied * APPLY_MS <= CATCH_UP_MS,
+        "{applied} configurations applied"
+    );
     control.send(ControlInput::Stop);
 }
