--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -231,6 +231,8 @@
             orders: GrantDelivery::Fetched(Rc::new(RefCell::new(HoldTable::default()))),
             last_announce: Cell::new(self.clock.now()),
             last_heartbeat: Cell::default(),
+            notice: Cell::default(),
+            notice_log_limit: RefCell::default(),
             is_leaving: Cell::new(false),
             closes_at: Cell::new(Ms::MAX),
             predecessor: RefCell::default(),
--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -3,7 +3,8 @@
     crate::{
         clock::Ms,
         control::Server,
-        edge::{Order, OrderError, ServerClient, ServerOrders},
+        edge::{Order, OrderError, ServerClient, ServerNotice, ServerOrders},
+        event::RateLimit,
         grant::{GrantTable, HoldTable},
         key::{Key, KeyRange},
     },
@@ -88,6 +89,10 @@
     pub last_announce: Cell<Ms>,
     /// Start of the process in ms since the Unix epoch, and number of its last heartbeat. Both are zero if unknown.
     pub last_heartbeat: Cell<(u64, u64)>,
+    /// What the server said of itself in its last answer.
+    pub notice: Cell<ServerNotice>,
+    /// Limits the log lines about changes of `notice`.
+    pub notice_log_limit: RefCell<RateLimit>,
     pub is_leaving: Cell<bool>,
     /// Time from which no call is sent, because the server leaves.
     pub closes_at: Cell<Ms>,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -23,6 +23,7 @@
 mod routed_path;
 mod run;
 mod server_handler;
+mod server_notice;
 mod session_task;
 mod slot_gate;
 mod split_status;
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -115,6 +115,8 @@
             },
             last_announce: Cell::new(now),
             last_heartbeat: Cell::default(),
+            notice: Cell::default(),
+            notice_log_limit: RefCell::default(),
             is_leaving: Cell::new(false),
             closes_at: Cell::new(Ms::MAX),
             predecessor: RefCell::new(predecessor),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -20,7 +20,7 @@
     operator_edge::{operator_command, CommandRequest},
     request_signature::{RequestSignature, SignatureError},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
-    server_dialect::{AnswerHead, FoldDialect, ServerDialect},
+    server_dialect::{read_limit, AnswerHead, FoldDialect, ServerDialect, ServerNotice},
     server_edge::{read_announce, read_leave, LeaveRequest},
     server_orders::{Order, OrderError, ServerOrders},
 };
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         counted_stream::{CountedStream, SendMeter},
-        server_dialect::{AnswerHead, ServerDialect},
+        server_dialect::{AnswerHead, ServerDialect, ServerNotice},
     },
     crate::{
         call::{Call, CallResult, Reason},
@@ -48,6 +48,8 @@
     pub result: CallResult,
     /// Whether nothing listens at the server's address.
     pub server_gone: bool,
+    /// What the server says of itself, or `None` if it gave no answer to this attempt.
+    pub notice: Option<ServerNotice>,
 }
 
 /// One attempt at a server.
@@ -188,8 +190,8 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => {
                 return Err(ServerReply {
-                    result: CallResult::failed(Reason::ServerUnreachable),
                     server_gone: e.kind() == io::ErrorKind::ConnectionRefused,
+                    ..failed(Reason::ServerUnreachable)
                 })
             }
             Err(_) => return Err(failed(Reason::ServerUnreachable)),
@@ -256,13 +258,18 @@
             .set(announced_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |idle_timeout| {
                 idle_timeout - IDLE_TIMEOUT_MARGIN
             }));
+        let notice = Some(self.dialect.notice(&parts.headers));
         if let AnswerHead::NotRun(reason) = head {
-            return Ok(failed(reason));
+            return Ok(ServerReply {
+                notice,
+                ..failed(reason)
+            });
         }
         let headers = self.dialect.forwarded_headers(&parts.headers);
         Ok(ServerReply {
             result: CallResult::answered(parts.status.as_u16(), headers, body),
             server_gone: false,
+            notice,
         })
     }
 
@@ -325,5 +332,6 @@
     ServerReply {
         result: CallResult::failed(reason),
         server_gone: false,
+        notice: None,
     }
 }
--- a/src/edge/server_dialect.rs
+++ b/src/edge/server_dialect.rs
@@ -18,6 +18,16 @@
 
     /// Returns how long the server keeps an idle connection open, or `None` if this is not known.
     fn keep_alive_timeout(&self, headers: &HeaderMap) -> Option<Ms>;
+
+    /// Returns what the server says of itself in an answer.
+    fn notice(&self, headers: &HeaderMap) -> ServerNotice;
+}
+
+/// What a server says of itself in an answer, besides the answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Requests a second that it takes from all daemons together, or `None` if it names no limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Classification of the head of an answer.
@@ -83,6 +93,20 @@
     fn keep_alive_timeout(&self, _headers: &HeaderMap) -> Option<Ms> {
         None
     }
+
+    fn notice(&self, headers: &HeaderMap) -> ServerNotice {
+        ServerNotice {
+            limit_per_s: read_limit(headers, "fold-limit"),
+        }
+    }
+}
+
+/// Returns the number of requests a second in the header `name`, or `None` if it is missing or not a finite number of at
+/// least zero.
+pub fn read_limit(headers: &HeaderMap, name: &str) -> Option<f64> {
+    let text = headers.get(name)?.to_str().ok()?;
+    let limit: f64 = text.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
 }
 
 /// Returns whether the end of an answer is delimited: by its length, by its last chunk, or because it has no body.
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -87,6 +87,8 @@
     ServerCrashed = "CF2108", Warning, "server crashed";
     /// A request was quarantined because servers crashed while it was running.
     RequestQuarantined = "CF2109", Error, "request quarantined";
+    /// A local server has named a limit of requests in its answers, has changed it, or no longer names one.
+    ServerLimitNamed = "CF2110", Warning, "server limit named";
 
     /// A link to another daemon was opened.
     LinkOpened = "CF3001", Info, "link opened";
