Send a server no more calls than the limit that it names

What callers saw: nothing at once; a server in need, which had said how many requests a second it takes, was sent all that came, and was slow or failed for all of its callers (the users: 192 requests in 4 s where 120 are allowed, 263 for 55; second1 here: 183 for 46, 211 for 182).

Cause: the header was forwarded to callers and read by nobody.

Change: the queue in front of a server starts calls by a token bucket at the rate that the last answer named. The daemon beside the server is the only one that sends to it, so the sum over all hosts is kept in one place. A call that the limit leaves no time for is refused when it arrives, with the time until the limit has room as its retry delay; the reported load tells entry daemons what the limit allows.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -11,6 +11,7 @@
 mod retry_budget;
 mod routed_retry;
 mod server_queue;
+mod server_rate;
 mod tenure;
 
 pub use {
@@ -27,6 +28,7 @@
         after_try, normalize_unknown_service, reached_server, EndCause, RoutedContext, RoutedStep,
     },
     server_queue::{Admission, AdmissionRequest, Dequeued, Refusal, ServerQueue},
+    server_rate::ServerRate,
     tenure::{Role, Tenure, Tenures},
 };
 
--- a/src/call/server_queue.rs
+++ b/src/call/server_queue.rs
@@ -1,4 +1,7 @@
-use {super::Reason, crate::clock::Ms};
+use {
+    super::{Reason, ServerRate},
+    crate::clock::Ms,
+};
 
 /// Weight of the latest call in the exponential moving averages of call times.
 const MEAN_WEIGHT: f64 = 0.1;
@@ -120,6 +123,8 @@
 #[derive(Clone, Debug)]
 pub struct ServerQueue {
     slots: usize,
+    /// Limit that the server names, if it does.
+    rate: Option<ServerRate>,
     running: usize,
     /// Sorted by [`WaitingCall::order`].
     waiting: Vec<WaitingCall>,
@@ -138,6 +143,7 @@
     pub fn new(slots: usize) -> Self {
         Self {
             slots: slots.max(1),
+            rate: None,
             running: 0,
             waiting: Vec::new(),
             next_ticket: 0,
@@ -148,6 +154,14 @@
         }
     }
 
+    /// Limits the calls to `per_s` a second from `now` on, or ends the limit.
+    pub fn set_rate(&mut self, per_s: Option<f64>, now: Ms) {
+        match (&mut self.rate, per_s) {
+            (Some(rate), Some(per_s)) => rate.set(per_s, now),
+            (rate, per_s) => *rate = per_s.map(|per_s| ServerRate::new(per_s, now)),
+        }
+    }
+
     /// Decides whether a call runs, waits or is refused.
     pub fn admit(&mut self, now: Ms, request: AdmissionRequest) -> Admission {
         let (time_ms, long_ms) = (
@@ -155,10 +169,10 @@
             self.long_time_ms(request.kind),
         );
         if request.deadline <= now || !can_end_in_time(now, time_ms, request.deadline) {
-            return self.refuse(Reason::DeadlineTooShort);
+            return self.refuse(Reason::DeadlineTooShort, now);
         }
-        if self.waiting.is_empty() && self.has_free_slot(request.is_exclusive) {
-            self.start(request.is_exclusive);
+        if self.waiting.is_empty() && self.may_start(request.is_exclusive, now) {
+            self.start(request.is_exclusive, now);
             return Admission::Run;
         }
         let is_late = request.objective < now + Ms(time_ms as u64);
@@ -174,12 +188,12 @@
         };
         let position = self.waiting.partition_point(|w| w.order() < waiting.order());
         if !self.fits_in_time(now, position, &waiting) {
-            return self.refuse(Reason::Overloaded);
+            return self.refuse(Reason::Overloaded, now);
         }
         if self.waiting.len() >= self.slots * WAITING_PER_SLOT_MAX {
             let last = self.waiting.last().map(|last| last.request.priority);
             if last.is_none_or(|last| last >= request.priority) {
-                return self.refuse(Reason::Overloaded);
+                return self.refuse(Reason::Overloaded, now);
             }
         }
         self.next_ticket += 1;
@@ -233,13 +247,30 @@
             !is_expired
         });
         let first = self.waiting.first().map(|first| first.request.is_exclusive);
-        if let Some(is_exclusive) = first.filter(|is_exclusive| self.has_free_slot(*is_exclusive)) {
+        if let Some(is_exclusive) = first.filter(|is_exclusive| self.may_start(*is_exclusive, now)) {
             dequeued.next = Some(self.waiting.remove(0).ticket);
-            self.start(is_exclusive);
+            self.start(is_exclusive, now);
         }
         dequeued
     }
 
+    /// Returns the time until the limit of the server lets the first waiting call start, or `None` if no call waits for
+    /// the limit alone.
+    pub fn limit_wait(&self, now: Ms) -> Option<Ms> {
+        let first = self.waiting.first()?;
+        let wait = self.rate?.wait(0, now);
+        (wait > Ms::ZERO && self.has_free_slot(first.request.is_exclusive)).then_some(wait)
+    }
+
+    fn may_start(&self, is_exclusive: bool, now: Ms) -> bool {
+        self.has_free_slot(is_exclusive) && self.rate_wait(0, now) == Ms::ZERO
+    }
+
+    /// Returns the time until the limit lets a call start that has `ahead` others before it.
+    fn rate_wait(&self, ahead: usize, now: Ms) -> Ms {
+        self.rate.map_or(Ms::ZERO, |rate| rate.wait(ahead, now))
+    }
+
     fn has_free_slot(&self, is_exclusive: bool) -> bool {
         if is_exclusive {
             self.running == 0
@@ -248,9 +279,12 @@
         }
     }
 
-    fn start(&mut self, is_exclusive: bool) {
+    fn start(&mut self, is_exclusive: bool, now: Ms) {
         self.running += 1;
         self.runs_exclusive_call = is_exclusive;
+        if let Some(rate) = &mut self.rate {
+            rate.take(now);
+        }
     }
 
     /// Removes a call whose caller no longer waits.
@@ -283,6 +317,13 @@
         Ms(self.mean_ms as u64)
     }
 
+    /// Returns the time that one slot needs for a call on average: the mean time of calls, or more if the server names
+    /// a limit that its slots would exceed.
+    pub fn slot_time(&self) -> Ms {
+        let limited = self.rate.map_or(Ms::ZERO, |rate| rate.interval());
+        self.mean_time().max(Ms(limited.0 * self.slots as u64))
+    }
+
     /// Returns the expected time of a call of `kind`, or zero if the kind is unknown.
     pub fn expected_time(&self, kind: u64) -> Ms {
         Ms(self.expected_time_ms(kind) as u64)
@@ -290,18 +331,20 @@
 
     /// Returns the time until all calls that wait now have probably started, with jitter so that refused callers do
     /// not retry at the same time.
-    pub fn retry_after(&self) -> Ms {
+    pub fn retry_after(&self, now: Ms) -> Ms {
         let work_ms: f64 = self.waiting.iter().map(|w| w.time_ms).sum();
-        let wait = ((work_ms + self.mean_ms) / self.slots as f64 + self.mean_ms).max(RETRY_AFTER_MIN_MS);
+        let rate_wait_ms = self.rate_wait(self.waiting.len(), now).0 as f64;
+        let start_ms = ((work_ms + self.mean_ms) / self.slots as f64).max(rate_wait_ms);
+        let wait = (start_ms + self.mean_ms).max(RETRY_AFTER_MIN_MS);
         let jitter = (self.refusals as f64 * JITTER_STEP).fract() * RETRY_AFTER_JITTER;
         Ms((wait * (1.0 + jitter)) as u64)
     }
 
-    fn refuse(&mut self, reason: Reason) -> Admission {
+    fn refuse(&mut self, reason: Reason, now: Ms) -> Admission {
         self.refusals += 1;
         Admission::Refused(Refusal {
             reason,
-            retry_after: self.retry_after(),
+            retry_after: self.retry_after(now),
         })
     }
 
@@ -328,12 +371,13 @@
     /// or a higher priority.
     fn fits_in_time(&self, now: Ms, position: usize, new: &WaitingCall) -> bool {
         let ahead_ms: f64 = self.waiting[..position].iter().map(|w| w.time_ms).sum();
-        if self.expected_end(now, ahead_ms, new) > new.finish_by {
+        if self.expected_end(now, position, ahead_ms, new) > new.finish_by {
             return false;
         }
         let mut work_ms = ahead_ms + new.time_ms;
-        for behind in &self.waiting[position..] {
-            let was_in_time = self.expected_end(now, work_ms - new.time_ms, behind) <= behind.finish_by;
+        for (ahead, behind) in (position..).zip(&self.waiting[position..]) {
+            let was_in_time =
+                self.expected_end(now, ahead, work_ms - new.time_ms, behind) <= behind.finish_by;
             let is_lower = behind.request.priority < new.request.priority;
             // A short call may make a long one miss its objective, since other work usually waits for short calls.
             let is_short = new.time_ms <= behind.time_ms * SHORT_CALL_SHARE;
@@ -342,7 +386,7 @@
             } else {
                 behind.finish_by
             };
-            if !is_lower && was_in_time && self.expected_end(now, work_ms, behind) > finish_by {
+            if !is_lower && was_in_time && self.expected_end(now, ahead + 1, work_ms, behind) > finish_by {
                 return false;
             }
             work_ms += behind.time_ms;
@@ -358,7 +402,7 @@
         let mut i = position + 1;
         while i < self.waiting.len() {
             let behind = self.waiting[i];
-            if self.expected_end(now, work_ms, &behind) > behind.request.deadline {
+            if self.expected_end(now, i, work_ms, &behind) > behind.request.deadline {
                 shed.push(self.waiting.remove(i).ticket);
             } else {
                 work_ms += behind.time_ms;
@@ -391,10 +435,11 @@
         request.objective.max(soon).min(request.deadline)
     }
 
-    /// Returns when `call` is expected to end if calls of `work_ms` in total wait before it.
-    fn expected_end(&self, now: Ms, work_ms: f64, call: &WaitingCall) -> Ms {
-        let wait = (work_ms + self.mean_ms) / self.slots as f64;
-        now + Ms((wait + call.long_ms) as u64)
+    /// Returns when `call` is expected to end if `ahead` calls of `work_ms` in total wait before it.
+    fn expected_end(&self, now: Ms, ahead: usize, work_ms: f64, call: &WaitingCall) -> Ms {
+        let slot_wait_ms = (work_ms + self.mean_ms) / self.slots as f64;
+        let wait_ms = slot_wait_ms.max(self.rate_wait(ahead, now).0 as f64);
+        now + Ms((wait_ms + call.long_ms) as u64)
     }
 }
 
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -200,7 +200,7 @@
         let sent_at = self.clock.now();
         let reply = server.client.attempt(attempt).await;
         if let Some(notice) = reply.notice {
-            self.record_notice(server, notice);
+            self.obey_notice(server, notice);
         }
         if dispatch.service.divided_by_key {
             self.record_busy_time(&call.service, &key, self.clock.now() - sent_at);
--- a/src/daemon/server_notice.rs
+++ b/src/daemon/server_notice.rs
@@ -4,12 +4,14 @@
 };
 
 impl DaemonCx {
-    /// Takes note of what a server says of itself in an answer.
-    pub(super) fn record_notice(&self, server: &LocalServer, notice: ServerNotice) {
+    /// Obeys what a server says of itself in an answer. Only this daemon sends calls to it, so its limit holds for the
+    /// calls of all daemons.
+    pub(super) fn obey_notice(&self, server: &LocalServer, notice: ServerNotice) {
         let before = server.notice.replace(notice);
         if before == notice {
             return;
         }
+        server.gate.set_rate(notice.limit_per_s);
         let passed = server.notice_log_limit.borrow_mut().pass(self.clock.now());
         if let Some(suppressed) = passed {
             log_event!(
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -8,7 +8,11 @@
         cell::{Cell, RefCell},
         rc::Rc,
     },
-    tokio::{sync::oneshot, time::timeout},
+    tokio::{
+        sync::oneshot,
+        task::{spawn_local, AbortHandle},
+        time::{sleep, timeout},
+    },
 };
 
 /// Channel on which a waiting call gets its slot or its refusal.
@@ -17,13 +21,16 @@
 /// Ticket and kind of a waiting call, with the channel on which it gets its slot.
 type Waiter = (u64, u64, SlotSender);
 
-/// Limits the calls that run on one backend server to its slots, in the order that its queue decides.
+/// Limits the calls that run on one backend server to its slots, and to the rate that it names, in the order that its
+/// queue decides.
 #[derive(Debug)]
 pub(super) struct SlotGate {
     clock: Clock,
     queue: RefCell<ServerQueue>,
     waiters: RefCell<Vec<Waiter>>,
     refusals: RefCell<RefusalShare>,
+    /// Task that waits until the limit of the server lets the next call start.
+    timer: RefCell<Option<AbortHandle>>,
 }
 
 /// A slot of a backend server, which is free again when this is dropped.
@@ -86,9 +93,19 @@
             queue: RefCell::new(ServerQueue::new(slots as usize)),
             waiters: RefCell::default(),
             refusals: RefCell::default(),
+            timer: RefCell::default(),
         })
     }
 
+    /// Limits the calls to `per_s` a second from now on, or ends the limit.
+    pub fn set_rate(self: &Rc<Self>, per_s: Option<f64>) {
+        self.queue.borrow_mut().set_rate(per_s, self.clock.now());
+        if let Some(timer) = self.timer.take() {
+            timer.abort();
+        }
+        self.clone().assign_free_slots();
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -139,7 +156,7 @@
                 self.refuse(ticket, Reason::DeadlineTooShort);
             }
             let Some(next) = dequeued.next else {
-                return;
+                return self.await_limit();
             };
             let Some((kind, tx)) = self.take_waiter(next) else {
                 // Its caller has just disconnected.
@@ -151,6 +168,21 @@
         }
     }
 
+    /// Assigns the free slots again once the limit of the server lets the next call start.
+    fn await_limit(self: &Rc<Self>) {
+        let wait = self.queue.borrow().limit_wait(self.clock.now());
+        let Some(wait) = wait.filter(|_| self.timer.borrow().is_none()) else {
+            return;
+        };
+        let gate = self.clone();
+        let task = spawn_local(async move {
+            sleep(wait.as_duration()).await;
+            gate.timer.take();
+            gate.assign_free_slots();
+        });
+        self.timer.replace(Some(task.abort_handle()));
+    }
+
     fn refuse(&self, ticket: u64, reason: Reason) {
         if let Some((_, tx)) = self.take_waiter(ticket) {
             let _ = tx.send(Err(self.refusal(reason)));
@@ -160,7 +192,7 @@
     fn refusal(&self, reason: Reason) -> Refusal {
         Refusal {
             reason,
-            retry_after: self.queue.borrow().retry_after(),
+            retry_after: self.queue.borrow().retry_after(self.clock.now()),
         }
     }
 
@@ -177,7 +209,7 @@
             running: count(queue.running()),
             waiting: count(queue.waiting()),
             slots: count(queue.slots()),
-            mean_ms: u32::try_from(queue.mean_time().0).unwrap_or(u32::MAX),
+            mean_ms: u32::try_from(queue.slot_time().0).unwrap_or(u32::MAX),
             refused_percent: self.refusals.borrow().percent(self.clock.now()),
         }
     }
