Take the word of a server that says in its answers that it leaves

The header was forwarded and read by nobody, so a server that cannot reach its daemon with a heartbeat, or only deregisters later, got calls until then.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -245,7 +245,7 @@
     }
 
     /// Marks a server as leaving, so that its keys move away and it is sent no calls after a grace period.
-    fn mark_leaving(&self, server: &Rc<LocalServer>, reason: &str) {
+    pub(super) fn mark_leaving(&self, server: &Rc<LocalServer>, reason: &str) {
         if server.is_leaving.replace(true) {
             return;
         }
--- a/src/daemon/server_notice.rs
+++ b/src/daemon/server_notice.rs
@@ -1,16 +1,23 @@
 use {
     super::{daemon_cx::DaemonCx, local_server::LocalServer},
     crate::{edge::ServerNotice, event::Event, log_event},
+    std::rc::Rc,
 };
 
 impl DaemonCx {
     /// Obeys what a server says of itself in an answer. Only this daemon sends calls to it, so its limit holds for the
     /// calls of all daemons.
-    pub(super) fn obey_notice(&self, server: &LocalServer, notice: ServerNotice) {
+    pub(super) fn obey_notice(&self, server: &Rc<LocalServer>, notice: ServerNotice) {
         let before = server.notice.replace(notice);
         if before == notice {
             return;
         }
+        if notice.is_leaving {
+            self.mark_leaving(server, "its answer says so");
+        }
+        if before.limit_per_s == notice.limit_per_s {
+            return;
+        }
         server.gate.set_rate(notice.limit_per_s);
         let passed = server.notice_log_limit.borrow_mut().pass(self.clock.now());
         if let Some(suppressed) = passed {
--- a/src/edge/server_dialect.rs
+++ b/src/edge/server_dialect.rs
@@ -28,6 +28,8 @@
 pub struct ServerNotice {
     /// Requests a second that it takes from all daemons together, or `None` if it names no limit.
     pub limit_per_s: Option<f64>,
+    /// Whether the server takes no new calls because it leaves.
+    pub is_leaving: bool,
 }
 
 /// Classification of the head of an answer.
@@ -97,6 +99,8 @@
     fn notice(&self, headers: &HeaderMap) -> ServerNotice {
         ServerNotice {
             limit_per_s: read_limit(headers, "fold-limit"),
+            // Servers that take orders leave with a request of their own.
+            is_leaving: false,
         }
     }
 }
--- a/tests/server_rate.rs
+++ b/tests/server_rate.rs
@@ -45,7 +45,9 @@
 fn play() -> Outcome {
     let mut queue = ServerQueue::new(SLOTS);
     let mut outcome = Outcome::default();
-    let (mut running, mut waiting): (Vec<(u64, u64)>, Vec<(u64, u64)>) = (Vec::new(), Vec::new());
+    // Ends of the running calls and tickets of the waiting ones, each with the arrival of its call.
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut waiting: Vec<(u64, u64)> = Vec::new();
     for ms in 0..END_MS {
         let now = Ms(ms);
         match ms {
