--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 mod node;
 mod operator_handler;
 mod peer_handler;
+mod route_limits;
 mod routed_path;
 mod run;
 mod server_handler;
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -3,7 +3,7 @@
     crate::{
         call::{
             after_try, normalize_unknown_service, reached_server, AttemptHistory, Call, CallResult, EndCause,
-            Outcome, Reason, RetryBudget, RoutedContext, RoutedStep,
+            Outcome, Reason, RoutedContext, RoutedStep,
         },
         clock::Ms,
         control::Suspicion,
@@ -11,20 +11,15 @@
         key::Key,
         log_event,
         metrics::Metric,
-        route::{self, Candidate, EntryThrottle, Signal, Target},
+        route::{self, Candidate, Signal, Target},
         schema::{CallKind, Route, Service},
         wire::peer::{Header, RouteTerms},
     },
     bytes::Bytes,
-    std::{cell::RefCell, rc::Rc},
+    std::rc::Rc,
     tokio::task::spawn_local,
 };
 
-/// Retries that each call by a route adds to the retry budget of its entry daemon. The ratio is below the share of
-/// retries that all daemons together may reach, because a call that runs again repeats the calls that it makes itself.
-const ROUTE_RETRY_RATIO: f64 = 0.15;
-/// Limit of the unspent retries of a service, summed over all daemons.
-const ROUTE_RETRIES_SAVED_MAX: f64 = 40.0;
 /// Retry delay that a caller is given when no better value is known.
 const DEFAULT_RETRY_AFTER: Ms = Ms(250);
 
@@ -313,33 +308,6 @@
         }
     }
 
-    /// Asks the throttle whether a call may be sent. `to` is the daemon of the key's owner, or the service if any of
-    /// its servers may take the call.
-    ///
-    /// # Errors
-    /// Returns the delay after which a call that must not be sent now may be retried.
-    fn throttle_send(&self, throttle: &RefCell<EntryThrottle>, call: &Call, to: &str) -> Result<(), Ms> {
-        let (mut throttle, mut rng) = (throttle.borrow_mut(), self.rng.borrow_mut());
-        let permit = throttle.admit(to, &call.kind, self.clock.now(), &mut *rng);
-        if permit.is_err() {
-            log_event!(
-                self.log, Event::CallThrottled;
-                "request_id" => &call.request_id, "service" => &call.service, "to" => to
-            );
-        }
-        permit
-    }
-
-    /// Reports to the throttle whether the call was refused for overload.
-    fn update_throttle(&self, throttle: &RefCell<EntryThrottle>, call: &Call, to: &str, result: &CallResult) {
-        let now = self.clock.now();
-        let mut throttle = throttle.borrow_mut();
-        match result.reason {
-            Some(Reason::Overloaded) => throttle.record_refused(to, &call.kind, result.retry_after, now),
-            Some(_) | None => throttle.record_accepted(to, &call.kind, now),
-        }
-    }
-
     /// Runs a call by a route that its entry daemon forwarded.
     pub(super) async fn run_forwarded_by_route(
         self: &Rc<Self>,
@@ -427,22 +395,6 @@
             .any(|c| !tried.contains(&c.target))
     }
 
-    /// Calls `f` with the retry budget of the service, which is created on first use. Its limit is this daemon's share
-    /// of the limit of all daemons.
-    fn with_route_budget<T>(&self, service: &str, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let sessions = self.state().sessions().len().max(1) as f64;
-        let saved_max = (ROUTE_RETRIES_SAVED_MAX / sessions).max(1.0);
-        let mut budgets = self.route_budgets.borrow_mut();
-        let found = budgets.binary_search_by(|(name, _)| name.as_str().cmp(service));
-        let i = found.unwrap_or_else(|i| {
-            let budget = RetryBudget::new(ROUTE_RETRY_RATIO, saved_max);
-            budgets.insert(i, (service.to_owned(), budget));
-            i
-        });
-        budgets[i].1.set_capacity(saved_max);
-        f(&mut budgets[i].1)
-    }
-
     /// Records the metrics of a call by a route and logs its end. Sets the default retry delay if the call did not run
     /// and has none.
     fn finish_routed(
