--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -2,6 +2,7 @@
 
 mod foreign_heartbeat;
 mod left_server;
+mod slow_reader;
 
 use {
     crate::{
@@ -19,6 +20,7 @@
 
 pub fn find(name: &str) -> Option<Case> {
     match name {
+        "slow-reader" => Some(slow_reader::run),
         "left-server" => Some(left_server::run),
         "foreign-heartbeat-keys" => Some(foreign_heartbeat::run_keys),
         "foreign-heartbeat-caller" => Some(foreign_heartbeat::run_caller),
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -81,6 +81,8 @@
     keys: Mutex<Keys>,
     runs: Mutex<Vec<Run>>,
     fault: Mutex<Fault>,
+    /// Body of the answers, or `None` for a short text that names the server and the request.
+    body: Mutex<Option<Vec<u8>>>,
     /// Number of answers to requests, and of late copies of answers.
     pub answers: AtomicUsize,
     pub copies: AtomicUsize,
@@ -115,6 +117,7 @@
             keys: Mutex::default(),
             runs: Mutex::default(),
             fault: Mutex::default(),
+            body: Mutex::default(),
             answers: AtomicUsize::default(),
             copies: AtomicUsize::default(),
             work_ms: AtomicUsize::new(20),
@@ -148,6 +151,11 @@
         }
     }
 
+    /// Answers all requests with this body from now on.
+    pub fn set_body(&self, body: Vec<u8>) {
+        *self.body.lock().unwrap() = Some(body);
+    }
+
     pub fn set_fault(&self, fault: Fault) {
         *self.fault.lock().unwrap() = fault;
     }
@@ -402,10 +410,11 @@
         });
         thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::SeqCst) as u64));
         self.running.fetch_sub(1, Ordering::SeqCst);
-        let body = format!("{} ran {attempt}", self.id);
+        let own_body = self.body.lock().unwrap().clone();
+        let body = own_body.unwrap_or_else(|| format!("{} ran {attempt}", self.id).into_bytes());
         let headers =
             format!("x-attempt-id: {attempt}\r\nx-response-stamp: s.{attempt}\r\nkeep-alive: timeout=10\r\n");
-        answer_bytes("200 OK", &headers, body.as_bytes())
+        answer_bytes("200 OK", &headers, &body)
     }
 
     fn rejection(&self, status: &str, attempt: &str) -> Vec<u8> {
