--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases of the review.
 
 mod foreign_heartbeat;
+mod late_refusal;
 mod left_server;
 mod slow_reader;
 
@@ -20,6 +21,7 @@
 
 pub fn find(name: &str) -> Option<Case> {
     match name {
+        "late-refusal" => Some(late_refusal::run),
         "slow-reader" => Some(slow_reader::run),
         "left-server" => Some(left_server::run),
         "foreign-heartbeat-keys" => Some(foreign_heartbeat::run_keys),
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -28,6 +28,8 @@
 /// Idle connections are closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 const SLOTS: usize = 12;
+/// Time from the arrival of an answer to a heartbeat until the server goes by it.
+const TAKING_TIME: Duration = Duration::from_millis(20);
 
 /// A request that a server began to run.
 #[derive(Clone, Debug)]
@@ -47,12 +49,23 @@
     pub until: Instant,
 }
 
-/// How a faulty server treats its answers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Fault {
-    /// Largest share of the server's answers that it sends once more, each at the point where the next answer on its
-    /// connection is expected. It does so with its refusals only.
-    pub late_copies: f64,
+/// The fault of a group of servers: they send some of their refusals once more, each at the point where the next answer on
+/// its connection is expected.
+#[derive(Debug, Default)]
+pub struct LateCopies {
+    /// Largest share of the answers of the group that are sent once more.
+    pub share: f64,
+    /// Number of answers of the group, and of late copies.
+    pub answers: AtomicUsize,
+    pub copies: AtomicUsize,
+}
+
+impl LateCopies {
+    /// Counts an answer. Returns whether one more copy stays within the share.
+    fn count_answer(&self) -> bool {
+        let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+        (self.copies.load(Ordering::SeqCst) + 1) as f64 <= self.share * answers as f64
+    }
 }
 
 #[derive(Default)]
@@ -80,12 +93,9 @@
     running: AtomicUsize,
     keys: Mutex<Keys>,
     runs: Mutex<Vec<Run>>,
-    fault: Mutex<Fault>,
+    fault: Mutex<Option<Arc<LateCopies>>>,
     /// Body of the answers, or `None` for a short text that names the server and the request.
     body: Mutex<Option<Vec<u8>>>,
-    /// Number of answers to requests, and of late copies of answers.
-    pub answers: AtomicUsize,
-    pub copies: AtomicUsize,
     /// Time for which a request is worked on, in ms.
     pub work_ms: AtomicUsize,
 }
@@ -118,8 +128,6 @@
             runs: Mutex::default(),
             fault: Mutex::default(),
             body: Mutex::default(),
-            answers: AtomicUsize::default(),
-            copies: AtomicUsize::default(),
             work_ms: AtomicUsize::new(20),
         });
         record.line(&format!("server {id}: starts as {service} at {address}"));
@@ -156,8 +164,8 @@
         *self.body.lock().unwrap() = Some(body);
     }
 
-    pub fn set_fault(&self, fault: Fault) {
-        *self.fault.lock().unwrap() = fault;
+    pub fn set_fault(&self, fault: &Arc<LateCopies>) {
+        *self.fault.lock().unwrap() = Some(fault.clone());
     }
 
     pub fn set_draining(&self) {
@@ -224,6 +232,7 @@
             (200..300).contains(&m.status()) && m.body.len() <= ACK_BYTES_MAX && now < sent + ACK_LIMIT
         };
         let answer = answer.filter(is_acknowledged)?;
+        thread::sleep(TAKING_TIME);
         let json = Json::parse(&String::from_utf8_lossy(&answer.body))?;
         self.take_answer(&json, sent, freed_count);
         Some(now)
@@ -333,13 +342,14 @@
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(IDLE_TIMEOUT));
         let mut buffered = Vec::new();
+        let fault = self.fault.lock().unwrap().clone();
         let mut late_copy: Option<Vec<u8>> = None;
         while let Some(request) = Message::read(&mut stream, &mut buffered) {
             if self.has_ended() {
                 return;
             }
-            if let Some(copy) = late_copy.take() {
-                self.copies.fetch_add(1, Ordering::SeqCst);
+            if let (Some(copy), Some(fault)) = (late_copy.take(), &fault) {
+                fault.copies.fetch_add(1, Ordering::SeqCst);
                 self.record.line(&format!(
                     "server {}: sends an earlier answer again, where that to {} is due",
                     self.id,
@@ -353,9 +363,7 @@
             if self.has_ended() || stream.write_all(&answer).is_err() {
                 return;
             }
-            let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
-            let share = self.fault.lock().unwrap().late_copies;
-            let may_copy = ((self.copies.load(Ordering::SeqCst) + 1) as f64) <= share * answers as f64;
+            let may_copy = fault.as_ref().is_some_and(|fault| fault.count_answer());
             let is_refusal = answer.windows(14).any(|w| w == b"x-not-executed");
             late_copy = Some(answer).filter(|_| may_copy && is_refusal);
         }
