--- a/review/harness/src/cases/late_refusal.rs
+++ b/review/harness/src/cases/late_refusal.rs
@@ -25,9 +25,9 @@
 /// Time for which a server goes on after it has told that it drains.
 const DRAIN: Duration = Duration::from_millis(2300);
 /// Time between the replacements of two servers.
-const GAP: Duration = Duration::from_millis(1500);
+const GAP: Duration = Duration::from_millis(800);
 /// Time for which servers are replaced.
-const LENGTH: Duration = Duration::from_secs(85);
+const LENGTH: Duration = Duration::from_secs(98);
 
 pub fn run(record: &Arc<Record>, root: PathBuf, is_disrupted: bool) -> Verdict {
     let deployment = match Deployment::start(record, root, &services(), &MACHINES) {
