--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -25,7 +25,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
 
 /// Process ids of the daemons that run now.
@@ -114,15 +113,6 @@
         SocketAddr::new(self.hosts[position].lock().unwrap().ip, port)
     }
 
-    pub fn service_of(&self, number: usize) -> String {
-        self.hosts[self.side(number)]
-            .lock()
-            .unwrap()
-            .service
-            .clone()
-            .unwrap_or_default()
-    }
-
     pub fn outbound(&self, number: usize) -> SocketAddr {
         self.socket(self.side(number), OUTBOUND_PORT)
     }
@@ -179,35 +169,6 @@
         }
     }
 
-    /// Sends a signal to the process of a host.
-    pub fn signal(&self, position: usize, signal: i32) {
-        let host = self.hosts[position].lock().unwrap();
-        if let Some(child) = &host.process {
-            // SAFETY: `kill` takes two integers, and the process is a child that has not been waited for.
-            unsafe { kill(child.id() as i32, signal) };
-            self.record
-                .line(&format!("platform: sends signal {signal} to {}", host.name));
-        }
-    }
-
-    /// Waits until the process of a host has exited, for `limit` at most, and kills it then.
-    pub fn wait_for_exit(&self, position: usize, limit: Duration) {
-        let end = Instant::now() + limit;
-        while Instant::now() < end {
-            let mut host = self.hosts[position].lock().unwrap();
-            let Some(child) = &mut host.process else { return };
-            if let Ok(Some(_)) = child.try_wait() {
-                forget_child(child);
-                host.process = None;
-                self.record.line(&format!("platform: {} has exited", host.name));
-                return;
-            }
-            drop(host);
-            sleep(Duration::from_millis(5));
-        }
-        self.kill_host(position);
-    }
-
     /// Asks a daemon whether it is ready.
     pub fn is_ready(&self, number: usize) -> bool {
         let to = self.socket(self.side(number), READINESS_PORT);
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -38,7 +38,6 @@
     pub server: String,
     pub attempt: String,
     pub origin: String,
-    pub key: Option<u16>,
 }
 
 /// A span that a server held for a time.
@@ -414,7 +413,6 @@
             server: self.id.clone(),
             attempt: attempt.to_owned(),
             origin,
-            key,
         });
         thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::SeqCst) as u64));
         self.running.fetch_sub(1, Ordering::SeqCst);
