--- a/review/harness/src/cases/late_refusal.rs
+++ b/review/harness/src/cases/late_refusal.rs
@@ -22,7 +22,9 @@
 /// Largest share of repeated answers, and of the servers that repeat them, in the site file: 3 of 5 machines.
 const COPIES: f64 = 0.03;
 const FAULTY: std::ops::Range<usize> = 6..9;
-/// Time for which a server goes on after it has told that it drains.
+/// Longest time to wait for the acknowledgement that a server drains.
+const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Time for which a server goes on after that.
 const DRAIN: Duration = Duration::from_millis(2300);
 /// Time between the replacements of two servers.
 const GAP: Duration = Duration::from_millis(800);
@@ -64,7 +66,7 @@
         }
         let (position, machine) = (round % KEYED.len(), KEYED.start + round % KEYED.len());
         let old = servers[position].clone();
-        old.set_draining();
+        old.drain(ACK_LIMIT);
         sleep(DRAIN);
         old.deregister();
         old.end();
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -88,6 +88,8 @@
     is_sharded: bool,
     record: Arc<Record>,
     is_draining: AtomicBool,
+    /// When a heartbeat that says that the server drains was first acknowledged.
+    drain_acknowledged: Mutex<Option<Instant>>,
     has_ended: AtomicBool,
     running: AtomicUsize,
     keys: Mutex<Keys>,
@@ -121,6 +123,7 @@
             is_sharded,
             record: record.clone(),
             is_draining: AtomicBool::default(),
+            drain_acknowledged: Mutex::default(),
             has_ended: AtomicBool::default(),
             running: AtomicUsize::default(),
             keys: Mutex::default(),
@@ -167,8 +170,14 @@
         *self.fault.lock().unwrap() = Some(fault.clone());
     }
 
-    pub fn set_draining(&self) {
+    /// Reports from the next heartbeat on that the server drains, and waits until that is acknowledged, for `limit` at
+    /// most.
+    pub fn drain(&self, limit: Duration) {
+        let end = Instant::now() + limit;
         self.is_draining.store(true, Ordering::SeqCst);
+        while self.drain_acknowledged.lock().unwrap().is_none() && Instant::now() < end {
+            thread::sleep(Duration::from_millis(5));
+        }
     }
 
     pub fn runs(&self) -> Vec<Run> {
@@ -220,7 +229,8 @@
     /// Sends a heartbeat. Returns when it was acknowledged.
     pub fn send_heartbeat(&self) -> Option<Instant> {
         let sent = Instant::now();
-        let (body, freed_count) = self.heartbeat_body();
+        let is_draining = self.is_draining.load(Ordering::SeqCst);
+        let (body, freed_count) = self.heartbeat_body(is_draining);
         let head = format!(
             "POST /v1/instances/{}/heartbeat HTTP/1.1\r\nhost: d\r\ncontent-type: application/json",
             self.id
@@ -231,17 +241,20 @@
             (200..300).contains(&m.status()) && m.body.len() <= ACK_BYTES_MAX && now < sent + ACK_LIMIT
         };
         let answer = answer.filter(is_acknowledged)?;
+        if is_draining {
+            self.drain_acknowledged.lock().unwrap().get_or_insert(now);
+        }
         thread::sleep(TAKING_TIME);
         let json = Json::parse(&String::from_utf8_lossy(&answer.body))?;
         self.take_answer(&json, sent, freed_count);
         Some(now)
     }
 
-    fn heartbeat_body(&self) -> (String, usize) {
+    fn heartbeat_body(&self, is_draining: bool) -> (String, usize) {
         self.expire_holds();
         let mut keys = self.keys.lock().unwrap();
         keys.sequence += 1;
-        let state = match self.is_draining.load(Ordering::SeqCst) {
+        let state = match is_draining {
             true => "draining",
             false => "ready",
         };
