Refuse heartbeats that come from no server of this host

What callers saw: after one heartbeat of another writer, with the address of a live server, a later start and a service that nobody configured, that server lost its keys while it still held them, and others served the same keys for up to 3 s.

Cause: a heartbeat was taken at its word. Neither its service and address nor the fields that the daemon does not use were checked, and after a restart a late heartbeat of an earlier process stood in the way of the live server.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -7,7 +7,7 @@
     crate::{
         clock::Ms,
         control::Server,
-        edge::ServerLimits,
+        edge::{check_server, ServerLimits},
         event::Event,
         grant::{wanted_holds, ChangedSpans, FreedSpan, Hold, HoldTable, Released, ReportedSpan},
         log_event,
@@ -15,9 +15,11 @@
     },
     std::{
         cell::{Cell, RefCell},
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
+    thiserror::Error,
     tokio::{sync::Mutex, task::spawn_local, time::timeout},
 };
 
@@ -37,12 +39,12 @@
 const CONNECTIONS_PER_SLOT: u32 = 2;
 
 /// A heartbeat of a local server that fetches its grants.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Heartbeat {
     /// Name of the service that the server belongs to.
     pub service: String,
-    /// Address at which the server takes calls, as IP:PORT.
-    pub address: String,
+    /// Address at which the server takes calls.
+    pub address: SocketAddr,
     /// Name of the server process, usually a new one at each start.
     pub instance: String,
     /// Start of the process in ms since the Unix epoch.
@@ -68,22 +70,35 @@
     pub hold: Ms,
 }
 
+/// Why a heartbeat has no effect.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum HeartbeatError {
+    /// The sender is not a server of this host.
+    #[error("{0}")]
+    Refused(String),
+    /// A later state of the server is known.
+    #[error("{0}")]
+    Outdated(&'static str),
+}
+
 impl DaemonCx {
     /// Processes a heartbeat of a local server. Returns its grants, or `None` if it gets none now.
     ///
     /// # Errors
-    /// Returns the reason why the heartbeat is ignored.
-    pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) -> Result<Option<HoldAnswer>, &'static str> {
+    /// Returns the reason why the heartbeat has no effect.
+    pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) -> Result<Option<HoldAnswer>, HeartbeatError> {
+        check_server(&heartbeat.service, heartbeat.address, &self.settings)
+            .map_err(HeartbeatError::Refused)?;
         let found = self.find_or_add_server(&heartbeat);
         let server = match found {
             Ok(server) => server,
             Err(reason) => {
                 log_event!(
                     self.log, Event::HeartbeatIgnored;
-                    "server" => &heartbeat.address, "instance" => &heartbeat.instance, "sequence" => heartbeat.sequence,
+                    "server" => heartbeat.address.to_string(), "instance" => &heartbeat.instance, "sequence" => heartbeat.sequence,
                     "reason" => reason
                 );
-                return Err(reason);
+                return Err(HeartbeatError::Outdated(reason));
             }
         };
         server
@@ -144,11 +159,12 @@
     /// Returns the server that sent a heartbeat, and adds it first if it is new.
     fn find_or_add_server(self: &Rc<Self>, heartbeat: &Heartbeat) -> Result<Rc<LocalServer>, &'static str> {
         let incarnation = incarnation(heartbeat);
+        let address = heartbeat.address.to_string();
         let known = self
             .servers
             .borrow()
             .iter()
-            .find(|s| s.announced.address == heartbeat.address)
+            .find(|s| s.announced.address == address)
             .cloned();
         let Some(known) = known else {
             if self
@@ -186,7 +202,7 @@
         let connections = schema.service(&heartbeat.service).map_or(0, |s| s.connections);
         let announced = Server {
             service: heartbeat.service.clone(),
-            address: heartbeat.address.clone(),
+            address: heartbeat.address.to_string(),
             incarnation: incarnation(heartbeat),
             slots: heartbeat.slots.max(1),
             connections: connections.max(heartbeat.slots.max(1) * CONNECTIONS_PER_SLOT),
@@ -338,7 +354,11 @@
                 if listed.leaving && known.announced.incarnation == listed.incarnation {
                     self.resume_leaving(known);
                 }
-                continue;
+                let is_later = started_of(&known.announced) > started_of(listed);
+                if is_later || known.announced.incarnation == listed.incarnation {
+                    continue;
+                }
+                self.detach_server(known, "a later process has the address");
             }
             log_event!(
                 self.log, Event::ServersAdopted;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -33,7 +33,7 @@
 
 pub use {
     edges::{Edges, FoldEdges, IncomingRequest, ResponseFuture},
-    heartbeat::{Heartbeat, HoldAnswer},
+    heartbeat::{Heartbeat, HeartbeatError, HoldAnswer},
     node::{Node, ReplaceOutcome, SchemaVersion},
     routed_path::RoutedRequest,
     run::{run_daemon, run_with_edges},
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         daemon_cx::DaemonCx,
-        heartbeat::{Heartbeat, HoldAnswer},
+        heartbeat::{Heartbeat, HeartbeatError, HoldAnswer},
         routed_path::RoutedRequest,
     },
     crate::{
@@ -16,7 +16,7 @@
         },
     },
     bytes::Bytes,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -82,11 +82,16 @@
     /// Processes a heartbeat of a local server. Returns its grants, or `None` if it gets none now.
     ///
     /// # Errors
-    /// Returns the reason why the heartbeat is ignored.
-    pub fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Option<HoldAnswer>, &'static str> {
+    /// Returns the reason why the heartbeat has no effect.
+    pub fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Option<HoldAnswer>, HeartbeatError> {
         self.0.heartbeat(heartbeat)
     }
 
+    /// Logs that an announcement of a server was refused.
+    pub fn log_refused_announcement(&self, from: SocketAddr, reason: &str) {
+        self.0.log_refused_announcement(from, reason);
+    }
+
     /// Processes the deregistration of a local server that will end soon.
     pub fn deregister(&self, instance: &str) {
         self.0.deregister(instance);
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -16,6 +16,7 @@
     std::{
         cell::{Cell, RefCell},
         io,
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -55,17 +56,21 @@
         match handled {
             Ok(()) => edge::json_response(StatusCode::OK, &serde_json::json!({ "host": self.settings.host })),
             Err(reason) => {
-                if let Some(suppressed) = self.refusal_log_limit.borrow_mut().pass(self.clock.now()) {
-                    log_event!(
-                        self.log, Event::AnnounceRefused;
-                        "from" => request.from.to_string(), "reason" => &reason, "suppressed" => suppressed
-                    );
-                }
+                self.log_refused_announcement(request.from, &reason);
                 edge::plain_response(StatusCode::BAD_REQUEST, &reason)
             }
         }
     }
 
+    pub(super) fn log_refused_announcement(&self, from: SocketAddr, reason: &str) {
+        if let Some(suppressed) = self.refusal_log_limit.borrow_mut().pass(self.clock.now()) {
+            log_event!(
+                self.log, Event::AnnounceRefused;
+                "from" => from.to_string(), "reason" => reason, "suppressed" => suppressed
+            );
+        }
+    }
+
     fn announce(self: &Rc<Self>, announced: Server) -> Result<(), String> {
         let now = self.clock.now();
         let mut predecessor = None;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -21,6 +21,6 @@
     request_signature::{RequestSignature, SignatureError},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
     server_dialect::{read_limit, AnswerHead, FoldDialect, ServerDialect, ServerNotice},
-    server_edge::{read_announce, read_leave, LeaveRequest},
+    server_edge::{check_server, read_announce, read_leave, LeaveRequest},
     server_orders::{Order, OrderError, ServerOrders},
 };
--- a/src/edge/server_edge.rs
+++ b/src/edge/server_edge.rs
@@ -35,15 +35,7 @@
 /// Returns what is wrong with the body, as a text for the server's log.
 pub fn read_announce(body: &[u8], settings: &Settings) -> Result<Server, String> {
     let request: AnnounceRequest = serde_json::from_slice(body).map_err(|e| e.to_string())?;
-    if !is_local(request.address, settings) {
-        return Err(format!("address: {} is not on this host", request.address));
-    }
-    if settings.services.binary_search(&request.service).is_err() {
-        return Err(format!(
-            "service: {:?} is not in the settings of this host",
-            request.service
-        ));
-    }
+    check_server(&request.service, request.address, settings)?;
     if request.slots == 0 || request.connections < 2 {
         return Err("slots: at least 1, and connections: at least 2, are needed".into());
     }
@@ -58,6 +50,22 @@
     })
 }
 
+/// Checks that a server which announces itself belongs to this host: only the settings say which services run here.
+///
+/// # Errors
+/// Returns the mismatch, as a text for the server's log.
+pub fn check_server(service: &String, address: SocketAddr, settings: &Settings) -> Result<(), String> {
+    if !is_local(address, settings) {
+        return Err(format!("address: {address} is not on this host"));
+    }
+    if settings.services.binary_search(service).is_err() {
+        return Err(format!(
+            "service: {service:?} is not in the settings of this host"
+        ));
+    }
+    Ok(())
+}
+
 /// Reads the request of a backend server to leave.
 ///
 /// # Errors
