Take the calling service from the settings of the host

What callers saw: for 3.5 s after one heartbeat of another writer, all requests that began at a host reached their servers with a service as their caller's that does not run there.

Cause: the calling service was that of the server which had started last, by what had been reported or adopted. It is now the one that the settings name.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -144,16 +144,17 @@
         );
     }
 
-    /// Returns the service of the server with the latest start on this host, or the first service of the settings if
-    /// there is no server.
+    /// Returns the service that calls from this host come from. If the settings name several, it is that of the server
+    /// with the latest start.
     pub fn local_service(&self) -> String {
+        let services = &self.settings.services;
+        if let [only] = services.as_slice() {
+            return only.clone();
+        }
         let servers = self.servers.borrow();
         let newest = servers.iter().max_by_key(|s| s.last_heartbeat.get());
-        let listed = self.settings.services.first();
-        newest.map_or_else(
-            || listed.cloned().unwrap_or_default(),
-            |s| s.announced.service.clone(),
-        )
+        let service = newest.map(|s| &s.announced.service);
+        service.or(services.first()).cloned().unwrap_or_default()
     }
 
     /// Returns the server that sent a heartbeat, and adds it first if it is new.
