Acknowledge that a server leaves once that is committed

What callers saw: a server that had deregistered, with an acknowledgement, was sent requests until it exited, after its daemon had been killed: 165 to 169 requests later than the drain time.

Cause: a departure was known to the memory of one process, and to the list of its session once that was published. A process that starts acknowledged a deregistration before it knew its servers, and adopted the server as one that stays; a kill right after the acknowledgement, or an absence of more than a lease, had the same effect.

Drains and deregistrations get 503 until it is committed (CF4117). Adoption waits until the state has reached the start of the session.

--- a/src/control/change_events.rs
+++ b/src/control/change_events.rs
@@ -53,6 +53,7 @@
         | Applied::GuardReady(_)
         | Applied::SuspectsCleared
         | Applied::ServersSet(_)
+        | Applied::ServerLeft(_)
         | Applied::RangeReleased { .. }
         | Applied::PatchBaseMismatch
         | Applied::Ignored(_) => {}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod command_id;
 mod control_handle;
 mod control_loop;
+mod departures;
 mod disk_thread;
 mod guard_changes;
 mod guard_table;
@@ -31,6 +32,7 @@
 pub use {
     command_id::{CommandId, CommandIdError},
     control_handle::{ControlHandle, ControlInput},
+    departures::Departures,
     guard_table::{request_id_boundaries, GuardSpan, GuardTable},
     member_plan::{next_member_change, Offer},
     range_table::{Owner, Range, RangeTable, Release, Vacancy},
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -3,6 +3,22 @@
 /// A backend server as it announced itself.
 pub type Server = wire::Server;
 
+impl Server {
+    /// Returns the name of the process. It is the part of the incarnation before the last `@`, or all of it.
+    pub fn instance(&self) -> &str {
+        let parts = self.incarnation.rsplit_once('@');
+        parts.map_or(self.incarnation.as_str(), |(instance, _)| instance)
+    }
+
+    /// Returns the start of the process in ms since the Unix epoch, or 0 if the incarnation does not tell it.
+    pub fn started_ms(&self) -> u64 {
+        let parts = self.incarnation.rsplit_once('@');
+        parts
+            .and_then(|(_, started)| started.parse().ok())
+            .unwrap_or_default()
+    }
+}
+
 /// The session of one daemon process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Session {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        answers::Answers, GuardTable, Owner, RangeTable, Revision, Server, Session, SuspectList, Vacancy,
+        answers::Answers, Departures, GuardTable, Owner, RangeTable, Revision, Server, Session, SuspectList,
+        Vacancy,
     },
     crate::{
         call::Fingerprint,
@@ -8,7 +9,7 @@
         schema::{PackedText, Schema},
         wire::control::{
             change, operator_command, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession,
-            SetServers, SplitStage, SplitState,
+            ServerLeft, SetServers, SplitStage, SplitState,
         },
     },
     std::sync::Arc,
@@ -31,6 +32,7 @@
     pub(super) drains: Vec<Drain>,
     pub(super) guard_tables: Vec<GuardTable>,
     pub(super) suspects: SuspectList,
+    pub(super) departures: Departures,
     pub(super) split: SplitState,
 }
 
@@ -79,6 +81,8 @@
     CrashCounted(Vec<Fingerprint>),
     /// Requests are no longer suspected.
     SuspectsCleared,
+    /// The departure of a server was recorded, which the session with this id lists, if any does.
+    ServerLeft(Option<u64>),
     /// The split has entered this stage.
     SplitStaged(SplitStage),
     /// An operator's command was decided.
@@ -154,6 +158,11 @@
         &self.suspects
     }
 
+    /// Returns the servers that have left.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Returns the hosts and servers that are being drained.
     pub fn drains(&self) -> &[Drain] {
         &self.drains
@@ -190,6 +199,7 @@
                 self.suspects.clear(&cleared.fingerprints, false);
                 Applied::SuspectsCleared
             }
+            Some(change::Body::ServerLeft(left)) => self.server_left(left, change.proposed_at_ms),
             Some(change::Body::OperatorCommand(command)) => {
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
             }
@@ -265,6 +275,12 @@
         }
         session.servers_number = set.number;
         let mut servers = set.servers.clone();
+        for server in &mut servers {
+            let host = &session.open.host;
+            server.leaving |= self
+                .departures
+                .contains(host, server.instance(), server.started_ms());
+        }
         servers.sort_by(|a, b| (&a.service, &a.address).cmp(&(&b.service, &b.address)));
         let old_servers = std::mem::replace(&mut self.sessions[position].servers, servers);
         for old in &old_servers {
@@ -279,6 +295,22 @@
         Applied::ServersSet(set.session)
     }
 
+    /// Records that a server leaves, and marks it in the session of its host.
+    fn server_left(&mut self, left: &ServerLeft, at_ms: u64) -> Applied {
+        self.departures.record(left, at_ms);
+        let Some(session) = self.sessions.iter_mut().find(|s| s.open.host == left.host) else {
+            return Applied::ServerLeft(None);
+        };
+        let mut is_listed = false;
+        for server in &mut session.servers {
+            if server.instance() == left.instance && server.started_ms() <= left.started_ms {
+                server.leaving = true;
+                is_listed = true;
+            }
+        }
+        Applied::ServerLeft(is_listed.then_some(session.id))
+    }
+
     pub(super) fn session_position(&self, id: u64) -> Option<usize> {
         self.sessions.binary_search_by_key(&id, |s| s.id).ok()
     }
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         answers::{Answers, Horizon},
-        GuardTable, Owner, Range, RangeTable, Release, Revision, Session, State, SuspectList, Vacancy,
+        Departures, GuardTable, Owner, Range, RangeTable, Release, Revision, Session, State, SuspectList,
+        Vacancy,
     },
     crate::{
         clock::Ms,
@@ -44,6 +45,7 @@
             drains: self.drains.clone(),
             guards: self.guard_tables.iter().map(GuardTable::to_image).collect(),
             suspects: self.suspects.list().to_vec(),
+            departures: self.departures.list().to_vec(),
             split: Some(self.split),
         };
         image.encode_to_vec()
@@ -98,6 +100,7 @@
             drains: image.drains,
             guard_tables: image.guards.into_iter().map(GuardTable::from_image).collect(),
             suspects: SuspectList::from_list(image.suspects),
+            departures: Departures::from_list(image.departures),
             split: image.split.unwrap_or_default(),
         })
     }
--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -32,8 +32,6 @@
 const HOLD_PERCENT: u64 = 97;
 /// Longest time to wait for a session before the adoption of servers is tried again.
 const ADOPTION_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for which a server that leaves is still sent calls for its keys.
-const LEAVING_GRACE: Ms = Ms(1500);
 /// Connections for each slot of a server that sends heartbeats, which do not say how many it accepts. The schema may
 /// allow more.
 const CONNECTIONS_PER_SLOT: u32 = 2;
@@ -79,28 +77,44 @@
     /// A later state of the server is known.
     #[error("{0}")]
     Outdated(&'static str),
+    /// It says that the server leaves, and that is not known to be committed.
+    #[error("the departure is not known to be committed")]
+    NotCommitted,
 }
 
 impl DaemonCx {
-    /// Processes a heartbeat of a local server. Returns its grants, or `None` if it gets none now.
+    /// Processes a heartbeat of a local server. Returns its grants, or `None` if it gets none now. If the server drains,
+    /// this returns once its departure is committed.
     ///
     /// # Errors
-    /// Returns the reason why the heartbeat has no effect.
-    pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) -> Result<Option<HoldAnswer>, HeartbeatError> {
+    /// Returns the reason why the heartbeat must not be acknowledged, or is out of date.
+    pub async fn heartbeat(
+        self: &Rc<Self>,
+        heartbeat: Heartbeat,
+    ) -> Result<Option<HoldAnswer>, HeartbeatError> {
         check_server(&heartbeat.service, heartbeat.address, &self.settings)
             .map_err(HeartbeatError::Refused)?;
-        let found = self.find_or_add_server(&heartbeat);
-        let server = match found {
-            Ok(server) => server,
-            Err(reason) => {
-                log_event!(
-                    self.log, Event::HeartbeatIgnored;
-                    "server" => heartbeat.address.to_string(), "instance" => &heartbeat.instance, "sequence" => heartbeat.sequence,
-                    "reason" => reason
-                );
-                return Err(HeartbeatError::Outdated(reason));
-            }
-        };
+        let answer = self.apply_heartbeat(&heartbeat);
+        let is_acknowledged = !heartbeat.draining
+            || self
+                .commit_departure(&heartbeat.instance, heartbeat.started_ms)
+                .await;
+        match is_acknowledged {
+            true => answer,
+            false => Err(HeartbeatError::NotCommitted),
+        }
+    }
+
+    /// Updates the server that sent a heartbeat. Returns its grants, or `None` if it gets none now.
+    fn apply_heartbeat(self: &Rc<Self>, heartbeat: &Heartbeat) -> Result<Option<HoldAnswer>, HeartbeatError> {
+        let server = self.find_or_add_server(heartbeat).map_err(|reason| {
+            log_event!(
+                self.log, Event::HeartbeatIgnored;
+                "server" => heartbeat.address.to_string(), "instance" => &heartbeat.instance,
+                "sequence" => heartbeat.sequence, "reason" => reason
+            );
+            HeartbeatError::Outdated(reason)
+        })?;
         server
             .last_heartbeat
             .set((heartbeat.started_ms, heartbeat.sequence));
@@ -108,40 +122,7 @@
         if heartbeat.draining {
             self.mark_leaving(&server, "it drains");
         }
-        Ok(self.answer_heartbeat(&server, &heartbeat))
-    }
-
-    /// Processes the deregistration of a server that will end soon. It is still sent calls for as long as a server that
-    /// drains.
-    pub fn deregister(&self, instance: &str) {
-        let servers = self.servers.borrow().clone();
-        let mut known = servers
-            .iter()
-            .filter(|s| instance_of(&s.announced) == instance)
-            .peekable();
-        if known.peek().is_none() {
-            self.record_left_server(instance);
-        }
-        for server in known {
-            self.mark_leaving(server, "it deregistered");
-        }
-    }
-
-    /// Records the deregistration of a server that is unknown or already lost.
-    fn record_left_server(&self, instance: &str) {
-        let lost = self.lost_servers.borrow();
-        let found = lost.iter().find(|l| instance_of(&l.published) == instance);
-        // A server on this host has the same clock, so a process with a later start time is another one.
-        let started_ms = found.map_or_else(|| self.clock.wall().0, |l| started_of(&l.published));
-        let published = found.map(|l| l.published.clone()).unwrap_or_default();
-        self.left_servers
-            .borrow_mut()
-            .record(instance, started_ms, self.clock.now());
-        log_event!(
-            self.log, Event::ServerLeaving;
-            "service" => &published.service, "server" => &published.address, "incarnation" => instance,
-            "reason" => "it deregistered after it was lost", "served_ms" => 0
-        );
+        Ok(self.answer_heartbeat(&server, heartbeat))
     }
 
     /// Returns the service that calls from this host come from. If the settings name several, it is that of the server
@@ -168,11 +149,7 @@
             .find(|s| s.announced.address == address)
             .cloned();
         let Some(known) = known else {
-            if self
-                .left_servers
-                .borrow()
-                .contains(&heartbeat.instance, heartbeat.started_ms)
-            {
+            if self.has_left(&heartbeat.instance, heartbeat.started_ms) {
                 return Err("it has left");
             }
             return Ok(self.add_server(heartbeat, None));
@@ -261,30 +238,6 @@
         })
     }
 
-    /// Marks a server as leaving, so that its keys move away and it is sent no calls after a grace period.
-    pub(super) fn mark_leaving(&self, server: &Rc<LocalServer>, reason: &str) {
-        if server.is_leaving.replace(true) {
-            return;
-        }
-        let now = self.clock.now();
-        let incarnation = &server.announced.incarnation;
-        let started_ms = started_of(&server.announced);
-        let mut left = self.left_servers.borrow_mut();
-        left.record(instance_of(&server.announced), started_ms, now);
-        drop(left);
-        let schema = self.state().schema().clone();
-        let service = schema.service(&server.announced.service);
-        let is_divided = service.is_some_and(|s| s.divided_by_key);
-        let grace = if is_divided { LEAVING_GRACE } else { Ms::ZERO };
-        server.closes_at.set(now + grace);
-        log_event!(
-            self.log, Event::ServerLeaving;
-            "service" => &server.announced.service, "server" => &server.announced.address,
-            "incarnation" => incarnation, "reason" => reason, "served_ms" => grace.0
-        );
-        self.servers_changed.notify_one();
-    }
-
     fn answer_heartbeat(
         self: &Rc<Self>,
         server: &Rc<LocalServer>,
@@ -340,7 +293,8 @@
         self.propose(change::Body::RangeReleased(released)).await;
     }
 
-    /// Adopts the servers of an earlier process of this daemon. Returns the session, or `None` if there is none.
+    /// Adopts the servers of an earlier process of this daemon, and obeys the departures that it has committed. Returns
+    /// the session, or `None` if there is none or the state is not known up to its start.
     pub(super) async fn adopt_servers(self: &Rc<Self>) -> Option<u64> {
         let Some(id) = self.session.get() else {
             let _ = timeout(ADOPTION_TIMEOUT, self.servers_changed.notified()).await;
@@ -348,6 +302,9 @@
         };
         self.await_applied(self.session_start_index.get()).await;
         let state = self.state();
+        if state.applied() < self.session_start_index.get() {
+            return None;
+        }
         let session = state.session(id)?;
         for listed in &session.servers {
             let known = self.servers.borrow().clone();
@@ -355,7 +312,7 @@
                 if listed.leaving && known.announced.incarnation == listed.incarnation {
                     self.resume_leaving(known);
                 }
-                let is_later = started_of(&known.announced) > started_of(listed);
+                let is_later = known.announced.started_ms() > listed.started_ms();
                 if is_later || known.announced.incarnation == listed.incarnation {
                     continue;
                 }
@@ -370,7 +327,7 @@
                 leaving: false,
                 ..listed.clone()
             });
-            server.last_heartbeat.set((started_of(listed), 0));
+            server.last_heartbeat.set((listed.started_ms(), 0));
             // The earlier process may have given a hold right before it ended.
             server.orders.record_lease_end(self.clock.now() + HOLD_MAX);
             self.servers.borrow_mut().push(server.clone());
@@ -378,32 +335,19 @@
                 self.resume_leaving(&server);
             }
         }
+        let adopted = self.servers.borrow().clone();
+        for server in adopted {
+            let announced = &server.announced;
+            if !server.is_leaving.get() && self.has_left(announced.instance(), announced.started_ms()) {
+                self.resume_leaving(&server);
+            }
+        }
         self.ownership_changed.notify_waiters();
         Some(id)
     }
-
-    /// Marks a server as leaving that told an earlier process of this daemon so. It may go on to send heartbeats as if it
-    /// stayed, and it holds its keys until it releases them, but it is sent no more calls: its grace period may be over.
-    fn resume_leaving(&self, server: &Rc<LocalServer>) {
-        self.mark_leaving(server, "it had left before the restart");
-        server.closes_at.set(self.clock.now());
-    }
 }
 
 /// Returns the text that identifies one start of a server process.
 fn incarnation(heartbeat: &Heartbeat) -> String {
     format!("{}@{}", heartbeat.instance, heartbeat.started_ms)
 }
-
-/// Returns the name of the process from the incarnation of a server.
-pub(super) fn instance_of(server: &Server) -> &str {
-    let parts = server.incarnation.rsplit_once('@');
-    parts.map_or(server.incarnation.as_str(), |(instance, _)| instance)
-}
-
-fn started_of(server: &Server) -> u64 {
-    let parts = server.incarnation.rsplit_once('@');
-    parts
-        .and_then(|(_, started)| started.parse().ok())
-        .unwrap_or_default()
-}
--- a/src/daemon/left_servers.rs
+++ b/src/daemon/left_servers.rs
@@ -13,6 +13,8 @@
     /// Start of the process in ms since the Unix epoch.
     started_ms: u64,
     left_at: Ms,
+    /// Whether the replicated state has the departure too.
+    is_committed: bool,
 }
 
 /// Local servers that have announced that they leave, oldest first.
@@ -34,9 +36,29 @@
             instance: instance.to_owned(),
             started_ms,
             left_at: now,
+            is_committed: false,
         });
     }
 
+    /// Records that the departure is in the replicated state.
+    pub fn record_committed(&mut self, instance: &str, started_ms: u64) {
+        let found = self.servers.iter_mut().filter(|left| left.instance == instance);
+        let covered = found.filter(|left| left.started_ms <= started_ms);
+        covered.for_each(|left| left.is_committed = true);
+    }
+
+    /// Returns whether the replicated state has the departure of a server, as far as is known here.
+    pub fn is_committed(&self, instance: &str, started_ms: u64) -> bool {
+        let mut found = self.servers.iter().filter(|left| left.instance == instance);
+        found.any(|left| left.is_committed && started_ms <= left.started_ms)
+    }
+
+    /// Returns the latest start of a process with this name that has left.
+    pub fn started_ms(&self, instance: &str) -> Option<u64> {
+        let found = self.servers.iter().filter(|left| left.instance == instance);
+        found.map(|left| left.started_ms).max()
+    }
+
     /// Returns whether a server has announced that it leaves. A server that was started later under the same name has
     /// not.
     pub fn contains(&self, instance: &str, started_ms: u64) -> bool {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod control_handler;
 mod daemon_cx;
 mod decisions;
+mod departure;
 mod dispatch;
 mod edges;
 mod explain;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -79,12 +79,13 @@
         self.0.clone().serve_routed(request).await
     }
 
-    /// Processes a heartbeat of a local server. Returns its grants, or `None` if it gets none now.
+    /// Processes a heartbeat of a local server. Returns its grants, or `None` if it gets none now. If the server drains,
+    /// this returns once its departure is committed.
     ///
     /// # Errors
-    /// Returns the reason why the heartbeat has no effect.
-    pub fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Option<HoldAnswer>, HeartbeatError> {
-        self.0.heartbeat(heartbeat)
+    /// Returns the reason why the heartbeat must not be acknowledged, or is out of date.
+    pub async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Option<HoldAnswer>, HeartbeatError> {
+        self.0.heartbeat(heartbeat).await
     }
 
     /// Logs that an announcement of a server was refused.
@@ -92,9 +93,10 @@
         self.0.log_refused_announcement(from, reason);
     }
 
-    /// Processes the deregistration of a local server that will end soon.
-    pub fn deregister(&self, instance: &str) {
-        self.0.deregister(instance);
+    /// Processes the deregistration of a local server that will end soon. Returns whether its departure is known to be
+    /// committed, and may be acknowledged.
+    pub async fn deregister(&self, instance: &str) -> bool {
+        self.0.deregister(instance).await
     }
 
     /// Returns whether this daemon takes new calls: it has had the newest configuration and is not being stopped.
--- a/src/daemon/server_notice.rs
+++ b/src/daemon/server_notice.rs
@@ -2,18 +2,24 @@
     super::{daemon_cx::DaemonCx, local_server::LocalServer},
     crate::{edge::ServerNotice, event::Event, log_event},
     std::rc::Rc,
+    tokio::task::spawn_local,
 };
 
 impl DaemonCx {
     /// Obeys what a server says of itself in an answer. Only this daemon sends calls to it, so its limit holds for the
     /// calls of all daemons.
-    pub(super) fn obey_notice(&self, server: &Rc<LocalServer>, notice: ServerNotice) {
+    pub(super) fn obey_notice(self: &Rc<Self>, server: &Rc<LocalServer>, notice: ServerNotice) {
         let before = server.notice.replace(notice);
         if before == notice {
             return;
         }
         if notice.is_leaving {
             self.mark_leaving(server, "its answer says so");
+            let (cx, announced) = (self.clone(), server.announced.clone());
+            spawn_local(async move {
+                cx.commit_departure(announced.instance(), announced.started_ms())
+                    .await
+            });
         }
         if before.limit_per_s == notice.limit_per_s {
             return;
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -160,6 +160,8 @@
     ConfigurationConfirmed = "CF4115", Info, "configuration confirmed";
     /// This daemon has replaced its state by a whole one from a control host.
     StateFetched = "CF4116", Info, "state fetched";
+    /// The departure of a local server is not known to be committed, so it was not acknowledged.
+    DepartureNotCommitted = "CF4117", Warning, "departure not committed";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
--- a/src/grant/changed_spans.rs
+++ b/src/grant/changed_spans.rs
@@ -43,7 +43,9 @@
     /// Records the effect of a change on the daemon with this session.
     pub fn record(&mut self, applied: &Applied, own_session: Option<u64>) {
         match applied {
-            Applied::SessionEnded(session) | Applied::ServersSet(session) => {
+            Applied::SessionEnded(session)
+            | Applied::ServersSet(session)
+            | Applied::ServerLeft(Some(session)) => {
                 self.all |= Some(*session) == own_session;
                 self.releases = true;
             }
@@ -65,6 +67,7 @@
             | Applied::GuardReady(_)
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
+            | Applied::ServerLeft(None)
             | Applied::PatchBaseMismatch
             | Applied::Ignored(_) => {}
         }
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -50,6 +50,7 @@
             | Applied::GuardReady(_)
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
+            | Applied::ServerLeft(_)
             | Applied::SplitStaged(_)
             | Applied::PatchBaseMismatch
             | Applied::Ignored(_) => {}
