Send a refused call again over another connection

Cause: all tries of a request share the id that answers name, and the next try went over the connection of the last one. The late copy of the refusal was taken for its answer.

Change: a connection remembers the calls that it has carried without a final answer, until they cannot be sent again, and is not used for them. Other calls use it as before.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller_edge;
 mod caller_stream;
+mod carried_calls;
 mod counted_stream;
 mod head_timer;
 mod http_server;
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -1,10 +1,11 @@
 use {
     super::{
+        carried_calls::CarriedCalls,
         counted_stream::{CountedStream, SendMeter},
         server_dialect::{AnswerHead, ServerDialect, ServerNotice},
     },
     crate::{
-        call::{Call, CallResult, Reason},
+        call::{Call, CallResult, Outcome, Reason},
         clock::{Clock, Ms},
         lease::DaemonLease,
     },
@@ -104,6 +105,15 @@
     idle_since: Ms,
     /// Longest time that the connection may be idle and still be reused.
     idle_timeout: Cell<Ms>,
+    carried: CarriedCalls,
+}
+
+impl Connection {
+    fn is_reusable(&self, now: Ms) -> bool {
+        self.sender.is_ready()
+            && self.carried.is_complete()
+            && now < self.idle_since + self.idle_timeout.get()
+    }
 }
 
 impl Drop for Connection {
@@ -153,7 +163,8 @@
         if remaining == Ms::ZERO {
             return failed(Reason::DeadlineTooShort);
         }
-        let mut connection = match self.connection(remaining).await {
+        let answer_id = self.dialect.answer_id(&attempt);
+        let mut connection = match self.connection(answer_id, remaining).await {
             Ok(connection) => connection,
             Err(reply) => return reply,
         };
@@ -169,6 +180,10 @@
         let exchange = self.exchange(&mut connection, request, &attempt);
         match timeout(remaining.as_duration(), exchange).await {
             Ok(Ok(reply)) => {
+                if !is_final(&reply.result) {
+                    let now = self.clock.now();
+                    connection.carried.record(answer_id, attempt.deadline, now);
+                }
                 self.keep_for_reuse(connection);
                 reply
             }
@@ -177,14 +192,21 @@
         }
     }
 
-    /// Returns an idle connection, or opens a new one.
-    async fn connection(&self, remaining: Ms) -> Result<Connection, ServerReply> {
+    /// Returns the idle connection that was used last and has not carried the call before.
+    fn idle_connection(&self, answer_id: &str) -> Option<Connection> {
         let now = self.clock.now();
-        while let Some(idle) = self.idle.borrow_mut().pop() {
-            if idle.sender.is_ready() && now < idle.idle_since + idle.idle_timeout.get() {
-                return Ok(idle);
-            }
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|connection| connection.is_reusable(now));
+        let found = idle.iter().rposition(|c| !c.carried.contains(answer_id));
+        found.map(|i| idle.remove(i))
+    }
+
+    /// Returns an idle connection that has not carried the call before, or opens a new one.
+    async fn connection(&self, answer_id: &str, remaining: Ms) -> Result<Connection, ServerReply> {
+        if let Some(idle) = self.idle_connection(answer_id) {
+            return Ok(idle);
         }
+        let now = self.clock.now();
         let connect_timeout = remaining.as_duration().min(CONNECT_TIMEOUT);
         let stream = match timeout(connect_timeout, TcpStream::connect(&self.address)).await {
             Ok(Ok(stream)) => stream,
@@ -213,6 +235,7 @@
             task,
             idle_since: now,
             idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
+            carried: CarriedCalls::default(),
         })
     }
 
@@ -319,6 +342,11 @@
     }
 }
 
+/// Returns whether the call is not sent again after this result.
+fn is_final(result: &CallResult) -> bool {
+    result.outcome == Outcome::Answered && result.status < 500
+}
+
 /// Returns the reason of a failed attempt. If no byte was sent, the call was certainly not run.
 fn failure_reason(sent: u64, reason: Reason) -> Reason {
     match (sent, reason) {
--- a/src/edge/server_dialect.rs
+++ b/src/edge/server_dialect.rs
@@ -10,6 +10,9 @@
     /// Returns the request head of one attempt, which has the time `remaining` until its deadline.
     fn head(&self, attempt: &Attempt<'_>, address: &str, remaining: Ms) -> request::Builder;
 
+    /// Returns the id that an answer to `attempt` names. Several tries of a call may share it.
+    fn answer_id<'a>(&self, attempt: &Attempt<'a>) -> &'a str;
+
     /// Classifies the head of an answer to `attempt`.
     fn classify(&self, attempt: &Attempt<'_>, answer: &Parts) -> AnswerHead;
 
@@ -71,12 +74,16 @@
         head
     }
 
+    fn answer_id<'a>(&self, attempt: &Attempt<'a>) -> &'a str {
+        attempt.call_id
+    }
+
     /// Accepts only an answer that names the call and whose end is delimited.
     fn classify(&self, attempt: &Attempt<'_>, answer: &Parts) -> AnswerHead {
         let names_call = answer
             .headers
             .get("fold-call")
-            .is_some_and(|id| id.as_bytes() == attempt.call_id.as_bytes());
+            .is_some_and(|id| id.as_bytes() == self.answer_id(attempt).as_bytes());
         if !names_call || !is_delimited(answer, &attempt.call.method) {
             return AnswerHead::Foreign;
         }
