Send each order to a server over a connection of its own

Cause: answers to orders have no id, and a connection was kept after an answer without a body. A second copy of the answer to a grant was taken for the confirmation of a revoke, so that the span could get another owner while the server still held it.

Evidence: repeated_answer failed before this change: the revoke counted as confirmed.

--- a/src/edge/server_orders.rs
+++ b/src/edge/server_orders.rs
@@ -87,7 +87,7 @@
     tx: oneshot::Sender<Result<(), OrderError>>,
 }
 
-/// Sends orders to one backend server over a connection that is reserved for them, from a thread of its own.
+/// Sends orders to one backend server from a thread of its own, each over a connection of its own.
 #[derive(Debug)]
 pub struct ServerOrders {
     queue: Sender<Job>,
@@ -122,6 +122,9 @@
         let agent = Agent::config_builder()
             .http_status_as_error(false)
             .proxy(None)
+            // Answers to orders have no id, so a second copy of one must not meet the next order.
+            .max_idle_connections(0)
+            .max_idle_connections_per_host(0)
             .build();
         let worker = Worker {
             address: address.to_owned(),
--- a/tests/server_orders.rs
+++ b/tests/server_orders.rs
@@ -152,6 +152,50 @@
     assert!(matches!(setup.give(Order::Lease), Err(OrderError::Refused(_))));
 }
 
+/// Starts a server that confirms grants twice, and refuses all other orders.
+fn repeating_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let mut reader = BufReader::new(stream);
+            let mut is_repeating = false;
+            while let Some((path, _)) = read_order(&mut reader) {
+                let is_grant = path == "/fold/grant";
+                let status = if is_grant || is_repeating {
+                    "200 OK"
+                } else {
+                    "409 Conflict"
+                };
+                is_repeating = is_grant;
+                let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+                if reader.get_mut().write_all(answer.as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a late copy of the answer to a grant that is taken for the confirmation of a revoke.
+#[test]
+fn repeated_answer() {
+    let lease = DaemonLease::default();
+    lease.record_renewal(Ms(5000), &LeaseSettings::default());
+    let address = repeating_server().to_string();
+    let orders = ServerOrders::start(&address, Clock::manual(Ms(5000)), lease).unwrap();
+    let runtime = Builder::new_current_thread().build().unwrap();
+    assert_eq!(runtime.block_on(orders.give(grant())), Ok(()));
+    let revoke = Order::Revoke {
+        service: "ledger".into(),
+        span: KeyRange::default(),
+        epoch: 7,
+    };
+    let revoked = runtime.block_on(orders.give(revoke));
+    assert!(matches!(revoked, Err(OrderError::Refused(_))), "{revoked:?}");
+}
+
 #[test]
 fn gone_server() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
