Wait before servers are adopted again while the session is not listed

The task that adopts servers tried again at once if the state did not list the session, e.g. because the leader had ended it and the daemon did not know yet. Nothing in that loop waits then.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -20,7 +20,11 @@
         time::Duration,
     },
     thiserror::Error,
-    tokio::{sync::Mutex, task::spawn_local, time::timeout},
+    tokio::{
+        sync::Mutex,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
 };
 
 /// Longest hold that a heartbeat is answered with. It spans three regular heartbeats, so that a late one loses no keys,
@@ -32,6 +36,8 @@
 const HOLD_PERCENT: u64 = 97;
 /// Longest time to wait for a session before the adoption of servers is tried again.
 const ADOPTION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time before the next attempt to adopt servers while the state does not list the session.
+const ADOPTION_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Connections for each slot of a server that sends heartbeats, which do not say how many it accepts. The schema may
 /// allow more.
 const CONNECTIONS_PER_SLOT: u32 = 2;
@@ -302,10 +308,11 @@
         };
         self.await_applied(self.session_start_index.get()).await;
         let state = self.state();
-        if state.applied() < self.session_start_index.get() {
+        let is_current = state.applied() >= self.session_start_index.get();
+        let Some(session) = state.session(id).filter(|_| is_current) else {
+            sleep(ADOPTION_RETRY_DELAY).await;
             return None;
-        }
-        let session = state.session(id)?;
+        };
         for listed in &session.servers {
             let known = self.servers.borrow().clone();
             if let Some(known) = known.iter().find(|s| s.announced.address == listed.address) {
