Log how long a closed link was silent, and that no leader confirms the configuration

The logs could not tell a link that was closed by its peer from one that had carried nothing for seconds, nor that a daemon goes on with a configuration that nobody confirms. CF3002 now has silent_ms and pending; CF4118 is new. No decision changes. A link records the time of its last bytes in its codec.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -12,7 +12,7 @@
         event::{Event, RateLimit},
         grant::ChangedSpans,
         key::Key,
-        lease::{ConfigFreshness, DaemonLease},
+        lease::{ConfigAge, ConfigFreshness, DaemonLease},
         link::{KeyRing, Links},
         log_event,
         metrics::{Metric, Metrics},
@@ -58,7 +58,7 @@
     /// Tracks the age of the configuration.
     pub freshness: RefCell<ConfigFreshness>,
     /// Result of the last check of the configuration's age, so that only changes are logged.
-    pub was_stale: Cell<bool>,
+    pub config_age: Cell<ConfigAge>,
     pub session: Cell<Option<u64>>,
     /// Log index at which the session was opened or taken over. Earlier states may be out of date about this daemon.
     pub session_start_index: Cell<u64>,
@@ -165,7 +165,7 @@
             process: rng.next_u64(),
             lease: DaemonLease::default(),
             freshness: RefCell::default(),
-            was_stale: Cell::new(false),
+            config_age: Cell::new(ConfigAge::Fresh),
             session: Cell::new(None),
             session_start_index: Cell::new(0),
             fetches_grants: parts.fetches_grants,
@@ -256,20 +256,34 @@
     /// yet which one is the newest. Logs each change of the result.
     pub fn is_stale(&self) -> bool {
         let (now, lease) = (self.clock.now(), &self.settings.lease);
-        let freshness = self.freshness.borrow();
-        let is_stale = !freshness.age(lease.max_config_age, lease.ttl, now).is_usable();
-        if self.was_stale.replace(is_stale) != is_stale {
-            let event = match is_stale {
-                true => Event::ConfigurationStale,
-                false => Event::ConfigurationConfirmed,
-            };
-            log_event!(
-                self.log, event;
-                "revision" => self.state.borrow().revision().index,
-                "since_proof_ms" => freshness.since_confirmation(now).map(|age| age.0), "round_trip_ms" => freshness.round_trip().0
-            );
+        let age = self.freshness.borrow().age(lease.max_config_age, lease.ttl, now);
+        if self.config_age.replace(age) != age {
+            self.log_config_age(age, now);
         }
-        is_stale
+        !age.is_usable()
+    }
+
+    fn log_config_age(&self, age: ConfigAge, now: Ms) {
+        let freshness = self.freshness.borrow();
+        let revision = self.state.borrow().revision().index;
+        let since_proof = freshness.since_confirmation(now).map(|age| age.0);
+        let round_trip = freshness.round_trip().0;
+        let event = match age {
+            ConfigAge::Fresh => Event::ConfigurationConfirmed,
+            ConfigAge::Stale | ConfigAge::Unconfirmed => Event::ConfigurationStale,
+            ConfigAge::Unknown => {
+                log_event!(
+                    self.log, Event::ConfigurationUnconfirmed;
+                    "revision" => revision, "since_proof_ms" => since_proof, "round_trip_ms" => round_trip,
+                    "leader" => self.leader.borrow().as_str(), "watched" => self.watched_host().unwrap_or_default()
+                );
+                return;
+            }
+        };
+        log_event!(
+            self.log, event;
+            "revision" => revision, "since_proof_ms" => since_proof, "round_trip_ms" => round_trip
+        );
     }
 
     /// Returns a unique id for an attempt.
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -162,6 +162,8 @@
     StateFetched = "CF4116", Info, "state fetched";
     /// The departure of a local server is not known to be committed, so it was not acknowledged.
     DepartureNotCommitted = "CF4117", Warning, "departure not committed";
+    /// No leader has confirmed the configuration of this daemon for a while. This daemon continues with it.
+    ConfigurationUnconfirmed = "CF4118", Warning, "configuration not confirmed";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
--- a/src/link/frame_codec.rs
+++ b/src/link/frame_codec.rs
@@ -1,4 +1,5 @@
 use {
+    super::ReadMeter,
     crate::wire::peer::Frame,
     bytes::{Bytes, BytesMut},
     prost::Message,
@@ -15,6 +16,9 @@
 #[derive(Debug)]
 pub struct FrameCodec {
     lengths: LengthDelimitedCodec,
+    meter: ReadMeter,
+    /// Number of received bytes that have not been decoded yet.
+    buffered: usize,
 }
 
 impl FrameCodec {
@@ -22,9 +26,16 @@
     pub fn for_hello() -> Self {
         Self {
             lengths: length_codec(HELLO_FRAME_MAX_BYTES),
+            meter: ReadMeter::default(),
+            buffered: 0,
         }
     }
 
+    /// Returns the meter of the bytes that are received.
+    pub(super) fn meter(&self) -> ReadMeter {
+        self.meter.clone()
+    }
+
     /// Accepts frames of full size from now on.
     pub fn end_hello(&mut self) {
         self.lengths.set_max_frame_length(FRAME_MAX_BYTES);
@@ -42,7 +53,12 @@
     type Error = io::Error;
 
     fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>, io::Error> {
-        let Some(bytes) = self.lengths.decode(buf)? else {
+        if buf.len() > self.buffered {
+            self.meter.record_read();
+        }
+        let bytes = self.lengths.decode(buf);
+        self.buffered = buf.len();
+        let Some(bytes) = bytes? else {
             return Ok(None);
         };
         let frame = Frame::decode(bytes.freeze());
--- a/src/link/link_client.rs
+++ b/src/link/link_client.rs
@@ -166,6 +166,7 @@
         let (cancel_tx, cancels) = mpsc::channel(QUEUE_CAPACITY);
         let queue = LinkQueue { cancels, frames };
         let pending = Pending::default();
+        let meter = stream.codec().meter();
         let (sink, source) = stream.split();
         let log = self.log.clone();
         let peer = address.to_owned();
@@ -175,8 +176,12 @@
                 () = write_frames(sink, queue, &task_pending) => {}
                 () = read_answers(source, &task_pending) => {}
             }
+            let silence = Clock::System.now() - meter.received_at();
+            log_event!(
+                log, Event::LinkClosed;
+                "peer" => peer, "silent_ms" => silence.0, "pending" => task_pending.borrow().len()
+            );
             report_loss(&task_pending);
-            log_event!(log, Event::LinkClosed; "peer" => peer);
         });
         LinkHandle {
             tx,
