Replace links that carry nothing although their connection is open

What callers saw: requests refused with 404, or run by the service before, for seconds after a new configuration had been acknowledged. In the users' record, the links between all control hosts carry nothing for 4.5 to 5 s and end together.

Cause: a link whose connection stays open but carries nothing was used until the kernel gave it up after 5 s, or for as long as the other kernel acknowledged its bytes. Daemons heard of no change meanwhile, and control hosts could not elect a leader.

Change: a link that gets no bytes for 0.4 s while a request waits, or after a write, sends a ping, which every peer answers at once. After 1 s without bytes a new connection is opened, and the link is replaced if that works and the old one is still silent; a link that was only slow is used on, and is given twice the time from then on. Requests without an effect of their own are sent again over the new link; calls that may have reached the peer wait on. The decisions are in silence_detector.rs, without I/O. Peers that do not answer pings say so in the hello and are not probed.

--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -98,6 +98,8 @@
     PeerRefused = "CF3003", Warning, "peer refused";
     /// A link to another daemon could not be opened.
     LinkFailed = "CF3004", Warning, "link could not be opened";
+    /// A link carried nothing although its connection was open, and was replaced by a new one.
+    LinkReplaced = "CF3005", Warning, "silent link replaced";
     /// An operator's request was refused.
     OperatorRefused = "CF3101", Warning, "operator refused";
     /// An announcement of a backend server was refused.
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -62,8 +62,9 @@
     }
 }
 
-/// Runs the hello of the connecting side. Each side proves by its signature that it holds a key.
-pub(super) async fn connect(stream: TcpStream, identity: &LinkIdentity) -> io::Result<FrameStream> {
+/// Runs the hello of the connecting side. Each side proves by its signature that it holds a key. Returns the stream, and
+/// whether the peer answers pings.
+pub(super) async fn connect(stream: TcpStream, identity: &LinkIdentity) -> io::Result<(FrameStream, bool)> {
     within_timeout(async {
         let mut stream = frame_stream(stream);
         let hello = Hello {
@@ -94,7 +95,7 @@
         let proof = identity.keys.sign(&transcript.parts(CONNECT_LABEL)).into();
         send(&mut stream, Body::HelloProof(HelloProof { proof })).await?;
         stream.codec_mut().end_hello();
-        Ok(stream)
+        Ok((stream, answer.answers_pings))
     })
     .await
 }
@@ -124,6 +125,7 @@
             host: identity.host.clone(),
             challenge: challenge.clone(),
             proof,
+            answers_pings: true,
         };
         send(&mut stream, Body::HelloAnswer(answer)).await?;
         let is_authenticated = match receive(&mut stream).await? {
--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -8,7 +8,7 @@
         clock::Clock,
         event::{Event, RateLimit},
         log_event,
-        wire::peer::{frame::Body, Frame},
+        wire::peer::{frame::Body, Frame, Pong},
     },
     futures_util::{stream::SplitSink, StreamExt},
     slog::Logger,
@@ -96,6 +96,14 @@
             }
             continue;
         }
+        if let Body::Ping(_) = body {
+            // Answers that fill the queue show as well that the link works.
+            let _ = tx.try_send(Box::new(Frame {
+                correlation: 0,
+                body: Some(Body::Pong(Pong {})),
+            }));
+            continue;
+        }
         let correlation = frame.correlation;
         let is_call = matches!(body, Body::CallRequest(_));
         let answer = handler(body);
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,12 +7,19 @@
 mod link_client;
 mod link_error;
 mod link_server;
+mod open_link;
 mod read_meter;
+mod silence_detector;
 mod socket;
 
 pub(crate) use key_ring::from_hex;
 use read_meter::ReadMeter;
 pub use {
-    frame_codec::FrameCodec, handshake::LinkIdentity, key_ring::KeyRing, link_client::Links,
-    link_error::LinkError, link_server::serve_links,
+    frame_codec::FrameCodec,
+    handshake::LinkIdentity,
+    key_ring::KeyRing,
+    link_client::Links,
+    link_error::LinkError,
+    link_server::serve_links,
+    silence_detector::{LinkCheck, SilenceDetector},
 };
