Watch all other control hosts once the watched one does not answer

What callers saw: requests refused with 404, or run by a route that was dropped, 2.0 to 2.1 s after a new configuration had been acknowledged, at daemons that reached only one of three control hosts.

Cause: after 1.5 s without an answer to its watch, a daemon asked one other host. If that one was silent too, the third one was asked after 3 s. The leader was silent as well, so that nothing told the daemon that it lacked a configuration.

Change: after 1.5 s all other hosts are asked at once.

Evidence: tests/silent_links.rs reachable_host_found_in_time is new.

--- a/src/daemon/control_client.rs
+++ b/src/daemon/control_client.rs
@@ -94,6 +94,19 @@
         hosts.get(position).cloned()
     }
 
+    /// Returns the control hosts to be watched next: the watched one, followed by all others but the one before it if
+    /// `asks_all`. The one before it was watched without an answer.
+    pub fn hosts_to_watch(&self, asks_all: bool) -> Vec<String> {
+        let hosts = self.control_hosts.borrow();
+        let watched = (self.process as usize).wrapping_add(self.watch_offset.get());
+        let count = match asks_all {
+            true => hosts.len().saturating_sub(1).max(1),
+            false => 1,
+        };
+        let positions = (0..count.min(hosts.len())).map(|i| watched.wrapping_add(i) % hosts.len());
+        positions.map(|position| hosts[position].clone()).collect()
+    }
+
     /// Switches to the next control host, unless this daemon has already switched away from `failed`.
     pub fn leave_watched_host(&self, failed: &str) {
         if self.watched_host().is_some_and(|host| host == failed) {
--- a/src/daemon/watch_task.rs
+++ b/src/daemon/watch_task.rs
@@ -18,8 +18,8 @@
 
 /// Time before the next attempt after a watch has failed.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time without an answer after which another control host is watched too. It is longer than a control host delays its
-/// answer while there are no changes.
+/// Time without an answer after which the other control hosts are watched too. It is longer than a control host delays
+/// its answer while there are no changes.
 const SECOND_WATCH_DELAY: Duration = Duration::from_millis(1500);
 /// Time for which the watched control host may lack a configuration that the leader has announced, before this daemon
 /// switches to another one.
@@ -39,18 +39,23 @@
 impl DaemonCx {
     /// Watches for committed changes and applies them to the state of this daemon.
     ///
-    /// An unanswered watch is kept while another host is asked: over a saturated link answers are late, and the answer
-    /// to a new watch would arrive no sooner.
+    /// An unanswered watch is kept while the other hosts are asked: over a saturated link answers are late, and the answer
+    /// to a new watch would arrive no sooner. They are asked at once, because more than one of them may be silent.
     pub async fn watch_state(self: Rc<Self>) {
         let mut failure_log_limit = RateLimit::default();
         let mut watches = JoinSet::new();
+        let mut asks_all = false;
         loop {
             let host = self.watched_host().unwrap_or_default();
             let asked_at = self.clock.now();
-            if watches.len() < PENDING_WATCHES_MAX {
-                watches.spawn_local(self.clone().watch(host.clone(), asked_at));
+            for host in self.hosts_to_watch(asks_all) {
+                if watches.len() < PENDING_WATCHES_MAX {
+                    watches.spawn_local(self.clone().watch(host, asked_at));
+                }
             }
-            let (host, asked_at, answer) = match timeout(SECOND_WATCH_DELAY, watches.join_next()).await {
+            let answer = timeout(SECOND_WATCH_DELAY, watches.join_next()).await;
+            asks_all = answer.is_err();
+            let (host, asked_at, answer) = match answer {
                 Ok(Some(Ok(WatchResult {
                     host,
                     asked_at,
--- a/tests/silent_links.rs
+++ b/tests/silent_links.rs
@@ -1,5 +1,4 @@
-//! Daemons whose open connections to a control host carry nothing any more, while new ones work. The test itself acts as
-//! the control host, behind a proxy.
+//! Daemons whose connections to control hosts carry nothing. The tests themselves act as the control hosts, behind proxies.
 
 #[path = "support/processes.rs"]
 #[allow(dead_code)]
@@ -11,7 +10,7 @@
         schema::PackedText,
         wire::{
             control::{change, operator_command, Change, Committed, OperatorCommand, VersionedSchema},
-            peer::{frame::Body, InForceAnswer, OpenSessionAnswer, RenewAnswer, WatchAnswer},
+            peer::{frame::Body, OpenSessionAnswer, RenewAnswer, WatchAnswer},
         },
     },
     processes::{free_address, Process},
@@ -41,12 +40,16 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after which a disturbance no longer excuses a daemon.
 const STABILITY_WINDOW: Duration = Duration::from_millis(3000);
+/// Time after which a configuration has to be in force.
+const IN_FORCE_LIMIT: Duration = Duration::from_millis(2000);
 /// Time for which calls are observed after that.
 const OBSERVED: Duration = Duration::from_millis(3000);
+/// Position of the control host that is asked to renew the session, the first one of the settings.
+const LEADER: usize = 0;
 /// Time for which a control host holds a watch without changes.
 const WATCH_TIME: Duration = Duration::from_millis(1000);
 
-/// A control host that leads.
+/// The control hosts of a cell.
 #[derive(Default)]
 struct Control {
     /// Log index of the newest configuration. The changes before it replace the configuration too.
@@ -55,7 +58,29 @@
 }
 
 impl Control {
-    async fn answer(self: Rc<Self>, body: Body) -> Option<Body> {
+    /// Returns the answer of the leader, or that of another host if `leader` is the leader's address.
+    async fn answer(self: Rc<Self>, leader: Option<SocketAddr>, body: Body) -> Option<Body> {
+        if let Some(leader) = leader.map(|address| address.to_string()) {
+            match body {
+                Body::OpenSession(_) => {
+                    return Some(Body::OpenSessionAnswer(OpenSessionAnswer {
+                        declined: true,
+                        leader,
+                        ..OpenSessionAnswer::default()
+                    }))
+                }
+                Body::Renew(renew) => {
+                    return Some(Body::RenewAnswer(RenewAnswer {
+                        session: renew.session,
+                        sent_at_ms: renew.sent_at_ms,
+                        declined: true,
+                        leader,
+                        ..RenewAnswer::default()
+                    }))
+                }
+                _ => {}
+            }
+        }
         match body {
             Body::Watch(watch) => {
                 if watch.applied >= self.newest.get() {
@@ -79,12 +104,6 @@
                 revision: self.newest.get(),
                 ..RenewAnswer::default()
             })),
-            Body::InForce(_) => Some(Body::InForceAnswer(InForceAnswer {
-                known: true,
-                committed: self.newest.get(),
-                revision: Some(self.newest.get()),
-                ..InForceAnswer::default()
-            })),
             _ => None,
         }
     }
@@ -122,7 +141,8 @@
     }
 }
 
-async fn serve_control(control: Rc<Control>) -> SocketAddr {
+/// Serves a control host, which leads unless `leader` is the leader's address.
+async fn serve_control(control: Rc<Control>, leader: Option<SocketAddr>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let identity = LinkIdentity {
@@ -132,14 +152,15 @@
         keys: Rc::new(KeyRing::unauthenticated()),
     };
     let discard_log = slog::Logger::root(slog::Discard, slog::o!());
-    let handler = move |body| control.clone().answer(body);
+    let handler = move |body| control.clone().answer(leader, body);
     spawn_local(serve_links(listener, identity, discard_log, handler));
     address
 }
 
-/// Forwards connections. Those that are open when [`Self::silence`] is called take bytes on, but deliver none.
+/// Forwards connections. A silenced one takes bytes, but delivers none.
 #[derive(Default)]
 struct Proxy {
+    /// The connections before this one are silent.
     silenced_before: Cell<u32>,
     accepted: Cell<u32>,
 }
@@ -170,13 +191,19 @@
         }
     }
 
-    fn silence(&self) {
+    /// Silences the connections that are open.
+    fn silence_open(&self) {
         self.silenced_before.set(self.accepted.get());
     }
+
+    /// Silences all connections, including later ones.
+    fn silence_all(&self) {
+        self.silenced_before.set(u32::MAX);
+    }
 }
 
-/// Starts a daemon that knows one control host. Returns the process and the address for callers.
-fn start_daemon(dir: &Path, control: SocketAddr) -> (Process, SocketAddr) {
+/// Starts a daemon that knows the control hosts `control`. Returns the process and the address for callers.
+fn start_daemon(dir: &Path, control: &[SocketAddr]) -> (Process, SocketAddr) {
     let callers = free_address();
     let settings = json!({
         "cluster": "test",
@@ -186,7 +213,7 @@
         "caller_address": callers.to_string(),
         "server_address": free_address().to_string(),
         "peer_address": free_address().to_string(),
-        "control_hosts": [control.to_string()],
+        "control_hosts": control.iter().map(ToString::to_string).collect::<Vec<_>>(),
         "services": ["s"],
         "unauthenticated_links": true,
         "lease": {
@@ -224,6 +251,30 @@
     assert!(served.await.is_ok(), "{}", fs::read_to_string(log).unwrap());
 }
 
+/// Returns the position of the control host from which the daemon got its configuration.
+fn watched_host(log: &Path, addresses: &[SocketAddr]) -> usize {
+    let text = fs::read_to_string(log).unwrap();
+    let in_force = text.lines().rfind(|line| line.contains("CF4111")).unwrap();
+    let is_watched = |address: &SocketAddr| in_force.contains(&address.to_string());
+    addresses.iter().position(is_watched).unwrap()
+}
+
+/// Checks that calls are decided by a configuration with the route of `host` once `limit` has passed.
+async fn assert_in_force(callers: SocketAddr, host: &str, limit: Duration, log: &Path) {
+    let committed_at = Instant::now();
+    sleep(limit).await;
+    while committed_at.elapsed() < limit + OBSERVED {
+        assert_eq!(
+            call(callers, host).await,
+            "no-server",
+            "{:?} after the commit: {}",
+            committed_at.elapsed(),
+            fs::read_to_string(log).unwrap()
+        );
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// A configuration that is committed while all open connections to the control host carry nothing is in force once the
 /// daemon is no longer excused.
 #[test]
@@ -235,24 +286,45 @@
         let control = Rc::new(Control::default());
         control.commit_configuration();
         let proxy = Rc::new(Proxy::default());
-        let address = proxy.clone().start(serve_control(control.clone()).await).await;
-        let (_daemon, callers) = start_daemon(dir.path(), address);
+        let served = serve_control(control.clone(), None).await;
+        let address = proxy.clone().start(served).await;
+        let (_daemon, callers) = start_daemon(dir.path(), &[address]);
         wait_until_served(callers, "v1", &log).await;
 
-        proxy.silence();
-        let silent_since = Instant::now();
+        proxy.silence_open();
         control.commit_configuration();
-        sleep(STABILITY_WINDOW).await;
-        while silent_since.elapsed() < STABILITY_WINDOW + OBSERVED {
-            let reason = call(callers, "v2").await;
-            assert_eq!(
-                reason,
-                "no-server",
-                "{:?} after the links fell silent: {}",
-                silent_since.elapsed(),
-                fs::read_to_string(&log).unwrap()
-            );
-            sleep(POLL_INTERVAL).await;
+        assert_in_force(callers, "v2", STABILITY_WINDOW, &log).await;
+    });
+}
+
+/// A daemon that reaches only one of three control hosts, which is not the leader, gets a new configuration from it in
+/// time.
+#[test]
+fn reachable_host_found_in_time() {
+    let dir = tempfile::tempdir().unwrap();
+    let log = dir.path().join("daemon.log");
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let control = Rc::new(Control::default());
+        control.commit_configuration();
+        let proxies = [(); 3].map(|()| Rc::new(Proxy::default()));
+        let mut addresses = Vec::new();
+        for proxy in &proxies {
+            let served = serve_control(control.clone(), addresses.first().copied()).await;
+            addresses.push(proxy.clone().start(served).await);
         }
+        let (_daemon, callers, watched) = loop {
+            let (daemon, callers) = start_daemon(dir.path(), &addresses);
+            wait_until_served(callers, "v1", &log).await;
+            let watched = watched_host(&log, &addresses);
+            // The host that is asked after the watched one has to be silent too.
+            if watched == LEADER || (watched + 1) % 3 == LEADER {
+                break (daemon, callers, watched);
+            }
+        };
+        proxies[watched].silence_all();
+        proxies[(watched + 1) % 3].silence_all();
+        control.commit_configuration();
+        assert_in_force(callers, "v2", IN_FORCE_LIMIT, &log).await;
     });
 }
