Extend leases by one lease at most while the leader is paused again and again

What callers saw: the keys of a daemon that is gone have no owner for longer than its lease, if the control hosts get no processor time for a second or two at a time. leaving_restart::daemon_away_beyond_lease failed twice so beside load: the session had not ended 19 s after the leader was elected.

Cause: after each pause of the leader all leases were extended by the pause less 0.5 s, so that with pauses of 2.5 s a lease lost 0.5 s in 2.5 s. Several pauses between two renewals now extend a lease by its length at most; a single one counts in full as before. No safety depends on the extension: a lease ends at the daemon before it ends here without it.

--- a/src/lease/session_views.rs
+++ b/src/lease/session_views.rs
@@ -15,6 +15,8 @@
 struct SessionView {
     session: u64,
     ends_at: Ms,
+    /// Time by which the lease was extended since the last renewal because the leader was paused.
+    extended_by: Ms,
     /// Highest log index that the daemon has reported as applied.
     applied: u64,
 }
@@ -49,12 +51,17 @@
     pub fn record_renewal(&mut self, session: u64, now: Ms) {
         let ends_at = now + self.timing.ttl + self.timing.drift;
         match self.position(session) {
-            Ok(i) => self.views[i].ends_at = self.views[i].ends_at.max(ends_at),
+            Ok(i) => {
+                let view = &mut self.views[i];
+                view.ends_at = view.ends_at.max(ends_at);
+                view.extended_by = Ms::ZERO;
+            }
             Err(i) => self.views.insert(
                 i,
                 SessionView {
                     session,
                     ends_at,
+                    extended_by: Ms::ZERO,
                     applied: 0,
                 },
             ),
@@ -100,7 +107,8 @@
     /// Returns the sessions whose leases have certainly ended at `now`.
     ///
     /// If the leader itself was paused since the last call, all leases are extended by the pause, since renewals may
-    /// have waited in the meantime.
+    /// have waited in the meantime. Several pauses extend a lease by at most its length: a leader that is starved for
+    /// long would otherwise keep the sessions of lost daemons.
     pub fn expired(&mut self, now: Ms) -> Vec<u64> {
         let pause = self
             .last_checked_at
@@ -108,8 +116,11 @@
             .map_or(Ms::ZERO, |last| now - last);
         let excess = pause - self.timing.renew_interval;
         if excess > Ms::ZERO {
+            let extension_max = self.timing.ttl.max(excess);
             for view in &mut self.views {
-                view.ends_at += excess;
+                let extension = excess.min(extension_max - view.extended_by);
+                view.ends_at += extension;
+                view.extended_by += extension;
             }
         }
         let expired = self.views.iter().filter(|view| view.ends_at <= now);
