--- a/tests/silent_links.rs
+++ b/tests/silent_links.rs
@@ -1,18 +1,14 @@
 //! Daemons whose connections to control hosts carry nothing. The tests themselves act as the control hosts, behind proxies.
 
+#[path = "support/fake_control.rs"]
+mod fake_control;
 #[path = "support/processes.rs"]
 #[allow(dead_code)]
 mod processes;
 
 use {
-    clementinefold::{
-        link::{serve_links, KeyRing, LinkIdentity},
-        schema::PackedText,
-        wire::{
-            control::{change, operator_command, Change, Committed, OperatorCommand, VersionedSchema},
-            peer::{frame::Body, OpenSessionAnswer, RenewAnswer, WatchAnswer},
-        },
-    },
+    clementinefold::wire::peer::{frame::Body, OpenSessionAnswer, RenewAnswer, WatchAnswer},
+    fake_control::{call, schema_change, serve_control},
     processes::{free_address, Process},
     serde_json::json,
     std::{
@@ -88,7 +84,9 @@
                 }
                 let missing = watch.applied + 1..=self.newest.get();
                 Some(Body::WatchAnswer(WatchAnswer {
-                    changes: missing.map(schema_change).collect(),
+                    changes: missing
+                        .map(|index| schema_change(index, &format!("v{index}")))
+                        .collect(),
                     ..WatchAnswer::default()
                 }))
             }
@@ -108,55 +106,18 @@
         }
     }
 
+    /// Serves a control host, which leads unless `leader` is the leader's address.
+    async fn serve(self: &Rc<Self>, leader: Option<SocketAddr>) -> SocketAddr {
+        let control = self.clone();
+        serve_control(move |body| control.clone().answer(leader, body)).await
+    }
+
     fn commit_configuration(&self) {
         self.newest.set(self.newest.get() + 1);
         self.changed.notify_waiters();
     }
 }
 
-/// Returns the change at a log index. It has a route of host `v` with its index, and no other.
-fn schema_change(index: u64) -> Committed {
-    let schema = json!({
-        "cluster": "test",
-        "services": [{ "name": "s" }],
-        "routes": [{
-            "name": "r", "host": format!("v{index}"), "path_prefix": "/", "timeout_ms": 900, "attempts": 1,
-            "targets": [{ "service": "s", "weight": 1 }]
-        }]
-    });
-    let versioned = VersionedSchema {
-        version: index,
-        packed_schema: PackedText::pack(schema.to_string().as_bytes()).as_bytes().clone(),
-        ..VersionedSchema::default()
-    };
-    Committed {
-        index,
-        change: Some(Change {
-            proposed_at_ms: 0,
-            body: Some(change::Body::OperatorCommand(OperatorCommand {
-                body: Some(operator_command::Body::ReplaceSchema(versioned)),
-                ..OperatorCommand::default()
-            })),
-        }),
-    }
-}
-
-/// Serves a control host, which leads unless `leader` is the leader's address.
-async fn serve_control(control: Rc<Control>, leader: Option<SocketAddr>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let identity = LinkIdentity {
-        cluster: "test".into(),
-        host: "control-1".into(),
-        peer_address: address.to_string(),
-        keys: Rc::new(KeyRing::unauthenticated()),
-    };
-    let discard_log = slog::Logger::root(slog::Discard, slog::o!());
-    let handler = move |body| control.clone().answer(leader, body);
-    spawn_local(serve_links(listener, identity, discard_log, handler));
-    address
-}
-
 /// Forwards connections. A silenced one takes bytes, but delivers none.
 #[derive(Default)]
 struct Proxy {
@@ -228,23 +189,9 @@
     (Process::start(program, &args, dir, "daemon.log"), callers)
 }
 
-/// Calls the route of `host`. Returns the reason of the answer.
-async fn call(callers: SocketAddr, host: &str) -> String {
-    let Ok(mut stream) = TcpStream::connect(callers).await else {
-        return "no connection".into();
-    };
-    let request =
-        format!("GET /x HTTP/1.1\r\nFold-Host: {host}\r\nHost: daemon\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).await.unwrap();
-    let reason = text.lines().find_map(|line| line.strip_prefix("fold-reason: "));
-    reason.unwrap_or_default().to_owned()
-}
-
 async fn wait_until_served(callers: SocketAddr, host: &str, log: &Path) {
     let served = timeout(WAIT_TIMEOUT, async {
-        while call(callers, host).await != "no-server" {
+        while call(callers, host).await.1 != "no-server" {
             sleep(POLL_INTERVAL).await;
         }
     });
@@ -265,7 +212,7 @@
     sleep(limit).await;
     while committed_at.elapsed() < limit + OBSERVED {
         assert_eq!(
-            call(callers, host).await,
+            call(callers, host).await.1,
             "no-server",
             "{:?} after the commit: {}",
             committed_at.elapsed(),
@@ -286,7 +233,7 @@
         let control = Rc::new(Control::default());
         control.commit_configuration();
         let proxy = Rc::new(Proxy::default());
-        let served = serve_control(control.clone(), None).await;
+        let served = control.serve(None).await;
         let address = proxy.clone().start(served).await;
         let (_daemon, callers) = start_daemon(dir.path(), &[address]);
         wait_until_served(callers, "v1", &log).await;
@@ -310,7 +257,7 @@
         let proxies = [(); 3].map(|()| Rc::new(Proxy::default()));
         let mut addresses = Vec::new();
         for proxy in &proxies {
-            let served = serve_control(control.clone(), addresses.first().copied()).await;
+            let served = control.serve(addresses.first().copied()).await;
             addresses.push(proxy.clone().start(served).await);
         }
         let (_daemon, callers, watched) = loop {
--- a/tests/unconfirmed_config.rs
+++ b/tests/unconfirmed_config.rs
@@ -1,27 +1,24 @@
 //! Calls to a daemon that has a configuration but has not learnt from a leader that it is the newest one. The test itself
 //! acts as the control host.
 
+#[path = "support/fake_control.rs"]
+mod fake_control;
 #[path = "support/processes.rs"]
 #[allow(dead_code)]
 mod processes;
 
 use {
-    clementinefold::{
-        link::{serve_links, KeyRing, LinkIdentity},
-        schema::PackedText,
-        wire::{
-            control::{change, operator_command, Change, Committed, OperatorCommand, VersionedSchema},
-            peer::{frame::Body, OpenSessionAnswer, RenewAnswer, WatchAnswer},
-        },
+    clementinefold::wire::{
+        control::Committed,
+        peer::{frame::Body, OpenSessionAnswer, RenewAnswer, WatchAnswer},
     },
+    fake_control::{exchange, schema_change, serve_control},
     processes::{free_address, Process},
     serde_json::json,
     std::{cell::Cell, fs, future::pending, net::SocketAddr, path::Path, rc::Rc, time::Duration},
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
         runtime::Builder,
-        task::{spawn_local, LocalSet},
+        task::LocalSet,
         time::{sleep, timeout},
     },
 };
@@ -48,7 +45,7 @@
                     sleep(POLL_INTERVAL).await;
                 }
                 Some(Body::WatchAnswer(WatchAnswer {
-                    changes: vec![schema_change(watch.applied + 1)],
+                    changes: vec![configuration(watch.applied + 1)],
                     ..WatchAnswer::default()
                 }))
             }
@@ -71,46 +68,8 @@
 }
 
 /// Returns the change at a log index. Only the newest configuration has the route of host `new`.
-fn schema_change(index: u64) -> Committed {
-    let host = if index == NEWEST { "new" } else { "old" };
-    let schema = json!({
-        "cluster": "test",
-        "services": [{ "name": "s" }],
-        "routes": [{
-            "name": "r", "host": host, "path_prefix": "/", "timeout_ms": 900, "attempts": 1,
-            "targets": [{ "service": "s", "weight": 1 }]
-        }]
-    });
-    let versioned = VersionedSchema {
-        version: index,
-        packed_schema: PackedText::pack(schema.to_string().as_bytes()).as_bytes().clone(),
-        ..VersionedSchema::default()
-    };
-    Committed {
-        index,
-        change: Some(Change {
-            proposed_at_ms: 0,
-            body: Some(change::Body::OperatorCommand(OperatorCommand {
-                body: Some(operator_command::Body::ReplaceSchema(versioned)),
-                ..OperatorCommand::default()
-            })),
-        }),
-    }
-}
-
-async fn serve_control(control: Rc<Control>) -> SocketAddr {
-    let address = free_address();
-    let listener = TcpListener::bind(address).await.unwrap();
-    let identity = LinkIdentity {
-        cluster: "test".into(),
-        host: "control-1".into(),
-        peer_address: address.to_string(),
-        keys: Rc::new(KeyRing::unauthenticated()),
-    };
-    let discard_log = slog::Logger::root(slog::Discard, slog::o!());
-    let handler = move |body| control.clone().answer(body);
-    spawn_local(serve_links(listener, identity, discard_log, handler));
-    address
+fn configuration(index: u64) -> Committed {
+    schema_change(index, if index == NEWEST { "new" } else { "old" })
 }
 
 /// A daemon process and its addresses.
@@ -148,10 +107,7 @@
 
     /// Calls the route of host `new`. Returns the status and the reason of the answer.
     async fn call(&self) -> (String, String) {
-        let text = exchange(self.callers, "GET /x HTTP/1.1\r\nFold-Host: new").await;
-        let status = text.split(' ').nth(1).unwrap_or_default().to_owned();
-        let reason = text.lines().find_map(|line| line.strip_prefix("fold-reason: "));
-        (status, reason.unwrap_or_default().to_owned())
+        fake_control::call(self.callers, "new").await
     }
 
     async fn is_ready(&self) -> bool {
@@ -160,16 +116,6 @@
     }
 }
 
-/// Sends a request without a body. Returns the whole response.
-async fn exchange(address: SocketAddr, head: &str) -> String {
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    let request = format!("{head}\r\nHost: daemon\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).await.unwrap();
-    text
-}
-
 async fn wait_for_log(log: &Path, text: &str) {
     let found = timeout(WAIT_TIMEOUT, async {
         while !fs::read_to_string(log).unwrap().contains(text) {
@@ -192,7 +138,9 @@
     LocalSet::new().block_on(&runtime, async {
         let control = Rc::new(Control::default());
         control.sent_until.set(1);
-        let daemon = Daemon::start(dir.path(), serve_control(control.clone()).await);
+        let answering = control.clone();
+        let address = serve_control(move |body| answering.clone().answer(body)).await;
+        let daemon = Daemon::start(dir.path(), address);
         wait_for_log(&log, r#""version":1,"#).await;
         let refused = ("503".to_owned(), "stale-configuration".to_owned());
         assert_eq!(daemon.call().await, refused, "nothing is known about the newest");
