--- a/src/link/open_link.rs
+++ b/src/link/open_link.rs
@@ -45,11 +45,10 @@
 /// Why a request over one link has no answer.
 #[derive(Debug)]
 pub(super) enum RequestFailure {
+    /// The link was lost.
     Failed(LinkError),
     /// The link was silent and has been replaced.
-    Replaced {
-        is_written: bool,
-    },
+    Replaced { is_written: bool },
 }
 
 impl From<RequestFailure> for LinkError {
@@ -62,7 +61,7 @@
     }
 }
 
-/// An open link, whose socket is served by [`Self::serve`]. Clones share the link.
+/// An open link, whose socket is served by [`LinkSocket::serve`]. Clones share the link.
 #[derive(Clone)]
 pub(super) struct OpenLink {
     tx: FrameSender,
@@ -184,6 +183,7 @@
 }
 
 impl LinkProbe {
+    /// Returns a handle that does not keep the link open.
     pub fn new(link: &OpenLink) -> Self {
         Self {
             urgent_tx: link.urgent_tx.downgrade(),
