Log stops, and connections that end before a request on them is answered

Nothing told whether a process ended while answers were on their way, or how a caller's connection ended.

CF1005 marks the request to stop, CF1006 how many connections a closed listener still had when the wait for them ended, and CF1007 each connection that ended before a request on it was completely answered, with the stage and the error of the HTTP library. CF1002 has the number of calls that still run.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -220,8 +220,9 @@
     log_event!(log, Event::DaemonStarted; "host" => &cx.settings.host, "peers" => cx.settings.peer_address.to_string());
 
     wait_for_stop(stop).await;
+    log_event!(log, Event::StopRequested; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
     stop_daemon(&cx, caller_task).await;
-    log_event!(log, Event::DaemonStopped; "host" => &cx.settings.host);
+    log_event!(log, Event::DaemonStopped; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
     Ok(())
 }
 
--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -1,10 +1,12 @@
 use {
-    super::head_timer::HeadTimer,
+    super::{connection_state::ConnectionState, head_timer::HeadTimer},
+    crate::clock::Ms,
     hyper::rt::{Read, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
     std::{
         io,
         pin::Pin,
+        rc::Rc,
         task::{ready, Context, Poll},
     },
     tokio::net::TcpStream,
@@ -22,16 +24,19 @@
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TokioIo<TcpStream>,
+    state: Rc<ConnectionState>,
     head_timer: HeadTimer,
     /// The part of an error response that is still to be written.
     pending: Vec<u8>,
 }
 
 impl CallerStream {
-    pub fn new(stream: TcpStream, head_timer: HeadTimer) -> Self {
+    /// Returns the stream of a connection. It fails once a head takes longer than `head_timeout`.
+    pub fn new(stream: TcpStream, state: Rc<ConnectionState>, head_timeout: Ms) -> Self {
         Self {
             stream: TokioIo::new(stream),
-            head_timer,
+            head_timer: HeadTimer::new(state.clone(), head_timeout),
+            state,
             pending: Vec::new(),
         }
     }
@@ -72,7 +77,7 @@
     ) -> Poll<io::Result<()>> {
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if read.is_ready() {
-            self.head_timer.record_bytes();
+            self.state.record_bytes();
             return read;
         }
         // Bytes that have arrived are read first, so that a pause of this process doesn't count against the caller.
@@ -93,7 +98,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_write_pending(cx))?;
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.state.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- /dev/null
+++ b/src/edge/connection.rs
@@ -0,0 +1,182 @@
+use {
+    super::{
+        caller_stream::CallerStream,
+        connection_state::{ConnectionState, Stage},
+        http_server::{BodyError, HttpRequest, HttpResponse},
+    },
+    crate::{
+        clock::{Clock, Ms},
+        event::{Event, RateLimit},
+        log_event,
+        settings::CallerLimits,
+    },
+    http::{header, HeaderValue, Request},
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioTimer,
+    slog::Logger,
+    std::{cell::RefCell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::TcpStream,
+        sync::watch,
+        time::{sleep, timeout},
+    },
+};
+
+/// Smallest limit of the head size that the HTTP library accepts.
+const HEAD_BYTES_MIN: usize = 8192;
+
+/// Time after the stop during which connections are still served. Each response from then on closes its connection.
+pub(super) const STOP_GRACE: Duration = Duration::from_millis(1000);
+
+/// Logs connections that end before a request on them is completely answered.
+#[derive(Debug)]
+pub(super) struct ConnectionLog {
+    log: Logger,
+    /// Limits the lines, since callers may leave at any rate.
+    limit: RefCell<RateLimit>,
+}
+
+impl ConnectionLog {
+    pub fn new(log: Logger) -> Self {
+        Self {
+            log,
+            limit: RefCell::default(),
+        }
+    }
+
+    fn record_cut(&self, from: SocketAddr, stage: Stage, is_stopping: bool, error: &str) {
+        if let Some(suppressed) = self.limit.borrow_mut().pass(Clock::System.now()) {
+            log_event!(
+                self.log, Event::AnswerCutOff;
+                "from" => from.to_string(), "stage" => stage.word(), "stopping" => is_stopping, "error" => error,
+                "suppressed" => suppressed
+            );
+        }
+    }
+}
+
+/// Logs the connection when dropped, if a request on it is not completely answered.
+struct CutGuard {
+    log: Rc<ConnectionLog>,
+    state: Rc<ConnectionState>,
+    stop: watch::Receiver<bool>,
+    from: SocketAddr,
+    error: String,
+}
+
+impl Drop for CutGuard {
+    fn drop(&mut self) {
+        let stage = self.state.stage();
+        if stage.owes_answer() {
+            self.log
+                .record_cut(self.from, stage, *self.stop.borrow(), &self.error);
+        }
+    }
+}
+
+/// An accepted connection of a caller.
+pub(super) struct Connection<L, H> {
+    pub stream: TcpStream,
+    /// Address of the caller.
+    pub from: SocketAddr,
+    /// Returns the limits that are in force.
+    pub limits: L,
+    pub stop: watch::Receiver<bool>,
+    pub log: Rc<ConnectionLog>,
+    pub handler: H,
+}
+
+impl<L, H, F> Connection<L, H>
+where
+    L: Fn() -> CallerLimits + Clone + 'static,
+    H: Fn(Result<HttpRequest, BodyError>) -> F + Clone + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    /// Serves the requests of the connection until it ends.
+    pub async fn serve(self) {
+        let Self {
+            stream,
+            from,
+            limits,
+            mut stop,
+            log,
+            handler,
+        } = self;
+        let _ = stream.set_nodelay(true);
+        let initial_limits = limits();
+        let state = Rc::new(ConnectionState::default());
+        let mut cut_guard = CutGuard {
+            log,
+            state: state.clone(),
+            stop: stop.clone(),
+            from,
+            error: "the process ends".into(),
+        };
+        let stream = CallerStream::new(stream, state.clone(), initial_limits.head_timeout);
+        let stopping = stop.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (limits, handler, stopping) = (limits(), handler.clone(), stopping.clone());
+            let state = state.clone();
+            state.record_head();
+            async move {
+                let request = receive_request(request, from, limits.body_bytes, limits.body_timeout).await;
+                state.record_body();
+                let mut response = handler(request).await;
+                if *stopping.borrow() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                state.record_answer();
+                Ok::<_, Infallible>(response.map(Full::new))
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(initial_limits.idle_timeout.as_duration())
+            .max_buf_size(initial_limits.head_bytes.max(HEAD_BYTES_MIN))
+            .serve_connection(stream, service);
+        let mut connection = std::pin::pin!(connection);
+        let stopped = async {
+            let _ = stop.wait_for(|stop| *stop).await;
+            sleep(STOP_GRACE).await;
+        };
+        let served = tokio::select! {
+            // A request that has arrived is read before the connection is shut down.
+            biased;
+            served = connection.as_mut() => served,
+            () = stopped => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        cut_guard.error = served.err().map_or_else(String::new, |e| e.to_string());
+    }
+}
+
+/// Receives the body of a request within the limits of size and time.
+async fn receive_request(
+    request: Request<Incoming>,
+    from: SocketAddr,
+    body_bytes: usize,
+    read_timeout: Ms,
+) -> Result<HttpRequest, BodyError> {
+    let (parts, body) = request.into_parts();
+    let collected = timeout(
+        read_timeout.as_duration(),
+        Limited::new(body, body_bytes).collect(),
+    )
+    .await;
+    let body = match collected {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(BodyError::TooLarge),
+        Ok(Err(_)) | Err(_) => return Err(BodyError::Incomplete),
+    };
+    Ok(HttpRequest {
+        from,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+    })
+}
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,17 +1,11 @@
 use {
-    super::{
-        caller_stream::CallerStream,
-        head_timer::{HeadProgress, HeadTimer},
-    },
-    crate::{clock::Ms, event::Event, log_event, settings::CallerLimits},
+    super::connection::{Connection, ConnectionLog, STOP_GRACE},
+    crate::{clock::Clock, event::Event, log_event, settings::CallerLimits},
     bytes::Bytes,
-    http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri},
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::TokioTimer,
+    http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri},
     serde::Serialize,
     slog::Logger,
-    std::{cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{watch, Notify},
@@ -23,11 +17,6 @@
 /// Pause after a failed accept, e.g. when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Smallest limit of the head size that the HTTP library accepts.
-const HEAD_BYTES_MIN: usize = 8192;
-
-/// Time after the stop during which connections are still served. Each response from then on closes its connection.
-const STOP_GRACE: Duration = Duration::from_millis(1000);
 /// Longest wait for the remaining connections to end after the grace period.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -75,7 +64,9 @@
     H: Fn(Result<HttpRequest, BodyError>) -> F + Clone + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
+    let address = listener.local_addr();
     let connection_stop = stop.clone();
+    let connection_log = Rc::new(ConnectionLog::new(log.clone()));
     let open_connections = Rc::new(Cell::new(0_usize));
     let all_ended = Rc::new(Notify::new());
     let mut stopped = std::pin::pin!(async {
@@ -89,9 +80,16 @@
         }
         open_connections.set(open_connections.get() + 1);
         let (open_connections, all_ended) = (open_connections.clone(), all_ended.clone());
-        let (limits, handler, stop) = (limits.clone(), handler.clone(), connection_stop.clone());
+        let connection = Connection {
+            stream,
+            from,
+            limits: limits.clone(),
+            stop: connection_stop.clone(),
+            log: connection_log.clone(),
+            handler: handler.clone(),
+        };
         spawn_local(async move {
-            serve_connection(stream, from, limits, stop, handler).await;
+            connection.serve().await;
             open_connections.set(open_connections.get() - 1);
             if open_connections.get() == 0 {
                 all_ended.notify_one();
@@ -108,12 +106,19 @@
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
+    let closed_at = Clock::System.now();
     for (stream, from) in accept_backlog(listener) {
         serve_accepted(stream, from);
     }
+    let open_at_close = open_connections.get();
     if open_connections.get() > 0 {
         let _ = timeout(STOP_TIMEOUT, all_ended.notified()).await;
     }
+    log_event!(
+        log, Event::ListenerClosed;
+        "address" => address.map_or_else(|e| e.to_string(), |a| a.to_string()), "open_at_close" => open_at_close,
+        "open" => open_connections.get(), "waited_ms" => (Clock::System.now() - closed_at).0
+    );
 }
 
 /// Accepts the connections that wait in the backlog of the listener, and closes it. Closing it alone would reset them,
@@ -133,85 +138,6 @@
     accepted
 }
 
-async fn serve_connection<L, H, F>(
-    stream: TcpStream,
-    from: SocketAddr,
-    limits: L,
-    mut stop: watch::Receiver<bool>,
-    handler: H,
-) where
-    L: Fn() -> CallerLimits + Clone + 'static,
-    H: Fn(Result<HttpRequest, BodyError>) -> F + Clone + 'static,
-    F: Future<Output = HttpResponse> + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let stopping = stop.clone();
-    let initial_limits = limits();
-    let progress = Rc::new(HeadProgress::default());
-    let head_timer = HeadTimer::new(progress.clone(), initial_limits.head_timeout);
-    let service = service_fn(move |request: Request<Incoming>| {
-        let (limits, handler, stopping) = (limits(), handler.clone(), stopping.clone());
-        let progress = progress.clone();
-        progress.record_head();
-        async move {
-            let request = receive_request(request, from, limits.body_bytes, limits.body_timeout).await;
-            let mut response = handler(request).await;
-            if *stopping.borrow() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            progress.expect_next();
-            Ok::<_, Infallible>(response.map(Full::new))
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(initial_limits.idle_timeout.as_duration())
-        .max_buf_size(initial_limits.head_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(CallerStream::new(stream, head_timer), service);
-    let mut connection = std::pin::pin!(connection);
-    let stopped = async {
-        let _ = stop.wait_for(|stop| *stop).await;
-        sleep(STOP_GRACE).await;
-    };
-    tokio::select! {
-        // A request that has arrived is read before the connection is shut down.
-        biased;
-        _ = connection.as_mut() => {}
-        () = stopped => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-        }
-    }
-}
-
-/// Receives the body of a request within the limits of size and time.
-async fn receive_request(
-    request: Request<Incoming>,
-    from: SocketAddr,
-    body_bytes: usize,
-    read_timeout: Ms,
-) -> Result<HttpRequest, BodyError> {
-    let (parts, body) = request.into_parts();
-    let collected = timeout(
-        read_timeout.as_duration(),
-        Limited::new(body, body_bytes).collect(),
-    )
-    .await;
-    let body = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(BodyError::TooLarge),
-        Ok(Err(_)) | Err(_) => return Err(BodyError::Incomplete),
-    };
-    Ok(HttpRequest {
-        from,
-        method: parts.method,
-        uri: parts.uri,
-        headers: parts.headers,
-        body,
-    })
-}
-
 /// Returns a response with one line of plain text.
 pub fn plain_response(status: StatusCode, text: &str) -> HttpResponse {
     let mut response = Response::new(Bytes::from(format!("{text}\n")));
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,8 @@
 mod caller_edge;
 mod caller_stream;
 mod carried_calls;
+mod connection;
+mod connection_state;
 mod counted_stream;
 mod head_timer;
 mod http_server;
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -46,6 +46,12 @@
     ListenFailed = "CF1003", Error, "cannot listen";
     /// A connection was closed because too many are open.
     ConnectionRefused = "CF1004", Warning, "too many connections";
+    /// The process was told to stop.
+    StopRequested = "CF1005", Info, "stop requested";
+    /// A listener was closed for a stop, and the wait for its connections is over.
+    ListenerClosed = "CF1006", Info, "listener closed";
+    /// A connection ended before a request on it was completely answered.
+    AnswerCutOff = "CF1007", Warning, "answer cut off";
 
     /// A call was sent to a server behind this daemon.
     CallRoutedLocally = "CF2001", Info, "call routed to a local server";
