Wait for the callers' connections when a daemon stops

Callers saw connections end without their whole answer 1.0 to 1.3 s after SIGTERM. The wait for open connections used one notification, which was already stored whenever all connections had been closed at some earlier moment; so the wait returned at once and the process ended as soon as no call ran, although answers were not written and accepted requests not read. The wait now goes on until no connection is open.

--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -111,9 +111,13 @@
         serve_accepted(stream, from);
     }
     let open_at_close = open_connections.get();
-    if open_connections.get() > 0 {
-        let _ = timeout(STOP_TIMEOUT, all_ended.notified()).await;
-    }
+    let connections_ended = async {
+        // A notification may be left from an earlier moment without connections.
+        while open_connections.get() > 0 {
+            all_ended.notified().await;
+        }
+    };
+    let _ = timeout(STOP_TIMEOUT, connections_ended).await;
     log_event!(
         log, Event::ListenerClosed;
         "address" => address.map_or_else(|e| e.to_string(), |a| a.to_string()), "open_at_close" => open_at_close,
