Answer requests that were read ahead before a connection ends for a stop

A caller that sent requests ahead lost those that the daemon had read behind the one that was answered with connection: close: the HTTP library drops what is in its buffer. The library now gets the bytes of one request at a time. While the process stops, nothing further is read before an answer; what was read before is answered, and the last answer announces the end. A connection that is not idle after the grace period is served until it is. Where a request ends is decided by RequestScanner, apart from I/O; the library still parses and checks it.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -1,5 +1,10 @@
 use {
-    super::{connection_state::ConnectionState, head_timer::HeadTimer, linger::Linger},
+    super::{
+        connection_state::{ConnectionState, Stage},
+        head_timer::HeadTimer,
+        linger::Linger,
+        request_scanner::RequestScanner,
+    },
     crate::clock::Ms,
     hyper::rt::{Read, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
@@ -7,9 +12,12 @@
         io,
         pin::Pin,
         rc::Rc,
-        task::{ready, Context, Poll},
+        task::{ready, Context, Poll, Waker},
+    },
+    tokio::{
+        io::{AsyncRead, ReadBuf},
+        net::TcpStream,
     },
-    tokio::net::TcpStream,
 };
 
 /// Prefix of each error response that the HTTP library generates.
@@ -18,14 +26,22 @@
 const OUTCOME_HEADER: &[u8] = b"fold-outcome:";
 /// Headers that are inserted into an error response of the library.
 const ADDED_HEADERS: &[u8] = b"fold-outcome: not-run\r\nfold-reason: bad-header\r\n";
+/// Number of bytes that are read from the socket at a time.
+const BUF_BYTES: usize = 8192;
 
-/// A caller's connection. It adds the outcome to error responses that the HTTP library generates, e.g. for a
-/// malformed head, and fails once a head takes too long. Its shutdown lasts until the caller has closed it as well.
+/// A caller's connection. It gives the HTTP library the bytes of one request at a time. It adds the outcome to error
+/// responses that the library generates, e.g. for a malformed head, and fails once a head takes too long. Its shutdown
+/// lasts until the caller has closed it as well.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TokioIo<TcpStream>,
     state: Rc<ConnectionState>,
     head_timer: HeadTimer,
+    scanner: RequestScanner,
+    /// Bytes that were received and not yet given to the HTTP library.
+    received: Vec<u8>,
+    /// Wakes the library, which waits for the next request, once the one before it is answered.
+    reader: Option<Waker>,
     /// The part of an error response that is still to be written.
     pending: Vec<u8>,
     /// Set once the connection is shut down for writing.
@@ -39,11 +55,37 @@
             stream: TokioIo::new(stream),
             head_timer: HeadTimer::new(state.clone(), head_timeout),
             state,
+            scanner: RequestScanner::default(),
+            received: Vec::new(),
+            reader: None,
             pending: Vec::new(),
             linger: None,
         }
     }
 
+    /// Reads from the socket. Returns the number of bytes, which is 0 at the end of the stream.
+    fn poll_receive(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut bytes = [0; BUF_BYTES];
+        let mut buf = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(self.stream.inner_mut()).poll_read(cx, &mut buf))?;
+        self.received.extend_from_slice(buf.filled());
+        Poll::Ready(Ok(buf.filled().len()))
+    }
+
+    /// Polls a connection whose request is complete and not answered. Returns ready if the caller has closed it. The next
+    /// request is read at most once, and not at all when the connection is going to end.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.received.is_empty() && !self.state.ends_after_answer() {
+            let count = ready!(self.poll_receive(cx))?;
+            if count == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            self.state.set_ahead(true);
+        }
+        self.reader = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
     fn poll_write_pending(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.pending.is_empty() {
             let written = ready!(Pin::new(&mut self.stream).poll_write(cx, &self.pending))?;
@@ -76,16 +118,45 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if read.is_ready() {
+        if let Some(length) = self.state.take_body_length() {
+            self.scanner.begin_body(length);
+        }
+        if self.scanner.is_complete() {
+            if !matches!(self.state.stage(), Stage::Idle | Stage::Head) {
+                return self.poll_end(cx);
+            }
+            self.scanner = RequestScanner::default();
+        }
+        if self.received.is_empty() {
+            let received = self.poll_receive(cx);
+            if received.is_pending() {
+                // Bytes that have arrived are read first, so that a pause of this process doesn't count against the caller.
+                ready!(self.head_timer.poll_timeout(cx));
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            if ready!(received)? == 0 {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let available = self.received.len().min(buf.remaining());
+        let Self {
+            scanner, received, ..
+        } = &mut *self;
+        let count = scanner.scan(&received[..available]);
+        buf.put_slice(&received[..count]);
+        if count == received.len() {
+            // Idle connections keep no buffer.
+            *received = Vec::new();
+        } else {
+            received.drain(..count);
+        }
+        if self.scanner.has_begun() {
             self.state.record_bytes();
-            return read;
         }
-        // Bytes that have arrived are read first, so that a pause of this process doesn't count against the caller.
-        ready!(self.head_timer.poll_timeout(cx));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+        self.state.set_ahead(!self.received.is_empty());
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -102,7 +173,11 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_write_pending(cx))?;
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
-        self.state.record_flush();
+        if self.state.record_flush() {
+            if let Some(reader) = self.reader.take() {
+                reader.wake();
+            }
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -3,6 +3,7 @@
         caller_stream::CallerStream,
         connection_state::{ConnectionState, Stage},
         http_server::{BodyError, HttpRequest, HttpResponse},
+        request_scanner::BodyLength,
     },
     crate::{
         clock::{Clock, Ms},
@@ -12,7 +13,11 @@
     },
     http::{header, HeaderValue, Request},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        body::{Body, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioTimer,
     slog::Logger,
     std::{cell::RefCell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration},
@@ -60,7 +65,6 @@
 struct CutGuard {
     log: Rc<ConnectionLog>,
     state: Rc<ConnectionState>,
-    stop: watch::Receiver<bool>,
     from: SocketAddr,
     error: String,
 }
@@ -70,7 +74,7 @@
         let stage = self.state.stage();
         if stage.owes_answer() {
             self.log
-                .record_cut(self.from, stage, *self.stop.borrow(), &self.error);
+                .record_cut(self.from, stage, self.state.is_stopping(), &self.error);
         }
     }
 }
@@ -105,29 +109,26 @@
         } = self;
         let _ = stream.set_nodelay(true);
         let initial_limits = limits();
-        let state = Rc::new(ConnectionState::default());
+        let state = Rc::new(ConnectionState::new(stop.clone()));
         let mut cut_guard = CutGuard {
             log,
             state: state.clone(),
-            stop: stop.clone(),
             from,
             error: "the process ends".into(),
         };
         let stream = CallerStream::new(stream, state.clone(), initial_limits.head_timeout);
-        let stopping = stop.clone();
+        let service_state = state.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            let (limits, handler, stopping) = (limits(), handler.clone(), stopping.clone());
-            let state = state.clone();
-            state.record_head();
+            let (limits, handler, state) = (limits(), handler.clone(), service_state.clone());
+            state.record_head(body_length(&request));
             async move {
                 let request = receive_request(request, from, limits.body_bytes, limits.body_timeout).await;
                 state.record_body();
                 let mut response = handler(request).await;
-                if *stopping.borrow() {
+                if state.record_answer() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
-                state.record_answer();
                 Ok::<_, Infallible>(response.map(Full::new))
             }
         });
@@ -140,6 +141,7 @@
         let stopped = async {
             let _ = stop.wait_for(|stop| *stop).await;
             sleep(STOP_GRACE).await;
+            state.wait_until_idle().await;
         };
         let served = tokio::select! {
             // A request that has arrived is read before the connection is shut down.
@@ -154,6 +156,11 @@
     }
 }
 
+fn body_length(request: &Request<Incoming>) -> BodyLength {
+    let exact = request.body().size_hint().exact();
+    exact.map_or(BodyLength::Chunked, BodyLength::Exact)
+}
+
 /// Receives the body of a request within the limits of size and time.
 async fn receive_request(
     request: Request<Incoming>,
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -1,4 +1,8 @@
-use std::cell::Cell;
+use {
+    super::request_scanner::BodyLength,
+    std::cell::Cell,
+    tokio::sync::{watch, Notify},
+};
 
 /// What a caller's connection is doing. The stream of the connection shares it with the service that handles its
 /// requests.
@@ -36,16 +40,55 @@
 }
 
 /// State of a caller's connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConnectionState {
     stage: Cell<Stage>,
+    /// Length of the body of the request whose head was received last, until it is taken.
+    body_length: Cell<Option<BodyLength>>,
+    /// Whether bytes after the current request, or after the given part of it, have been received.
+    has_ahead: Cell<bool>,
+    /// Whether the answer that is being written announces the end of the connection.
+    announces_close: Cell<bool>,
+    stop: watch::Receiver<bool>,
+    became_idle: Notify,
 }
 
 impl ConnectionState {
+    /// Returns the state of a new connection. `stop` tells whether the process is stopping.
+    pub fn new(stop: watch::Receiver<bool>) -> Self {
+        Self {
+            stage: Cell::default(),
+            body_length: Cell::default(),
+            has_ahead: Cell::default(),
+            announces_close: Cell::default(),
+            stop,
+            became_idle: Notify::new(),
+        }
+    }
+
     pub fn stage(&self) -> Stage {
         self.stage.get()
     }
 
+    pub fn is_stopping(&self) -> bool {
+        *self.stop.borrow()
+    }
+
+    /// Returns whether the connection may end with the answer to the current request, so that the next request must not
+    /// be read.
+    pub fn ends_after_answer(&self) -> bool {
+        self.announces_close.get() || self.is_stopping()
+    }
+
+    pub fn set_ahead(&self, has_ahead: bool) {
+        self.has_ahead.set(has_ahead);
+    }
+
+    /// Returns the length of the body of the current request, once.
+    pub fn take_body_length(&self) -> Option<BodyLength> {
+        self.body_length.take()
+    }
+
     /// Records that bytes were received.
     pub fn record_bytes(&self) {
         if self.stage.get() == Stage::Idle {
@@ -54,7 +97,8 @@
     }
 
     /// Records that a whole head was received.
-    pub fn record_head(&self) {
+    pub fn record_head(&self, body_length: BodyLength) {
+        self.body_length.set(Some(body_length));
         self.stage.set(Stage::Body);
     }
 
@@ -63,15 +107,29 @@
         self.stage.set(Stage::Serving);
     }
 
-    /// Records that the answer is ready to be written.
-    pub fn record_answer(&self) {
+    /// Records that the answer is ready to be written. Returns whether it has to announce the end of the connection: the
+    /// process is stopping, and no part of another request has been read.
+    pub fn record_answer(&self) -> bool {
         self.stage.set(Stage::Answering);
+        let announces_close = self.is_stopping() && !self.has_ahead.get();
+        self.announces_close.set(announces_close);
+        announces_close
     }
 
-    /// Records that everything has been written that was to be written so far.
-    pub fn record_flush(&self) {
-        if self.stage.get() == Stage::Answering {
+    /// Records that everything has been written that was to be written so far. Returns whether that ends an answer.
+    pub fn record_flush(&self) -> bool {
+        let ends_answer = self.stage.get() == Stage::Answering;
+        if ends_answer {
             self.stage.set(Stage::Idle);
+            self.became_idle.notify_one();
+        }
+        ends_answer
+    }
+
+    /// Waits until no request is in progress or has been read in part.
+    pub async fn wait_until_idle(&self) {
+        while self.stage.get() != Stage::Idle || self.has_ahead.get() {
+            self.became_idle.notified().await;
         }
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,7 @@
 mod http_server;
 mod linger;
 mod operator_edge;
+mod request_scanner;
 mod request_signature;
 mod server_client;
 mod server_dialect;
@@ -22,6 +23,7 @@
         json_response, json_text_response, plain_response, serve_http, BodyError, HttpRequest, HttpResponse,
     },
     operator_edge::{operator_command, CommandRequest},
+    request_scanner::{BodyLength, RequestScanner},
     request_signature::{RequestSignature, SignatureError},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
     server_dialect::{read_limit, AnswerHead, FoldDialect, ServerDialect, ServerNotice},
