Answer servers and operators whose requests are in progress when a daemon ends

A server whose deregistration waited for the control hosts saw its connection end without an answer: only callers were waited for, and the process ended 1 s after SIGTERM. The daemon now waits until the requests of servers and operators that are in progress are answered, for 1 s at most.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -102,6 +102,8 @@
     pub refuses_calls: Cell<bool>,
     /// Number of calls that are being served.
     pub running_calls: Cell<usize>,
+    /// Number of requests of callers, servers and operators that are being served.
+    pub running_requests: Cell<usize>,
     pub rng: RefCell<SmallRng>,
     /// Measures the load of the local servers by range.
     pub load_meter: RefCell<LoadMeter>,
@@ -190,6 +192,7 @@
             is_stopping: Cell::new(false),
             refuses_calls: Cell::new(false),
             running_calls: Cell::new(0),
+            running_requests: Cell::new(0),
             rng: RefCell::new(rng),
             load_meter: RefCell::new(LoadMeter::new(Ms::ZERO)),
             balancer: RefCell::default(),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -45,6 +45,9 @@
 /// Longest time for the ranges to move away while the daemon stops, before it refuses new calls.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest wait for the requests of servers and operators that are in progress when the calls have ended.
+const REQUEST_STOP_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Runs a daemon with the project's own interfaces until it receives SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -181,7 +184,16 @@
         let is_for_callers = position == 0;
         let listener = listen(address, &log).await?;
         let (edges, node) = (edges.clone(), Node::new(cx.clone()));
-        let handler = move |request| serve(&*edges, node.clone(), request);
+        let handler_cx = cx.clone();
+        let handler = move |request| {
+            let running_request = RunningRequest::new(&handler_cx);
+            let response = serve(&*edges, node.clone(), request);
+            async move {
+                let response = response.await;
+                drop(running_request);
+                response
+            }
+        };
         let limits = {
             let node = Node::new(cx.clone());
             move || match is_for_callers {
@@ -253,6 +265,12 @@
     while cx.running_calls.get() > 0 {
         sleep(STOP_CHECK_INTERVAL).await;
     }
+    let requests_ended = async {
+        while cx.running_requests.get() > 0 {
+            sleep(STOP_CHECK_INTERVAL).await;
+        }
+    };
+    let _ = timeout(REQUEST_STOP_TIMEOUT, requests_ended).await;
     let now = cx.clock.now();
     let may_hold_ranges =
         !cx.servers.borrow().is_empty() || cx.lost_servers.borrow().iter().any(|l| l.may_hold_ranges(now));
@@ -264,6 +282,22 @@
     end_session(cx).await;
 }
 
+/// Keeps a request in the count of requests that are being served, until it is dropped.
+struct RunningRequest(Rc<DaemonCx>);
+
+impl RunningRequest {
+    fn new(cx: &Rc<DaemonCx>) -> Self {
+        cx.running_requests.set(cx.running_requests.get() + 1);
+        Self(cx.clone())
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.0.running_requests.set(self.0.running_requests.get() - 1);
+    }
+}
+
 async fn move_ranges_away(cx: &Rc<DaemonCx>) {
     cx.servers_changed.notify_one();
     let moved = async {
