End a stop before the process is killed

A daemon with a caller that does not read its answer waited 30 s and was killed at the end of the platform's grace period of 6 s, so that it did not end its work in order. The new setting killed_after states when a stopping process is killed; the process ends 500 ms before at the latest. Without it, a stop takes 30 s at most, as before.

CF1006 is now logged when the listener is closed; connections that are cut off at the end have a line of their own (CF1007).

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -233,7 +233,12 @@
 
     wait_for_stop(stop).await;
     log_event!(log, Event::StopRequested; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
-    stop_daemon(&cx, caller_task).await;
+    // The rest of the answers is cut off if their callers do not read them in time.
+    let _ = timeout(
+        cx.settings.stop_timeout.as_duration(),
+        stop_daemon(&cx, caller_task),
+    )
+    .await;
     log_event!(log, Event::DaemonStopped; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
     Ok(())
 }
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,6 +1,6 @@
 use {
     super::connection::{Connection, ConnectionLog, STOP_GRACE},
-    crate::{clock::Clock, event::Event, log_event, settings::CallerLimits},
+    crate::{event::Event, log_event, settings::CallerLimits},
     bytes::Bytes,
     http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri},
     serde::Serialize,
@@ -10,16 +10,13 @@
         net::{TcpListener, TcpStream},
         sync::{watch, Notify},
         task::spawn_local,
-        time::{sleep, timeout},
+        time::sleep,
     },
 };
 
 /// Pause after a failed accept, e.g. when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest wait for the remaining connections to end after the grace period.
-const STOP_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// A request with its whole body.
 #[derive(Debug)]
 pub struct HttpRequest {
@@ -48,7 +45,7 @@
 pub type HttpResponse = Response<Bytes>;
 
 /// Serves HTTP/1.1 until `stop` turns true, then for a grace period with responses that close their connections.
-/// Returns once the requests in progress are answered, or after a timeout. Each connection has its own task, so
+/// Returns once all connections have ended. Each connection has its own task, so
 /// that an idle connection never delays another one.
 ///
 /// `limits` is called for each connection and again for the body of each request, as the limits may change
@@ -106,23 +103,17 @@
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
-    let closed_at = Clock::System.now();
     for (stream, from) in accept_backlog(listener) {
         serve_accepted(stream, from);
     }
-    let open_at_close = open_connections.get();
-    let connections_ended = async {
-        // A notification may be left from an earlier moment without connections.
-        while open_connections.get() > 0 {
-            all_ended.notified().await;
-        }
-    };
-    let _ = timeout(STOP_TIMEOUT, connections_ended).await;
     log_event!(
         log, Event::ListenerClosed;
-        "address" => address.map_or_else(|e| e.to_string(), |a| a.to_string()), "open_at_close" => open_at_close,
-        "open" => open_connections.get(), "waited_ms" => (Clock::System.now() - closed_at).0
+        "address" => address.map_or_else(|e| e.to_string(), |a| a.to_string()), "open" => open_connections.get()
     );
+    // A notification may be left from an earlier moment without connections.
+    while open_connections.get() > 0 {
+        all_ended.notified().await;
+    }
 }
 
 /// Accepts the connections that wait in the backlog of the listener, and closes it. Closing it alone would reset them,
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -48,7 +48,7 @@
     ConnectionRefused = "CF1004", Warning, "too many connections";
     /// The process was told to stop.
     StopRequested = "CF1005", Info, "stop requested";
-    /// A listener was closed for a stop, and the wait for its connections is over.
+    /// A listener was closed for a stop.
     ListenerClosed = "CF1006", Info, "listener closed";
     /// A connection ended before a request on it was completely answered.
     AnswerCutOff = "CF1007", Warning, "answer cut off";
--- a/src/settings/settings_checks.rs
+++ b/src/settings/settings_checks.rs
@@ -18,6 +18,12 @@
 /// Maximum number of control hosts of a cluster.
 const CONTROL_HOSTS_MAX: usize = 8;
 
+/// Allowed times from a request to stop until the process is killed, in ms.
+const KILLED_AFTER_RANGE_MS: RangeInclusive<f64> = 100.0..=3_600_000.0;
+
+/// Time by which a process ends before it would be killed, or half of the time that it has if that is less.
+const KILL_MARGIN: Ms = Ms(500);
+
 /// Validates every field of a settings file.
 pub(super) fn check_settings(file: &wire::SettingsFile) -> Result<Settings, SettingsError> {
     let control_hosts = checked_address_list("control_hosts", &file.control_hosts)?;
@@ -58,6 +64,7 @@
         log: checked_log(file.log.as_ref())?,
         caller_limits: checked_caller_limits(file.caller_limits.as_ref())?,
         lease: checked_lease(file.lease.as_ref())?,
+        stop_timeout: checked_stop_timeout("killed_after", &file.killed_after)?,
         control_hosts,
     };
     check_distinct_addresses(&settings)?;
@@ -172,6 +179,25 @@
     Err(SettingsError::field(path, reason))
 }
 
+/// Reads the time after which a stopping process is killed. Returns the time after which it ends by itself.
+fn checked_stop_timeout(path: &str, value: &str) -> Result<Ms, SettingsError> {
+    if value.is_empty() {
+        return Ok(Settings::DEFAULT_STOP_TIMEOUT);
+    }
+    let (number, factor) = match (value.strip_suffix("ms"), value.strip_suffix('s')) {
+        (Some(number), _) => (number, 1.0),
+        (None, Some(number)) => (number, 1000.0),
+        (None, None) => ("", 0.0),
+    };
+    let ms = number.parse::<f64>().map_or(f64::NAN, |n| n * factor);
+    if !KILLED_AFTER_RANGE_MS.contains(&ms) {
+        let reason = format!("{value:?} is not a time of 100ms to 3600s with the unit s or ms");
+        return Err(SettingsError::field(path, reason));
+    }
+    let killed_after = Ms(ms as u64);
+    Ok(killed_after - KILL_MARGIN.min(Ms(killed_after.0 / 2)))
+}
+
 fn checked_services(values: &[String]) -> Result<Vec<String>, SettingsError> {
     let mut list = Vec::with_capacity(values.len());
     for (i, value) in values.iter().enumerate() {
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -49,6 +49,8 @@
     pub caller_limits: CallerLimits,
     /// Timing of sessions and leases.
     pub lease: LeaseSettings,
+    /// Longest time from a request to stop to the end of the process.
+    pub stop_timeout: Ms,
 }
 
 /// Settings of the control role.
@@ -127,6 +129,9 @@
 }
 
 impl Settings {
+    /// Longest time for a stop if the settings do not state when the process is killed.
+    pub const DEFAULT_STOP_TIMEOUT: Ms = Ms(30_000);
+
     /// Reads and validates a settings file.
     ///
     /// # Errors
@@ -172,6 +177,7 @@
             log: LogSettings::default(),
             caller_limits: CallerLimits::default(),
             lease: LeaseSettings::default(),
+            stop_timeout: Self::DEFAULT_STOP_TIMEOUT,
         }
     }
 }
--- a/tests/bad_settings.rs
+++ b/tests/bad_settings.rs
@@ -18,7 +18,7 @@
         "services": ["ucty"],
         "control": { "data_dir": "data", "first_voters": ["127.0.0.1:7113"] },
         "peer_key_file": "peer.keys", "operator_key_file": "operator.keys",
-        "log": {}, "caller_limits": {}, "lease": {}
+        "log": {}, "caller_limits": {}, "lease": {}, "killed_after": "6s"
     })
 }
 
@@ -35,6 +35,9 @@
 }
 
 const CASES: &[BadFile] = &[
+    ("no unit", "/killed_after", r#""6""#, "killed_after: "),
+    ("a sign", "/killed_after", r#""-6s""#, "killed_after: "),
+    ("too short", "/killed_after", r#""99ms""#, "killed_after: "),
     ("no cluster", "/cluster", "null", "cluster: "),
     ("empty host", "/host", r#""""#, "host: a name is needed"),
     ("capital host", "/host", r#""BA""#, r#"host: "BA" is not"#),
