Declare warm-up, large answers, evacuations, the memory budget and balance settings

The schema, the replicated state, the settings and the messages of servers get the fields that the parts of docs/design/hard-load.md share, so that these can be built side by side. Decisions do not use the other fields yet.

--- a/benches/capacity/table.rs
+++ b/benches/capacity/table.rs
@@ -95,6 +95,7 @@
         connections: 130,
         checks_fencing: true,
         leaving: false,
+        cold: false,
     }
 }
 
--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -75,7 +75,12 @@
                 self.release_quarantine(fingerprint)
             }
             Some(operator_command::Body::Split(action)) => self.split_command(index, *action),
-            Some(operator_command::Body::ReplaceSchema(_) | operator_command::Body::PatchSchema(_))
+            Some(
+                operator_command::Body::StartEvacuation(_)
+                | operator_command::Body::EndEvacuation(_)
+                | operator_command::Body::ReplaceSchema(_)
+                | operator_command::Body::PatchSchema(_),
+            )
             | None => Err(refused("the command is not known", "")),
         };
         match result {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -8,8 +8,8 @@
         key::KeyRange,
         schema::{PackedText, Schema},
         wire::control::{
-            change, operator_command, AssignRange, Change, CommandAnswer, Drain, EndSession, OpenSession,
-            ServerLeft, SetServers, SplitStage, SplitState,
+            change, operator_command, AssignRange, Change, CommandAnswer, Drain, EndSession, EvacuationImage,
+            OpenSession, ServerLeft, SetServers, SplitStage, SplitState,
         },
     },
     std::sync::Arc,
@@ -33,6 +33,8 @@
     pub(super) guard_tables: Vec<GuardTable>,
     pub(super) suspects: SuspectList,
     pub(super) departures: Departures,
+    /// Sorted by failure domain.
+    pub(super) evacuations: Vec<EvacuationImage>,
     pub(super) split: SplitState,
 }
 
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -46,6 +46,7 @@
             guards: self.guard_tables.iter().map(GuardTable::to_image).collect(),
             suspects: self.suspects.list().to_vec(),
             departures: self.departures.list().to_vec(),
+            evacuations: self.evacuations.clone(),
             split: Some(self.split),
         };
         image.encode_to_vec()
@@ -101,6 +102,7 @@
             guard_tables: image.guards.into_iter().map(GuardTable::from_image).collect(),
             suspects: SuspectList::from_list(image.suspects),
             departures: Departures::from_list(image.departures),
+            evacuations: image.evacuations,
             split: image.split.unwrap_or_default(),
         })
     }
--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -59,6 +59,8 @@
     pub slots: u32,
     /// Whether the server takes no new calls because it drains.
     pub draining: bool,
+    /// Time for which the server stays cold, or zero if it is warm.
+    pub warmup_left: Ms,
     /// Spans that it holds or still works on.
     pub holds: Vec<ReportedSpan>,
     /// Spans that it has given up since its last acknowledged heartbeat.
@@ -192,6 +194,7 @@
             connections: connections.max(heartbeat.slots.max(1) * CONNECTIONS_PER_SLOT),
             checks_fencing: true,
             leaving: false,
+            cold: false,
         };
         log_event!(
             self.log, Event::ServerAnnounced;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -26,7 +26,9 @@
     request_scanner::{BodyLength, RequestScanner},
     request_signature::{RequestSignature, SignatureError},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
-    server_dialect::{read_limit, AnswerHead, FoldDialect, ServerDialect, ServerNotice},
+    server_dialect::{
+        read_limit, read_load, AnswerHead, FoldDialect, ReportedLoad, ServerDialect, ServerNotice,
+    },
     server_edge::{check_server, read_announce, read_leave, LeaveRequest},
     server_orders::{Order, OrderError, ServerOrders},
 };
--- a/src/edge/server_edge.rs
+++ b/src/edge/server_edge.rs
@@ -47,6 +47,7 @@
         connections: request.connections,
         checks_fencing: request.checks_fencing,
         leaving: false,
+        cold: false,
     })
 }
 
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -14,5 +14,5 @@
     packed_text::PackedText,
     route::{Route, RouteLimits, RouteTarget, Routes},
     schema_types::{Half, LossPolicy, Schema, ServiceSpan, Split},
-    service::{Service, Weights},
+    service::{Service, Warmup, Weights},
 };
--- a/src/schema/route.rs
+++ b/src/schema/route.rs
@@ -21,6 +21,8 @@
     pub priority: u8,
     /// Services that take the calls.
     pub targets: Vec<RouteTarget>,
+    /// Whether the answers are large, so that only a bounded number of them is held at the same time.
+    pub large_answers: bool,
 }
 
 /// One service of a route.
--- a/src/schema/route_checks.rs
+++ b/src/schema/route_checks.rs
@@ -65,6 +65,7 @@
         attempts: number("attempts", decl.attempts, 1..=ATTEMPTS_MAX)? as u32,
         priority: number("priority", decl.priority, 0..=PRIORITY_MAX)? as u8,
         targets: targets(path, &decl.targets, services)?,
+        large_answers: decl.large_answers,
     })
 }
 
--- a/src/schema/schema_checks.rs
+++ b/src/schema/schema_checks.rs
@@ -1,5 +1,5 @@
 use {
-    super::{route_checks, CallKind, Half, LossPolicy, Schema, Service, ServiceSpan, Split, Weights},
+    super::{route_checks, CallKind, Half, LossPolicy, Schema, Service, ServiceSpan, Split, Warmup, Weights},
     crate::{
         clock::Ms,
         key::{Key, KeyRange},
@@ -12,6 +12,10 @@
 const DEADLINE_MAX_MS: u64 = 600_000;
 /// Highest priority of a kind of call.
 const PRIORITY_MAX: u64 = 9;
+/// Longest warm-up of a server, in ms.
+const WARMUP_MAX_MS: u64 = 600_000;
+/// Largest rate of calls that a cold server may be declared to take, in calls a second.
+const WARMUP_PER_S_MAX: f64 = 1_000_000.0;
 /// Largest weight of a placement measure.
 const WEIGHT_MAX: u32 = 100;
 
@@ -94,9 +98,26 @@
         joins_ranges: decl.joins_ranges,
         checks_fencing: decl.checks_fencing,
         connections: decl.connections,
+        warmup: warmup(path, decl)?,
     })
 }
 
+fn warmup(path: &str, decl: &wire::ServiceDecl) -> Result<Option<Warmup>, SettingsError> {
+    let time = checked_number(&format!("{path}.warmup_ms"), decl.warmup_ms, 0, 0..=WARMUP_MAX_MS)?;
+    if time == 0 {
+        return Ok(None);
+    }
+    let per_s = decl.warmup_per_s;
+    if !(per_s > 0.0 && per_s <= WARMUP_PER_S_MAX) {
+        let reason = format!("{per_s} is not above 0 and up to {WARMUP_PER_S_MAX}");
+        return Err(SettingsError::field(format!("{path}.warmup_per_s"), reason));
+    }
+    Ok(Some(Warmup {
+        time: Ms(time),
+        per_s,
+    }))
+}
+
 fn boundaries(path: &str, texts: &[String]) -> Result<Vec<Key>, SettingsError> {
     let mut keys: Vec<Key> = Vec::with_capacity(texts.len());
     for (i, text) in texts.iter().enumerate() {
--- a/src/schema/service.rs
+++ b/src/schema/service.rs
@@ -4,7 +4,7 @@
 };
 
 /// One service of a cluster.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name, which is the first segment of the path of a call.
     pub name: String,
@@ -28,6 +28,17 @@
     pub checks_fencing: bool,
     /// Maximum number of connections to a server. Zero means as many as it announces.
     pub connections: u32,
+    /// What a cold server takes, or `None` if servers need no warm-up.
+    pub warmup: Option<Warmup>,
+}
+
+/// How servers of a service warm up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// Time for which a server is cold after its start.
+    pub time: Ms,
+    /// Number of calls a second that a cold server takes, from all daemons together.
+    pub per_s: f64,
 }
 
 impl Service {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,5 +7,5 @@
 pub(crate) use settings_checks::{checked_address_list, checked_name, checked_number};
 pub use {
     settings_error::SettingsError,
-    settings_types::{CallerLimits, ControlSettings, LeaseSettings, Settings},
+    settings_types::{BalanceSettings, CallerLimits, ControlSettings, LeaseSettings, Settings},
 };
--- a/src/settings/settings_checks.rs
+++ b/src/settings/settings_checks.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CallerLimits, ControlSettings, LeaseSettings, Settings, SettingsError},
+    super::{BalanceSettings, CallerLimits, ControlSettings, LeaseSettings, Settings, SettingsError},
     crate::{
         clock::Ms,
         event::{level_from_word, LogFormat, LogSettings, LEVEL_WORDS},
@@ -21,6 +21,9 @@
 /// Allowed times from a request to stop until the process is killed, in ms.
 const KILLED_AFTER_RANGE_MS: RangeInclusive<f64> = 100.0..=3_600_000.0;
 
+/// Allowed memory of a process, in bytes. With less, little would be left beside the tables of a large cluster.
+const MEMORY_RANGE_BYTES: RangeInclusive<u64> = 33_554_432..=1_099_511_627_776;
+
 /// Time by which a process ends before it would be killed, or half of the time that it has if that is less.
 const KILL_MARGIN: Ms = Ms(500);
 
@@ -53,7 +56,7 @@
         metrics_address: checked_optional_address("metrics_address", &file.metrics_address)?,
         peer_address: checked_address("peer_address", &file.peer_address)?,
         control: checked_control(file)?,
-        services: checked_services(&file.services)?,
+        services: checked_names("services", &file.services)?,
         peer_key_file: checked_key_file("peer_key_file", &file.peer_key_file, file)?,
         operator_key_file: checked_key_file("operator_key_file", &file.operator_key_file, file)?,
         statsd_address: file
@@ -65,6 +68,9 @@
         caller_limits: checked_caller_limits(file.caller_limits.as_ref())?,
         lease: checked_lease(file.lease.as_ref())?,
         stop_timeout: checked_stop_timeout("killed_after", &file.killed_after)?,
+        failure_domains: checked_names("failure_domains", &file.failure_domains)?,
+        memory_bytes: checked_memory(file.memory_bytes)?,
+        balance: checked_balance(file.balance.as_ref())?,
         control_hosts,
     };
     check_distinct_addresses(&settings)?;
@@ -198,23 +204,54 @@
     Ok(killed_after - KILL_MARGIN.min(Ms(killed_after.0 / 2)))
 }
 
-fn checked_services(values: &[String]) -> Result<Vec<String>, SettingsError> {
+/// Validates a list of names, which must not contain duplicates. Returns it sorted.
+fn checked_names(path: &str, values: &[String]) -> Result<Vec<String>, SettingsError> {
     let mut list = Vec::with_capacity(values.len());
     for (i, value) in values.iter().enumerate() {
-        let field = format!("services[{i}]");
-        let service = checked_name(&field, value)?;
-        if list.contains(&service) {
-            return Err(SettingsError::field(
-                field,
-                format!("{service:?} is listed twice"),
-            ));
+        let field = format!("{path}[{i}]");
+        let name = checked_name(&field, value)?;
+        if list.contains(&name) {
+            return Err(SettingsError::field(field, format!("{name:?} is listed twice")));
         }
-        list.push(service);
+        list.push(name);
     }
     list.sort();
     Ok(list)
 }
 
+fn checked_memory(bytes: Option<u64>) -> Result<Option<u64>, SettingsError> {
+    match bytes {
+        Some(bytes) if !MEMORY_RANGE_BYTES.contains(&bytes) => {
+            let (min, max) = (MEMORY_RANGE_BYTES.start(), MEMORY_RANGE_BYTES.end());
+            let reason = format!("{bytes} is not within {min} to {max}");
+            Err(SettingsError::field("memory_bytes", reason))
+        }
+        bytes => Ok(bytes),
+    }
+}
+
+fn checked_balance(part: Option<&wire::BalancePart>) -> Result<BalanceSettings, SettingsError> {
+    let part = part.copied().unwrap_or_default();
+    let default = BalanceSettings::default();
+    let percent = |field: &str, value, default: u32, range| {
+        checked_number(&format!("balance.{field}"), value, default.into(), range).map(|n| n as u32)
+    };
+    Ok(BalanceSettings {
+        other_domain_percent: percent(
+            "other_domain_percent",
+            part.other_domain_percent,
+            default.other_domain_percent,
+            100..=10_000,
+        )?,
+        second_tries_percent: percent(
+            "second_tries_percent",
+            part.second_tries_percent,
+            default.second_tries_percent,
+            0..=50,
+        )?,
+    })
+}
+
 fn checked_file_path(path: &str, value: &str) -> Result<PathBuf, SettingsError> {
     if value.is_empty() {
         return Err(SettingsError::field(path, "the path of a file is needed"));
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -51,6 +51,32 @@
     pub lease: LeaseSettings,
     /// Longest time from a request to stop to the end of the process.
     pub stop_timeout: Ms,
+    /// All failure domains of the cluster, sorted. Empty if they are not known.
+    pub failure_domains: Vec<String>,
+    /// Memory that the process may use in bytes, or `None` if it is not limited.
+    pub memory_bytes: Option<u64>,
+    /// How the daemon decides where calls go.
+    pub balance: BalanceSettings,
+}
+
+/// How a daemon decides where calls go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BalanceSettings {
+    /// Cost of a server in another failure domain, in percent of the cost of the same server in the daemon's own one.
+    /// Traffic between failure domains costs money and links, so it is weighed against the wait in a queue.
+    pub other_domain_percent: u32,
+    /// Maximum number of second tries of idempotent calls whose answers are late, in percent of the calls of their
+    /// service.
+    pub second_tries_percent: u32,
+}
+
+impl Default for BalanceSettings {
+    fn default() -> Self {
+        Self {
+            other_domain_percent: 200,
+            second_tries_percent: 0,
+        }
+    }
 }
 
 /// Settings of the control role.
@@ -178,6 +204,9 @@
             caller_limits: CallerLimits::default(),
             lease: LeaseSettings::default(),
             stop_timeout: Self::DEFAULT_STOP_TIMEOUT,
+            failure_domains: Vec::new(),
+            memory_bytes: None,
+            balance: BalanceSettings::default(),
         }
     }
 }
--- a/tests/lease_world/daemon_actor.rs
+++ b/tests/lease_world/daemon_actor.rs
@@ -109,6 +109,7 @@
             connections: 10,
             checks_fencing: self.checks_fencing,
             leaving: false,
+            cold: false,
         }
     }
 
--- a/tests/route_match.rs
+++ b/tests/route_match.rs
@@ -21,6 +21,7 @@
         attempts: 2,
         priority: 5,
         targets: targets.collect(),
+        large_answers: false,
     }
 }
 
--- a/tests/support/state_fixture.rs
+++ b/tests/support/state_fixture.rs
@@ -38,6 +38,7 @@
         connections: 10,
         checks_fencing,
         leaving: false,
+        cold: false,
     }
 }
 
