Refuse waiting calls as soon as they can no longer end in time

A call that waits for a slot was refused at its deadline if no slot became free before, because the queue drops expired calls only when a slot is freed. Now a call waits until the latest time at which it could start and still end in time, so that its caller hears in time that it has not run.

server_queue::refused_before_the_deadline does not compile without the change, since the queue did not tell this time; the code before waited until the deadline (slot_gate.rs).

--- a/src/call/server_queue.rs
+++ b/src/call/server_queue.rs
@@ -39,6 +39,8 @@
     Wait {
         /// Ticket of the call.
         ticket: u64,
+        /// When the call can no longer end in time if it has not started.
+        give_up_at: Ms,
         /// Tickets of the waiting calls that are dropped.
         shed: Vec<u64>,
     },
@@ -104,6 +106,17 @@
         let rank = u8::MAX - self.request.priority;
         (rank, self.is_late, !self.is_short, start_by, self.ticket)
     }
+
+    /// Returns the latest time at which the call can start and still end in time.
+    fn latest_start(&self) -> Ms {
+        // A call that was late on arrival waits only for a short time.
+        let latest_end = if self.is_late {
+            self.finish_by
+        } else {
+            self.request.deadline
+        };
+        latest_end - least_time(self.time_ms)
+    }
 }
 
 /// Times of the calls of one kind.
@@ -200,6 +213,7 @@
         self.waiting.insert(position, waiting);
         Admission::Wait {
             ticket: waiting.ticket,
+            give_up_at: waiting.latest_start(),
             shed: self.shed_behind(now, position),
         }
     }
@@ -234,13 +248,7 @@
     pub fn dequeue(&mut self, now: Ms) -> Dequeued {
         let mut dequeued = Dequeued::default();
         self.waiting.retain(|w| {
-            // A call that was late on arrival waits only for a short time.
-            let latest_end = if w.is_late {
-                w.finish_by
-            } else {
-                w.request.deadline
-            };
-            let is_expired = w.request.deadline <= now || !can_end_in_time(now, w.time_ms, latest_end);
+            let is_expired = w.request.deadline <= now || now > w.latest_start();
             if is_expired {
                 dequeued.expired.push(w.ticket);
             }
@@ -446,7 +454,12 @@
 /// Returns whether a call that starts now has enough time until `deadline` to be sent to the server: at least
 /// [`TIME_LEFT_SHARE_MIN`] of its expected time.
 fn can_end_in_time(now: Ms, time_ms: f64, deadline: Ms) -> bool {
-    now + Ms((time_ms * TIME_LEFT_SHARE_MIN) as u64) <= deadline
+    now + least_time(time_ms) <= deadline
+}
+
+/// Returns the time that must be left for a call that is expected to take `time_ms`.
+fn least_time(time_ms: f64) -> Ms {
+    Ms((time_ms * TIME_LEFT_SHARE_MIN) as u64)
 }
 
 /// Returns the exponential moving average after one more value. Zero means that there is no average yet.
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -120,10 +120,14 @@
     async fn acquire_slot(self: &Rc<Self>, request: AdmissionRequest) -> Result<Slot, Refusal> {
         let now = self.clock.now();
         let admission = self.queue.borrow_mut().admit(now, request);
-        let (ticket, shed) = match admission {
+        let (ticket, give_up_at, shed) = match admission {
             Admission::Run => return Ok(self.new_slot(request.kind)),
             Admission::Refused(refusal) => return Err(refusal),
-            Admission::Wait { ticket, shed } => (ticket, shed),
+            Admission::Wait {
+                ticket,
+                give_up_at,
+                shed,
+            } => (ticket, give_up_at, shed),
         };
         for shed_ticket in shed {
             self.refuse(shed_ticket, Reason::Overloaded);
@@ -133,7 +137,9 @@
         let _queue_entry = QueueEntry { gate: self, ticket };
         // A suspect call waits for an idle server, and the server may be idle already.
         self.clone().assign_free_slots();
-        match timeout((request.deadline - now).as_duration(), rx).await {
+        // All slots may stay taken for longer than the call can wait. It is refused as soon as this is known, so that its
+        // caller hears of it before its deadline.
+        match timeout((give_up_at - now).as_duration(), rx).await {
             Ok(Ok(assigned)) => assigned,
             Ok(Err(_)) | Err(_) => Err(self.refusal(Reason::DeadlineTooShort)),
         }
--- a/tests/server_queue.rs
+++ b/tests/server_queue.rs
@@ -154,3 +154,24 @@
     queue.finish(KIND, None);
     assert_eq!(queue.dequeue(Ms(1)).next, Some(other_call));
 }
+
+/// Guards against a call that waits until its deadline behind slots that stay taken. Its caller would hear only then that
+/// it has not run, and too late to ask again.
+#[test]
+fn refused_before_the_deadline() {
+    let mut queue = ServerQueue::new(1);
+    assert_eq!(queue.admit(Ms(0), request(5, 1000)), Admission::Run);
+    queue.finish(KIND, Some(Ms(200)));
+    assert_eq!(queue.admit(Ms(200), request(5, 10_000)), Admission::Run);
+    let waiting = queue.admit(Ms(200), request(5, 1200));
+    let Admission::Wait {
+        give_up_at, ticket, ..
+    } = waiting
+    else {
+        panic!("not waiting: {waiting:?}");
+    };
+    // A call is sent with at least 0.8 of its expected time of 200 ms.
+    assert_eq!(give_up_at, Ms(1040));
+    assert!(queue.dequeue(give_up_at).expired.is_empty());
+    assert_eq!(queue.dequeue(give_up_at + Ms(1)).expired, [ticket]);
+}
--- a/tests/server_rate.rs
+++ b/tests/server_rate.rs
@@ -72,7 +72,7 @@
                     outcome.starts.push(ms);
                     running.push((ms + CALL_MS, ms));
                 }
-                Admission::Wait { ticket, shed } => {
+                Admission::Wait { ticket, shed, .. } => {
                     assert!(shed.is_empty(), "all calls have the same priority");
                     waiting.push((ticket, ms));
                 }
--- a/tests/worst_load.rs
+++ b/tests/worst_load.rs
@@ -102,7 +102,7 @@
         match self.queue.admit(Ms(now), request) {
             Admission::Run => self.begin(kind, now, now),
             Admission::Refused(_) => self.count(kind, now, |results| results.refused += 1),
-            Admission::Wait { ticket, shed } => {
+            Admission::Wait { ticket, shed, .. } => {
                 self.waiting.push((ticket, kind, now));
                 shed.into_iter().for_each(|ticket| self.refuse(ticket, now));
             }
