Make the cost of servers in other failure domains a setting

Operators whose links between failure domains are dear can now keep calls in their domain: balance.other_domain_percent, 200 by default as before. domain_choice::dear_distance replays 180 entry daemons at 0.9 of the capacity; it does not compile without the change.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -153,6 +153,7 @@
             control_hosts.insert(0, own);
         }
         let leader = control_hosts.first().cloned().unwrap_or_default();
+        let balance = parts.settings.balance;
         Self {
             settings: parts.settings,
             clock: parts.clock,
@@ -195,7 +196,7 @@
             running_requests: Cell::new(0),
             rng: RefCell::new(rng),
             load_meter: RefCell::new(LoadMeter::new(Ms::ZERO)),
-            balancer: RefCell::default(),
+            balancer: RefCell::new(Balancer::new(balance)),
             local_balancer: RefCell::default(),
             retry_budget: RefCell::default(),
             candidates: RefCell::default(),
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -1,6 +1,6 @@
 use {
     super::Candidate,
-    crate::{call::Outcome, clock::Ms, wire::peer::ServerLoad},
+    crate::{call::Outcome, clock::Ms, settings::BalanceSettings, wire::peer::ServerLoad},
     rand::Rng,
 };
 
@@ -17,9 +17,6 @@
 /// Time in which the load that a server's daemon reported decays to zero. In a large cluster, a daemon calls the same
 /// server only every few seconds.
 const REPORTED_LOAD_FADE_TIME: Ms = Ms(4_000);
-/// Cost of a server in another failure domain, relative to one in the daemon's own. Traffic between failure domains
-/// costs money and links, so it is weighed against the wait in a queue.
-const OTHER_DOMAIN_COST_FACTOR: f64 = 2.0;
 /// Share of the slots in use from which calls are expected to queue.
 const NEARLY_FULL_SHARE: f64 = 0.75;
 /// Expected wait, in mean call times, for each unit of the slot share in use above `NEARLY_FULL_SHARE`.
@@ -145,9 +142,10 @@
             .map_or(self.mean_ms, |(load, _)| f64::from(load.mean_ms))
     }
 
-    /// Returns the cost of one more call, comparable between servers. `delay_ms` is the delay of the link, and
+    /// Returns the cost of one more call, comparable between servers. `domain_cost` is the cost of a server in another
+    /// failure domain, relative to one in the daemon's own. `delay_ms` is the delay of the link, and
     /// `typical_ms` the time of a call if this server's is not known.
-    fn cost(&self, candidate: &Candidate, delay_ms: f64, typical_ms: f64, now: Ms) -> f64 {
+    fn cost(&self, candidate: &Candidate, domain_cost: f64, delay_ms: f64, typical_ms: f64, now: Ms) -> f64 {
         let reported = self.reported_load(now);
         let reported_calls =
             reported.map_or(0.0, |(load, left)| f64::from(load.running + load.waiting) * left);
@@ -162,7 +160,7 @@
         let domain_factor = if candidate.is_same_domain {
             1.0
         } else {
-            OTHER_DOMAIN_COST_FACTOR
+            domain_cost
         };
         // The expected number of tries until the server accepts a call.
         let tries = 1.0 / (1.0 - self.refused_share(now)).max(ACCEPTED_SHARE_MIN);
@@ -199,9 +197,18 @@
     links: Vec<LinkDelay>,
     /// When the first servers were learnt. Servers learnt soon after them get no slow start.
     started: Option<Ms>,
+    settings: BalanceSettings,
 }
 
 impl Balancer {
+    /// Returns a balancer that knows no servers.
+    pub fn new(settings: BalanceSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
     /// Records the servers that may be chosen from now on. Those that join later than the first ones get a slow start.
     pub fn learn(&mut self, candidates: &[Candidate], now: Ms) {
         let started = *self.started.get_or_insert(now);
@@ -229,6 +236,7 @@
     pub fn choose(&mut self, candidates: &[Candidate], now: Ms, rng: &mut impl Rng) -> Option<usize> {
         let sampled = self.sample(candidates, now, rng);
         let typical_ms = self.typical_time_ms(candidates, &sampled, now);
+        let domain_cost = f64::from(self.settings.other_domain_percent) / 100.0;
         let mut best: Option<(usize, (bool, f64))> = None;
         for i in sampled {
             let target = &candidates[i].target;
@@ -236,7 +244,7 @@
             let rank = (
                 self.is_ejected(target, now) || delay_ms >= LINK_FULL_DELAY.0 as f64,
                 self.stats(target, now)
-                    .cost(&candidates[i], delay_ms, typical_ms, now),
+                    .cost(&candidates[i], domain_cost, delay_ms, typical_ms, now),
             );
             if best.is_none_or(|(_, least)| rank < least) {
                 best = Some((i, rank));
--- a/tests/domain_choice.rs
+++ b/tests/domain_choice.rs
@@ -5,6 +5,7 @@
         call::{Admission, AdmissionRequest, ServerQueue},
         clock::Ms,
         route::{Balancer, Candidate, Signal, Target},
+        settings::BalanceSettings,
         wire::peer::ServerLoad,
     },
     rand::{rngs::SmallRng, Rng, SeedableRng},
@@ -62,7 +63,7 @@
 }
 
 impl World {
-    fn new() -> Self {
+    fn new(settings: BalanceSettings) -> Self {
         let mut rng = SmallRng::seed_from_u64(SEED);
         let servers = (0..DOMAINS * SERVERS_PER_DOMAIN).map(|_| Server {
             queue: ServerQueue::new(SLOTS),
@@ -73,7 +74,7 @@
             now: Ms(1_000),
             servers: servers.collect(),
             rng,
-            balancers: vec![Balancer::default(); DOMAINS * ENTRIES_PER_DOMAIN],
+            balancers: vec![Balancer::new(settings); DOMAINS * ENTRIES_PER_DOMAIN],
             ends: BinaryHeap::new(),
             counts: Counts::default(),
         }
@@ -178,9 +179,14 @@
     }
 }
 
-/// Simulates a load. `share` returns how many calls a domain sends, as a share of what its own servers can run.
+/// Simulates a load with default settings. `share` returns how many calls a domain sends, as a share of what its own
+/// servers can run.
 fn simulate(share: impl Fn(usize) -> f64) -> Counts {
-    let mut world = World::new();
+    simulate_with(BalanceSettings::default(), share)
+}
+
+fn simulate_with(settings: BalanceSettings, share: impl Fn(usize) -> f64) -> Counts {
+    let mut world = World::new(settings);
     let capacity_per_ms = (SERVERS_PER_DOMAIN * SLOTS) as f64 / WORK_MS;
     let candidates: Vec<_> = (0..DOMAINS)
         .map(|domain| World::candidates(domain * ENTRIES_PER_DOMAIN))
@@ -218,3 +224,23 @@
     let counts = simulate(|domain| if domain == 0 { 1.5 } else { 0.25 });
     assert!(counts.in_time * 100 >= counts.arrived * 98, "{counts:?}");
 }
+
+/// Guards against a setting for the cost of other failure domains that has no effect: calls of busy domains then cross
+/// between domains as if that were cheap.
+#[test]
+fn dear_distance() {
+    let share = |_| 0.9;
+    let cheap = simulate(share);
+    let dear = simulate_with(
+        BalanceSettings {
+            other_domain_percent: 1000,
+            ..BalanceSettings::default()
+        },
+        share,
+    );
+    assert!(
+        dear.in_other_domain * 2 <= cheap.in_other_domain,
+        "{dear:?}, {cheap:?}"
+    );
+    assert!(dear.in_time * 100 >= dear.arrived * 97, "{dear:?}, {cheap:?}");
+}
