Limit the calls to a cold server to the rate that its service allows

A server with a warm-up was sent as many calls while it was cold as when warm. The daemon beside it is the only one that sends it anything, so it now keeps a record of the warm-up (call::WarmupState), decided from heartbeats, adoption and the schema, and applies the lower of warmup_per_s and the limit that the server names itself. A server whose state is unknown counts as cold. Calls that were sent after the server became cold, and before its heartbeat told so, are charged to the limit. The state is published in the list of servers of the session.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -13,6 +13,7 @@
 mod server_queue;
 mod server_rate;
 mod tenure;
+mod warmup_state;
 
 pub use {
     call_result::CallResult,
@@ -30,6 +31,7 @@
     server_queue::{Admission, AdmissionRequest, Dequeued, Refusal, ServerQueue},
     server_rate::ServerRate,
     tenure::{Role, Tenure, Tenures},
+    warmup_state::WarmupState,
 };
 
 /// A call in the form in which daemons forward it.
--- a/src/call/server_queue.rs
+++ b/src/call/server_queue.rs
@@ -175,6 +175,13 @@
         }
     }
 
+    /// Counts `calls` that were sent before the limit began against it.
+    pub fn charge_rate(&mut self, calls: f64, now: Ms) {
+        if let Some(rate) = &mut self.rate {
+            rate.charge(calls, now);
+        }
+    }
+
     /// Decides whether a call runs, waits or is refused.
     pub fn admit(&mut self, now: Ms, request: AdmissionRequest) -> Admission {
         let (time_ms, long_ms) = (
--- a/src/call/server_rate.rs
+++ b/src/call/server_rate.rs
@@ -6,6 +6,8 @@
 /// Lowest rate at which calls are sent to a server with a limit, in calls a second. Only its answers tell that the limit
 /// has ended.
 const RATE_MIN_PER_S: f64 = 0.5;
+/// Longest time for which calls wait because of earlier ones that are charged, in ms.
+const CHARGED_MS_MAX: f64 = 1000.0;
 /// Share of a call that counts as a whole one, since saved calls are added up in fractions.
 const WHOLE_CALL: f64 = 1.0 - 1e-6;
 
@@ -48,6 +50,13 @@
         self.updated_at = now;
     }
 
+    /// Counts calls of the last second that were sent before the limit began, so that later ones wait for them, up to
+    /// 1 s: after that, no second contains them any more.
+    pub fn charge(&mut self, calls: f64, now: Ms) {
+        self.saved = (self.saved_at(now) - calls).max(-self.per_ms * CHARGED_MS_MAX);
+        self.updated_at = now;
+    }
+
     /// Returns the time between two calls.
     pub fn interval(&self) -> Ms {
         Ms((1.0 / self.per_ms) as u64)
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -92,6 +92,8 @@
     pub left_servers: RefCell<LeftServers>,
     /// Notified when the list of local servers has changed.
     pub servers_changed: Notify,
+    /// Notified when the time until which a local server is cold may have changed.
+    pub warmups_changed: Notify,
     /// Peer address of the control host that is asked first: the one that answered last as the leader, or the next
     /// candidate.
     pub leader: RefCell<String>,
@@ -187,6 +189,7 @@
             lost_servers: RefCell::default(),
             left_servers: RefCell::default(),
             servers_changed: Notify::new(),
+            warmups_changed: Notify::new(),
             leader: RefCell::new(leader),
             watch_offset: Cell::new(0),
             is_stopping: Cell::new(false),
@@ -250,6 +253,8 @@
         self.freshness.borrow_mut().record_held(revision);
         self.metrics.gauge(Metric::Revision, &[], revision);
         self.candidates.borrow_mut().clear();
+        // Calls that wait for the state must not start before its limits apply.
+        self.update_limits();
         self.changed_spans.borrow_mut().merge(changed_spans);
         self.grants_changed.notify_one();
         self.state_changed.notify_waiters();
--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -5,6 +5,7 @@
         slot_gate::SlotGate,
     },
     crate::{
+        call::WarmupState,
         clock::Ms,
         control::Server,
         edge::{check_server, ServerLimits},
@@ -127,6 +128,11 @@
             .last_heartbeat
             .set((heartbeat.started_ms, heartbeat.sequence));
         server.last_announce.set(self.clock.now());
+        let mut warmup = server.warmup.get();
+        warmup.record_heartbeat(heartbeat.warmup_left, self.clock.now());
+        server.warmup.set(warmup);
+        self.update_limits();
+        self.warmups_changed.notify_one();
         if heartbeat.draining {
             self.mark_leaving(&server, "it drains");
         }
@@ -201,7 +207,8 @@
             "service" => &announced.service, "server" => &announced.address,
             "incarnation" => &announced.incarnation, "slots" => announced.slots
         );
-        let server = self.new_fetching_server(announced);
+        let warmup = WarmupState::reported(heartbeat.warmup_left, self.clock.now());
+        let server = self.new_fetching_server(announced, warmup);
         server.is_crash_counted.set(predecessor.is_none());
         if let Some(predecessor) = predecessor {
             let (cx, server) = (self.clone(), server.clone());
@@ -220,7 +227,7 @@
         server
     }
 
-    fn new_fetching_server(&self, announced: Server) -> Rc<LocalServer> {
+    fn new_fetching_server(&self, announced: Server, warmup: WarmupState) -> Rc<LocalServer> {
         let limits = ServerLimits {
             answer_bytes: self.settings.caller_limits.answer_bytes,
             idle_connections: announced.slots as usize,
@@ -236,6 +243,9 @@
             last_heartbeat: Cell::default(),
             notice: Cell::default(),
             notice_log_limit: RefCell::default(),
+            warmup: Cell::new(warmup),
+            is_cold: Cell::new(false),
+            limit_per_s: Cell::default(),
             is_leaving: Cell::new(false),
             closes_at: Cell::new(Ms::MAX),
             predecessor: RefCell::default(),
@@ -333,14 +343,17 @@
                 "service" => &listed.service, "server" => &listed.address, "session" => id,
                 "incarnation" => &listed.incarnation
             );
-            let server = self.new_fetching_server(Server {
+            let announced = Server {
                 leaving: false,
+                cold: false,
                 ..listed.clone()
-            });
+            };
+            let server = self.new_fetching_server(announced, WarmupState::unknown(self.clock.now()));
             server.last_heartbeat.set((listed.started_ms(), 0));
             // The earlier process may have given a hold right before it ended.
             server.orders.record_lease_end(self.clock.now() + HOLD_MAX);
             self.servers.borrow_mut().push(server.clone());
+            self.update_limits();
             if listed.leaving {
                 self.resume_leaving(&server);
             }
--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -1,6 +1,7 @@
 use {
     super::{dispatch::LostCall, slot_gate::SlotGate},
     crate::{
+        call::WarmupState,
         clock::Ms,
         control::Server,
         edge::{Order, OrderError, ServerClient, ServerNotice, ServerOrders},
@@ -93,6 +94,11 @@
     pub notice: Cell<ServerNotice>,
     /// Limits the log lines about changes of `notice`.
     pub notice_log_limit: RefCell<RateLimit>,
+    pub warmup: Cell<WarmupState>,
+    /// Whether the server counted as cold when its limit was last decided.
+    pub is_cold: Cell<bool>,
+    /// Limit of calls a second that its gate applies.
+    pub limit_per_s: Cell<Option<f64>>,
     pub is_leaving: Cell<bool>,
     /// Time from which no call is sent, because the server leaves.
     pub closes_at: Cell<Ms>,
@@ -136,6 +142,7 @@
             },
             None => Server {
                 leaving: self.is_leaving.get(),
+                cold: self.is_cold.get(),
                 ..self.announced.clone()
             },
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -25,6 +25,7 @@
 mod routed_path;
 mod run;
 mod server_handler;
+mod server_limits;
 mod server_notice;
 mod session_task;
 mod slot_gate;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -229,6 +229,7 @@
     spawn_local(cx.clone().maintain_guards());
     spawn_local(cx.clone().extend_leases());
     spawn_local(cx.clone().expire_announcements());
+    spawn_local(cx.clone().end_warmups());
     log_event!(log, Event::DaemonStarted; "host" => &cx.settings.host, "peers" => cx.settings.peer_address.to_string());
 
     wait_for_stop(stop).await;
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -5,6 +5,7 @@
         slot_gate::SlotGate,
     },
     crate::{
+        call::WarmupState,
         clock::Ms,
         control::Server,
         edge::{self, BodyError, HttpRequest, HttpResponse, ServerClient, ServerLimits, ServerOrders},
@@ -122,6 +123,9 @@
             last_heartbeat: Cell::default(),
             notice: Cell::default(),
             notice_log_limit: RefCell::default(),
+            warmup: Cell::new(WarmupState::unknown(now)),
+            is_cold: Cell::new(false),
+            limit_per_s: Cell::default(),
             is_leaving: Cell::new(false),
             closes_at: Cell::new(Ms::MAX),
             predecessor: RefCell::new(predecessor),
--- a/src/daemon/server_notice.rs
+++ b/src/daemon/server_notice.rs
@@ -24,7 +24,7 @@
         if before.limit_per_s == notice.limit_per_s {
             return;
         }
-        server.gate.set_rate(notice.limit_per_s);
+        self.update_limits();
         let passed = server.notice_log_limit.borrow_mut().pass(self.clock.now());
         if let Some(suppressed) = passed {
             log_event!(
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -6,6 +6,7 @@
     },
     std::{
         cell::{Cell, RefCell},
+        collections::VecDeque,
         rc::Rc,
     },
     tokio::{
@@ -15,6 +16,9 @@
     },
 };
 
+/// Time for which the starts of calls are kept: the span in which the calls of a cold server are limited.
+const STARTS_KEPT: Ms = Ms(1000);
+
 /// Channel on which a waiting call gets its slot or its refusal.
 type SlotSender = oneshot::Sender<Result<Slot, Refusal>>;
 
@@ -29,6 +33,8 @@
     queue: RefCell<ServerQueue>,
     waiters: RefCell<Vec<Waiter>>,
     refusals: RefCell<RefusalShare>,
+    /// When the calls of the last [`STARTS_KEPT`] have started, ascending.
+    starts: RefCell<VecDeque<Ms>>,
     /// Task that waits until the limit of the server lets the next call start.
     timer: RefCell<Option<AbortHandle>>,
 }
@@ -93,6 +99,7 @@
             queue: RefCell::new(ServerQueue::new(slots as usize)),
             waiters: RefCell::default(),
             refusals: RefCell::default(),
+            starts: RefCell::default(),
             timer: RefCell::default(),
         })
     }
@@ -106,6 +113,16 @@
         self.clone().assign_free_slots();
     }
 
+    /// Counts the calls that started at `since` or later against the limit, as far as they are more than `free`. Only
+    /// calls of the last [`STARTS_KEPT`] are known.
+    pub fn charge_early_calls(&self, since: Ms, free: usize) {
+        let now = self.clock.now();
+        let since = since.max(now - STARTS_KEPT);
+        let early = self.starts.borrow().iter().filter(|at| **at >= since).count();
+        let charged = early.saturating_sub(free) as f64;
+        self.queue.borrow_mut().charge_rate(charged, now);
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -146,10 +163,16 @@
     }
 
     fn new_slot(self: &Rc<Self>, kind: u64) -> Slot {
+        let now = self.clock.now();
+        let mut starts = self.starts.borrow_mut();
+        while starts.front().is_some_and(|at| *at + STARTS_KEPT < now) {
+            starts.pop_front();
+        }
+        starts.push_back(now);
         Slot {
             gate: self.clone(),
             kind,
-            taken_at: self.clock.now(),
+            taken_at: now,
             has_run: Cell::new(false),
         }
     }
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -95,6 +95,10 @@
     RequestQuarantined = "CF2109", Error, "request quarantined";
     /// A local server has named a limit of requests in its answers, has changed it, or no longer names one.
     ServerLimitNamed = "CF2110", Warning, "server limit named";
+    /// A local server counts as cold from here on, so it gets only the calls that its service allows a cold one.
+    ServerCold = "CF2111", Info, "server cold";
+    /// A local server no longer counts as cold.
+    ServerWarm = "CF2112", Info, "server warm";
 
     /// A link to another daemon was opened.
     LinkOpened = "CF3001", Info, "link opened";
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -52,6 +52,8 @@
     ServerRunning = "server_running", "gauge", ["service"];
     /// Calls that are waiting for a local server.
     ServerWaiting = "server_waiting", "gauge", ["service"];
+    /// Local servers that are cold.
+    ServersCold = "servers_cold", "gauge", [];
     /// Log index of the configuration in force at this daemon.
     Revision = "revision", "gauge", [];
     /// Time from the proposal of a configuration until it is in force at this daemon, in ms. It is the difference of
