Choose cold servers by the share of their capacity that their warm-up allows

The list of servers of a session says which ones are cold, but entry daemons did not use it: each saw the cold server idle, and together they sent it several times the calls that it takes, most of which its daemon refused. Now a cold server is compared with others only with the probability of its share, and the calls that it has count against that share. Without a cold server, the same random numbers are drawn and the same costs are computed as before.

--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -45,6 +45,8 @@
 const REFUSAL_FADE_TIME: Ms = Ms(4_000);
 /// Lower bound of the share of calls that a server is assumed to accept.
 const ACCEPTED_SHARE_MIN: f64 = 0.05;
+/// Share of its capacity that a cold server is assumed to have while no call time is known.
+const COLD_SHARE_UNKNOWN: f64 = 0.1;
 /// Time after which the record of an unused server or link is dropped.
 const UNUSED_RECORD_TTL: Ms = Ms(120_000);
 
@@ -151,12 +153,23 @@
         let reported = self.reported_load(now);
         let reported_calls =
             reported.map_or(0.0, |(load, left)| f64::from(load.running + load.waiting) * left);
-        let mean_ms = match self.call_time_ms(now) {
+        let known_ms = match candidate.warmup_per_s {
+            // The time that the daemon of a cold server reports is that between two calls of its limit.
+            Some(_) => self.mean_ms,
+            None => self.call_time_ms(now),
+        };
+        let mean_ms = match known_ms {
             0.0 => typical_ms,
             mean_ms => mean_ms,
         };
         let slots = f64::from(candidate.slots.max(1));
-        let busy = (reported_calls.max(f64::from(self.in_flight)) + 1.0) / slots;
+        let calls = reported_calls.max(f64::from(self.in_flight));
+        let busy = match candidate.warmup_per_s {
+            // The calls that a cold server has count against its share. One more counts as at a warm server, since
+            // `skip_cold` lets a cold one be compared only with the probability of its share.
+            Some(_) => calls / (slots * cold_share(candidate, mean_ms)) + 1.0 / slots,
+            None => (calls + 1.0) / slots,
+        };
         // Calls queue only at a full server, but the reported load lags, so the wait counts from a nearly full one.
         let wait = (busy - NEARLY_FULL_SHARE).max(0.0) * QUEUE_COST_FACTOR + busy * BUSY_COST_FACTOR;
         let domain_factor = if candidate.is_same_domain {
@@ -227,8 +240,9 @@
     /// A daemon of a large cluster knows little about most servers. One that it has not called yet counts as an average
     /// one, since a server that looks free only because it is unknown would draw calls into other failure domains.
     pub fn choose(&mut self, candidates: &[Candidate], now: Ms, rng: &mut impl Rng) -> Option<usize> {
-        let sampled = self.sample(candidates, now, rng);
+        let mut sampled = self.sample(candidates, now, rng);
         let typical_ms = self.typical_time_ms(candidates, &sampled, now);
+        skip_cold(candidates, &mut sampled, typical_ms, rng);
         let mut best: Option<(usize, (bool, f64))> = None;
         for i in sampled {
             let target = &candidates[i].target;
@@ -245,9 +259,10 @@
         best.map(|(i, _)| i)
     }
 
-    /// Returns the mean call time of the sampled servers that are known, or zero if none is.
+    /// Returns the mean call time of the sampled warm servers that are known, or zero if none is.
     fn typical_time_ms(&mut self, candidates: &[Candidate], sampled: &[usize], now: Ms) -> f64 {
-        let times = sampled.iter().map(|i| {
+        let warm = sampled.iter().filter(|i| candidates[**i].warmup_per_s.is_none());
+        let times = warm.map(|i| {
             let stats = self.stats(&candidates[*i].target, now);
             stats.call_time_ms(now)
         });
@@ -395,3 +410,28 @@
         true
     }
 }
+
+/// Returns the share of its capacity that a server has at the moment if a call takes `time_ms`, or if that is not known and
+/// zero is given: all of it unless the server is cold.
+fn cold_share(candidate: &Candidate, time_ms: f64) -> f64 {
+    let Some(per_s) = candidate.warmup_per_s else {
+        return 1.0;
+    };
+    if time_ms <= 0.0 {
+        return COLD_SHARE_UNKNOWN;
+    }
+    let busy_slots = per_s * time_ms / 1000.0;
+    (busy_slots / f64::from(candidate.slots.max(1))).min(1.0)
+}
+
+/// Leaves each cold server in the sample with the probability of its share only, unless all are cold.
+///
+/// The load that this addresses: many entry daemons know the same cold server, and each sees it idle. If all of them
+/// compared it with the others for each call, it would get several times the calls that it takes.
+fn skip_cold(candidates: &[Candidate], sampled: &mut Vec<usize>, typical_ms: f64, rng: &mut impl Rng) {
+    let is_cold = |i: &usize| candidates[*i].warmup_per_s.is_some();
+    if sampled.iter().all(is_cold) {
+        return;
+    }
+    sampled.retain(|i| !is_cold(i) || rng.random::<f64>() < cold_share(&candidates[*i], typical_ms));
+}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -29,7 +29,7 @@
 }
 
 /// A server that can take the calls of an undivided service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
     /// The server and the session of its daemon.
     pub target: Target,
@@ -39,6 +39,8 @@
     pub peer_address: String,
     /// Whether the server is in the failure domain of this daemon.
     pub is_same_domain: bool,
+    /// Calls a second that it takes from all daemons together because it is cold, or `None` if it is warm.
+    pub warmup_per_s: Option<f64>,
 }
 
 /// Returns the destination of a call that only the owner of `key` may take. `own_session` is the session of this
@@ -81,6 +83,7 @@
 
 /// Returns the servers that can take the calls of an undivided service, for a daemon in `failure_domain`.
 pub fn candidates(state: &State, service: &str, failure_domain: &str) -> Vec<Candidate> {
+    let warmup = state.schema().service(service).and_then(|s| s.warmup);
     let mut candidates = Vec::new();
     for session in state.sessions() {
         for server in session.servers_of(service) {
@@ -95,6 +98,7 @@
                 slots: server.slots,
                 peer_address: session.open.peer_address.clone(),
                 is_same_domain: session.open.failure_domain == failure_domain,
+                warmup_per_s: warmup.filter(|_| server.cold).map(|w| w.per_s),
             });
         }
     }
--- a/tests/domain_choice.rs
+++ b/tests/domain_choice.rs
@@ -88,6 +88,7 @@
             slots: SLOTS as u32,
             peer_address: server.to_string(),
             is_same_domain: server / SERVERS_PER_DOMAIN == entry / ENTRIES_PER_DOMAIN,
+            warmup_per_s: None,
         };
         (0..DOMAINS * SERVERS_PER_DOMAIN).map(candidate).collect()
     }
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -21,6 +21,7 @@
         slots: 12,
         peer_address: format!("10.0.0.{session}:90"),
         is_same_domain: true,
+        warmup_per_s: None,
     };
     (1..=count).map(candidate).collect()
 }
