--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -2,6 +2,7 @@
 
 mod config_freshness;
 mod daemon_lease;
+mod evacuation_gate;
 mod leader_view;
 mod session_views;
 mod sleep_detector;
@@ -10,6 +11,7 @@
 pub use {
     config_freshness::{ConfigAge, ConfigFreshness},
     daemon_lease::DaemonLease,
+    evacuation_gate::{CallStage, EvacuationGate, GateChange, LastEvacuation},
     leader_view::LeaderView,
     session_views::{Renewal, SessionViews},
     sleep_detector::{ClockVerdict, SleepDetector},
