Keep evacuations in the replicated state

start_evacuation and end_evacuation are accepted whatever their base is, and without a command id, as the platform sends them: a repeat changes nothing. Each change gives a new revision, so that daemons that lack it count as out of date. The servers of an evacuated failure domain count as drained, for candidates and for placement.

--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -18,7 +18,7 @@
 enum Effect {
     /// The configuration changes and gets a new revision.
     NewRevision,
-    /// The command changes only owners or suspects, which are not part of the configuration.
+    /// The command changes nothing, or only owners or suspects, which are not part of the configuration.
     SameRevision,
 }
 
@@ -33,6 +33,9 @@
         if let Some(operator_command::Body::ReplaceSchema(versioned)) = &command.body {
             return self.replace_schema(index, versioned, command);
         }
+        if command.command_id.is_empty() && is_evacuation(command) {
+            return self.decide_command(index, command);
+        }
         let id: CommandId = match command.command_id.parse() {
             Ok(id) => id,
             Err(e) => return refused_answer(&format!("{e}"), "command_id"),
@@ -61,7 +64,8 @@
 
     fn decide_command(&mut self, index: u64, command: &OperatorCommand) -> CommandAnswer {
         let base = command.base.as_ref().map(Revision::from_wire).unwrap_or_default();
-        if base != self.revision {
+        // An evacuation must take effect whatever other operators change at the same time.
+        if base != self.revision && !is_evacuation(command) {
             return answer(command_answer::Body::Conflict(self.revision.to_wire()));
         }
         let result = match &command.body {
@@ -75,12 +79,11 @@
                 self.release_quarantine(fingerprint)
             }
             Some(operator_command::Body::Split(action)) => self.split_command(index, *action),
-            Some(
-                operator_command::Body::StartEvacuation(_)
-                | operator_command::Body::EndEvacuation(_)
-                | operator_command::Body::ReplaceSchema(_)
-                | operator_command::Body::PatchSchema(_),
-            )
+            Some(operator_command::Body::StartEvacuation(domain)) => self.evacuate(index, domain),
+            Some(operator_command::Body::EndEvacuation(domain)) => {
+                Ok(effect_of(self.end_evacuation(index, domain)))
+            }
+            Some(operator_command::Body::ReplaceSchema(_) | operator_command::Body::PatchSchema(_))
             | None => Err(refused("the command is not known", "")),
         };
         match result {
@@ -176,6 +179,19 @@
         Ok(Effect::NewRevision)
     }
 
+    fn evacuate(&mut self, index: u64, failure_domain: &str) -> Result<Effect, Refused> {
+        if failure_domain.is_empty() {
+            return Err(refused("a failure domain is needed", "failure_domain"));
+        }
+        match self.start_evacuation(index, failure_domain) {
+            Some(is_new) => Ok(effect_of(is_new)),
+            None => Err(refused(
+                "too many failure domains were evacuated",
+                "failure_domain",
+            )),
+        }
+    }
+
     /// Starts the planned moves of all ranges within a span to one server.
     fn move_span(&mut self, index: u64, req: &MoveSpan) -> Result<Effect, Refused> {
         let Some(table) = self.table(&req.service) else {
@@ -235,6 +251,22 @@
     }
 }
 
+/// Returns whether a command starts or ends an evacuation. Such a command may be sent without a command id, because a
+/// repeat changes nothing.
+fn is_evacuation(command: &OperatorCommand) -> bool {
+    matches!(
+        command.body,
+        Some(operator_command::Body::StartEvacuation(_) | operator_command::Body::EndEvacuation(_))
+    )
+}
+
+fn effect_of(is_changed: bool) -> Effect {
+    match is_changed {
+        true => Effect::NewRevision,
+        false => Effect::SameRevision,
+    }
+}
+
 fn read_schema(text: &PackedText) -> Result<Schema, Refused> {
     let json = text.to_text();
     let json = json.ok_or_else(|| refused("the schema cannot be unpacked", ""))?;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod control_loop;
 mod departures;
 mod disk_thread;
+mod evacuations;
 mod guard_changes;
 mod guard_table;
 mod member_plan;
@@ -33,6 +34,7 @@
     command_id::{CommandId, CommandIdError},
     control_handle::{ControlHandle, ControlInput},
     departures::Departures,
+    evacuations::EvacuationScope,
     guard_table::{request_id_boundaries, GuardSpan, GuardTable},
     member_plan::{next_member_change, Offer},
     range_table::{Owner, Range, RangeTable, Release, Vacancy},
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -170,11 +170,12 @@
         &self.drains
     }
 
-    /// Returns whether the server takes no new ranges, because it is leaving or being drained.
+    /// Returns whether the server takes no new ranges, because it is leaving, being drained, or in a failure domain that
+    /// is evacuated.
     pub fn is_drained(&self, session: &Session, server: &Server) -> bool {
         let covers =
             |d: &Drain| d.host == session.open.host && (d.server.is_empty() || d.server == server.address);
-        server.leaving || self.drains.iter().any(covers)
+        server.leaving || self.drains.iter().any(covers) || self.is_evacuated(&session.open.failure_domain)
     }
 
     /// Applies the change committed at `index`. A change that no longer fits the state does nothing.
