Order evacuations on both interfaces, and obey them beside the servers

A failure domain that the settings do not list is refused with 400. The daemon beside a server refuses calls by EvacuationGate. Not yet run with real processes.

--- a/src/cli/ctl/command_line.rs
+++ b/src/cli/ctl/command_line.rs
@@ -29,6 +29,7 @@
         .subcommands(change_commands())
         .subcommand(control_command())
         .subcommand(split_command())
+        .subcommand(evacuate_command())
         .subcommand(
             Command::new("release")
                 .about("Lets a quarantined request run again; status lists the quarantined requests")
@@ -255,6 +256,35 @@
         ])
 }
 
+fn evacuate_command() -> Command {
+    let step = |name: &'static str, about: &'static str| {
+        let domain = Arg::new("domain")
+            .required(true)
+            .help("Name of the failure domain");
+        let dry_run = Arg::new("dry-run").long("dry-run").action(ArgAction::SetTrue);
+        Command::new(name).about(about).args([
+            domain,
+            dry_run.help("Show what is affected, without changing it"),
+            base_arg(),
+        ])
+    };
+    Command::new("evacuate")
+        .about("Takes a failure domain out of use: nothing more is sent to its servers")
+        .after_help(
+            "Examples:\n  clementinectl --address 10.0.0.1:7112 --key-file operator.keys evacuate start tt-c --dry-run\n  \
+             clementinectl --address 10.0.0.1:7112 --key-file operator.keys evacuate start tt-c\n  \
+             clementinectl --address 10.0.0.1:7112 --key-file operator.keys evacuate finish tt-c",
+        )
+        .subcommand_required(true)
+        .subcommands([
+            step("start", "Sends nothing more to the servers of a failure domain, at the latest after 5 s"),
+            step("finish", "Uses the servers of a failure domain again"),
+            Command::new("list")
+                .about("Prints the evacuations in force, or what one of a failure domain affects")
+                .arg(Arg::new("domain").help("Name of the failure domain")),
+        ])
+}
+
 fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).value_name(value).help(help)
 }
--- a/src/cli/ctl/run_ctl.rs
+++ b/src/cli/ctl/run_ctl.rs
@@ -4,7 +4,7 @@
         operator_client::{ChangeResult, OperatorClient},
         progress::{ranges_left, sessions_behind, wait_until},
         schema_diff::differences,
-        text_output::{control_text, diff_text, explain_text, split_text, status_text},
+        text_output::{control_text, diff_text, evacuation_text, explain_text, split_text, status_text},
     },
     crate::{cli::exit, clock::Clock, control::CommandId, edge::CommandRequest, schema::Schema},
     anyhow::{anyhow, bail, Context, Result},
@@ -52,6 +52,13 @@
             Some((step, sub)) => run_change(&format!("split-{step}"), sub),
             None => bail!("a command is needed; see split --help"),
         },
+        "evacuate" => match sub.subcommand() {
+            Some((step, sub)) if step == "list" || is_set(sub, "dry-run") => {
+                run_query(sub, &evacuation_query(sub), evacuation_text)
+            }
+            Some((step, sub)) => run_change(&format!("evacuate-{step}"), sub),
+            None => bail!("a command is needed; see evacuate --help"),
+        },
         _ => run_change(name, sub),
     }
 }
@@ -164,6 +171,16 @@
     )
 }
 
+fn evacuation_query(sub: &ArgMatches) -> String {
+    match optional_value(sub, "domain") {
+        Some(domain) => {
+            let encoded = utf8_percent_encode(domain, NON_ALPHANUMERIC);
+            format!("evacuations?failure_domain={encoded}")
+        }
+        None => "evacuations".into(),
+    }
+}
+
 fn wait(sub: &ArgMatches) -> Result<u8> {
     let wanted = optional_value(sub, "revision");
     let client = OperatorClient::new(sub)?;
@@ -261,6 +278,10 @@
             fingerprint: value("fingerprint"),
             ..request
         },
+        "evacuate-start" | "evacuate-finish" => CommandRequest {
+            failure_domain: value("domain"),
+            ..request
+        },
         "move" => CommandRequest {
             service: value("service"),
             start: value("start"),
--- a/src/cli/ctl/text_output.rs
+++ b/src/cli/ctl/text_output.rs
@@ -23,6 +23,12 @@
     section(&mut out, "drains", &status["drains"], |d| {
         format!("{} {}", plain(&d["host"]), plain(&d["server"]))
     });
+    section(
+        &mut out,
+        "evacuated failure domains",
+        &status["evacuations"],
+        plain,
+    );
     section(
         &mut out,
         "requests that were running when a server crashed (quarantined after 2 crashes)",
@@ -67,6 +73,42 @@
     )
 }
 
+/// Formats an answer to `evacuate list` or to a dry run.
+pub(super) fn evacuation_text(answer: &Value) -> String {
+    let mut out = String::new();
+    let listed = answer["evacuations"].as_array().map_or(&[][..], Vec::as_slice);
+    if listed.is_empty() {
+        return "no failure domain is evacuated\n".into();
+    }
+    for evacuation in listed {
+        let since = match &evacuation["since"] {
+            Value::Null => "not evacuated".to_owned(),
+            since => format!("evacuated since change {}", plain(since)),
+        };
+        let _ = writeln!(
+            out,
+            "{}  {since}  ranges {}",
+            plain(&evacuation["failure_domain"]),
+            plain(&evacuation["ranges"])
+        );
+        section(&mut out, "servers", &evacuation["servers"], |s| {
+            format!(
+                "{} {} of host {}",
+                plain(&s["service"]),
+                plain(&s["address"]),
+                plain(&s["host"])
+            )
+        });
+        section(
+            &mut out,
+            "services without a server during the evacuation",
+            &evacuation["services_without_servers"],
+            plain,
+        );
+    }
+    out
+}
+
 /// Formats an answer to `control`.
 pub(super) fn control_text(answer: &Value) -> String {
     let mut out = String::new();
--- a/src/control/change_events.rs
+++ b/src/control/change_events.rs
@@ -3,7 +3,7 @@
     crate::{
         event::Event,
         log_event, split,
-        wire::control::{change, command_answer, Change, CommandAnswer},
+        wire::control::{change, command_answer, operator_command, Change, CommandAnswer},
     },
     slog::Logger,
 };
@@ -33,6 +33,7 @@
             log_event!(log, Event::SplitStaged; "stage" => split::stage_name(*stage));
         }
         Applied::Command(answer) => {
+            log_evacuation(log, state, change);
             log_event!(log, Event::CommandDecided; "answer" => answer_name(answer), "revision" => state.revision().to_string());
         }
         Applied::ReleaseStarted { service, span, .. } => {
@@ -60,6 +61,30 @@
     }
 }
 
+/// Logs the start or end of an evacuation, unless the command changed nothing.
+fn log_evacuation(log: &Logger, state: &State, change: &Change) {
+    let Some(change::Body::OperatorCommand(command)) = &change.body else {
+        return;
+    };
+    if state.revision().index != state.applied() {
+        return;
+    }
+    match &command.body {
+        Some(operator_command::Body::StartEvacuation(domain)) => {
+            let scope = state.evacuation_scope(domain);
+            log_event!(
+                log, Event::EvacuationStarted;
+                "failure_domain" => domain, "servers" => scope.servers.len(), "ranges" => scope.ranges,
+                "services_without_servers" => scope.services_without_servers.join(" ")
+            );
+        }
+        Some(operator_command::Body::EndEvacuation(domain)) => {
+            log_event!(log, Event::EvacuationEnded; "failure_domain" => domain);
+        }
+        _ => {}
+    }
+}
+
 fn answer_name(answer: &CommandAnswer) -> &'static str {
     match &answer.body {
         Some(command_answer::Body::Accepted(_)) => "accepted",
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -12,7 +12,7 @@
         event::{Event, RateLimit},
         grant::ChangedSpans,
         key::Key,
-        lease::{ConfigAge, ConfigFreshness, DaemonLease},
+        lease::{ConfigAge, ConfigFreshness, DaemonLease, EvacuationGate},
         link::{KeyRing, Links},
         log_event,
         metrics::{Metric, Metrics},
@@ -59,6 +59,8 @@
     pub freshness: RefCell<ConfigFreshness>,
     /// Result of the last check of the configuration's age, so that only changes are logged.
     pub config_age: Cell<ConfigAge>,
+    /// Stops calls to the local servers while their failure domain is evacuated.
+    pub evacuation_gate: RefCell<EvacuationGate>,
     pub session: Cell<Option<u64>>,
     /// Log index at which the session was opened or taken over. Earlier states may be out of date about this daemon.
     pub session_start_index: Cell<u64>,
@@ -168,6 +170,7 @@
             lease: DaemonLease::default(),
             freshness: RefCell::default(),
             config_age: Cell::new(ConfigAge::Fresh),
+            evacuation_gate: RefCell::default(),
             session: Cell::new(None),
             session_start_index: Cell::new(0),
             fetches_grants: parts.fetches_grants,
@@ -216,7 +219,8 @@
 
     /// Replaces the state and wakes the tasks that wait for a change.
     pub fn set_state(&self, state: State) {
-        *self.state.borrow_mut() = Rc::new(state);
+        let is_first = self.state.replace(Rc::new(state)).applied() == 0;
+        self.follow_evacuation(is_first);
         self.record_changes(ChangedSpans::everything());
     }
 
@@ -226,6 +230,7 @@
     pub fn apply_changes(&self, changes: &[Committed]) -> bool {
         let mut changed_spans = ChangedSpans::default();
         let mut fits = true;
+        let is_first = self.state.borrow().applied() == 0;
         {
             let mut held = self.state.borrow_mut();
             let state = Rc::make_mut(&mut held);
@@ -239,6 +244,7 @@
                 }
             }
         }
+        self.follow_evacuation(is_first);
         self.record_changes(changed_spans);
         fits
     }
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -11,6 +11,7 @@
         edge::{Attempt, Order},
         event::Event,
         key::Key,
+        lease::CallStage,
         log_event,
         metrics::Metric,
         route::{Signal, Target},
@@ -60,6 +61,14 @@
     fn needs_lease(&self) -> bool {
         self.service.divided_by_key || self.call.route.is_none()
     }
+
+    /// Returns the stage at which the call arrives in front of its server.
+    fn arrival_stage(&self) -> CallStage {
+        match self.epoch {
+            0 => CallStage::Arriving,
+            _ => CallStage::ForOwner,
+        }
+    }
 }
 
 /// Removes a running call from its server's list when dropped, and cancels the call on the server if it has not ended.
@@ -103,7 +112,7 @@
             is_exclusive: dispatch.call.route.is_none()
                 && (suspicion == Suspicion::Alone || dispatch.call.alone),
         };
-        if let Err(reason) = self.check_dispatch(&server, dispatch) {
+        if let Err(reason) = self.check_dispatch(&server, dispatch, dispatch.arrival_stage()) {
             return CallResult::failed(reason);
         }
         let slot = match server.gate.acquire(request).await {
@@ -123,7 +132,7 @@
             }
         };
         // The ownership may have ended while the call waited.
-        if let Err(reason) = self.check_dispatch(&server, dispatch) {
+        if let Err(reason) = self.check_dispatch(&server, dispatch, CallStage::Queued) {
             return CallResult::failed(reason);
         }
         let mut result = self.send_or_detach(&server, dispatch, slot).await;
@@ -138,7 +147,12 @@
     ///
     /// # Errors
     /// Returns the reason why the call must not be sent.
-    fn check_dispatch(&self, server: &LocalServer, dispatch: Dispatch<'_>) -> Result<(), Reason> {
+    fn check_dispatch(
+        &self,
+        server: &LocalServer,
+        dispatch: Dispatch<'_>,
+        stage: CallStage,
+    ) -> Result<(), Reason> {
         let now = self.clock.now();
         if dispatch.needs_lease() && !self.lease.is_valid(now) {
             return Err(Reason::NoLease);
@@ -146,7 +160,7 @@
         if now >= server.closes_at.get() {
             return Err(Reason::ServerDraining);
         }
-        if self.refuses_calls.get() {
+        if self.refuses_calls.get() || !self.evacuation_gate.borrow().allows(stage, now) {
             return Err(Reason::Draining);
         }
         if server.client.is_stopped() || !server.is_crash_counted.get() {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod departure;
 mod dispatch;
 mod edges;
+mod evacuation;
 mod explain;
 mod grant_task;
 mod guard_holder;
@@ -34,6 +35,7 @@
 
 pub use {
     edges::{Edges, FoldEdges, IncomingRequest, ResponseFuture},
+    evacuation::{EvacuationOrder, EvacuationOutcome},
     heartbeat::{Heartbeat, HeartbeatError, HoldAnswer},
     node::{Node, ReplaceOutcome, SchemaVersion},
     routed_path::RoutedRequest,
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         daemon_cx::DaemonCx,
+        evacuation::{EvacuationOrder, EvacuationOutcome},
         heartbeat::{Heartbeat, HeartbeatError, HoldAnswer},
         routed_path::RoutedRequest,
     },
@@ -136,6 +137,11 @@
         }
     }
 
+    /// Starts or ends the evacuation of a failure domain. A repeat changes nothing and is accepted.
+    pub async fn order_evacuation(&self, order: EvacuationOrder, failure_domain: &str) -> EvacuationOutcome {
+        self.0.order_evacuation(order, failure_domain).await
+    }
+
     /// Returns a state that includes all changes that were committed when this was called, or `None` if no leader
     /// confirms which these are, or they are not applied in time.
     pub async fn newest_state(&self) -> Option<Rc<State>> {
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -1,12 +1,12 @@
 use {
-    super::daemon_cx::DaemonCx,
+    super::{daemon_cx::DaemonCx, evacuation::check_failure_domain},
     crate::{
         control::Revision,
         edge::{self, BodyError, HttpRequest, HttpResponse, RequestSignature, SignatureError},
         event::Event,
         log_event,
         wire::{
-            control::{change, command_answer, CommandAnswer},
+            control::{change, command_answer, operator_command, CommandAnswer},
             peer::{frame::Body, InForceRequest},
         },
     },
@@ -39,6 +39,10 @@
                 edge::json_response(StatusCode::OK, &self.in_force(request.uri.query()).await)
             }
             ("GET", "split") => edge::json_response(StatusCode::OK, &self.split_status()),
+            ("GET", "evacuations") => match self.evacuation_list(request.uri.query()) {
+                Ok(list) => edge::json_response(StatusCode::OK, &list),
+                Err(reason) => refused_response("failure_domain", &reason),
+            },
             ("GET", "explain") => self.explain_answer(request.uri.query().unwrap_or_default()),
             ("GET" | "POST", "control") => self.control(&request.body).await,
             ("POST", name) => self.command(name, &request.body).await,
@@ -81,21 +85,25 @@
     fn explain_answer(&self, query: &str) -> HttpResponse {
         match self.explain(query) {
             Ok(answer) => edge::json_response(StatusCode::OK, &answer),
-            Err((field, reason)) => {
-                let refused = json!({ "refused": { "reason": reason, "field": field } });
-                edge::json_response(StatusCode::BAD_REQUEST, &refused)
-            }
+            Err((field, reason)) => refused_response(field, &reason),
         }
     }
 
     async fn command(&self, name: &str, body: &[u8]) -> HttpResponse {
         let command = match edge::operator_command(name, body) {
             Ok(command) => command,
-            Err(reason) => {
-                let refused = json!({ "refused": { "reason": reason, "field": "" } });
-                return edge::json_response(StatusCode::BAD_REQUEST, &refused);
-            }
+            Err(reason) => return refused_response("", &reason),
         };
+        let evacuated = match &command.body {
+            Some(operator_command::Body::StartEvacuation(domain)) => Some((domain.clone(), true)),
+            Some(operator_command::Body::EndEvacuation(domain)) => Some((domain.clone(), false)),
+            _ => None,
+        };
+        if let Some((domain, _)) = &evacuated {
+            if let Err(reason) = check_failure_domain(&self.settings, &self.state(), domain) {
+                return refused_response("failure_domain", &reason);
+            }
+        }
         let (command_id, base) = (command.command_id.clone(), command.base.clone());
         let proposed = self.propose(change::Body::OperatorCommand(command)).await;
         if let Some(answer) = &proposed {
@@ -103,7 +111,10 @@
             self.await_applied(answer.index).await;
         }
         let answer = proposed.and_then(|answer| answer.command).unwrap_or_default();
-        let (status, json) = command_json(&answer);
+        let (status, mut json) = command_json(&answer);
+        if let (Some((domain, true)), StatusCode::OK) = (&evacuated, status) {
+            json["services_without_servers"] = json!(self.services_without_servers(domain));
+        }
         let base = base.as_ref().map(Revision::from_wire).unwrap_or_default();
         log_event!(
             self.log, Event::CommandAnswered;
@@ -193,6 +204,7 @@
             "applied": state.applied(),
             "leader": *self.leader.borrow(),
             "drains": drains,
+            "evacuations": state.evacuated_domains(),
             "suspects": suspects,
             "decisions": self.decisions.borrow().last(DECISIONS_SHOWN),
             "sessions": sessions,
@@ -201,6 +213,11 @@
     }
 }
 
+fn refused_response(field: &str, reason: &str) -> HttpResponse {
+    let refused = json!({ "refused": { "reason": reason, "field": field } });
+    edge::json_response(StatusCode::BAD_REQUEST, &refused)
+}
+
 fn answer_word(status: StatusCode) -> &'static str {
     match status {
         StatusCode::OK => "accepted",
--- a/src/edge/operator_edge.rs
+++ b/src/edge/operator_edge.rs
@@ -32,6 +32,8 @@
     pub start: String,
     /// First key after the span, for `move`. If absent, the span has no upper bound.
     pub end: Option<String>,
+    /// Name of the failure domain, for `evacuate-start` and `evacuate-finish`.
+    pub failure_domain: String,
     /// Fingerprint of the quarantined request in hexadecimal, for `release`.
     pub fingerprint: String,
 }
@@ -83,6 +85,8 @@
             let fingerprint = fingerprint.ok_or("fingerprint: hexadecimal digits are needed")?;
             operator_command::Body::ReleaseQuarantine(fingerprint.into())
         }
+        "evacuate-start" => operator_command::Body::StartEvacuation(request.failure_domain.clone()),
+        "evacuate-finish" => operator_command::Body::EndEvacuation(request.failure_domain.clone()),
         "split-start" => operator_command::Body::Split(SplitAction::Start.into()),
         "split-pause" => operator_command::Body::Split(SplitAction::Pause.into()),
         "split-resume" => operator_command::Body::Split(SplitAction::Resume.into()),
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -172,6 +172,10 @@
     DepartureNotCommitted = "CF4117", Warning, "departure not committed";
     /// No leader has confirmed the configuration of this daemon for a while. This daemon continues with it.
     ConfigurationUnconfirmed = "CF4118", Warning, "configuration not confirmed";
+    /// The failure domain of this host is evacuated. Its servers get no new calls.
+    DomainEvacuated = "CF4119", Warning, "failure domain evacuated";
+    /// The evacuation of this host's failure domain has ended.
+    DomainRestored = "CF4120", Info, "failure domain restored";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
@@ -210,6 +214,10 @@
     MovePlanned = "CF6101", Info, "range move planned";
     /// The split has reached another stage.
     SplitStaged = "CF6102", Info, "split stage reached";
+    /// An operator has started the evacuation of a failure domain.
+    EvacuationStarted = "CF6103", Warning, "evacuation started";
+    /// An operator has ended the evacuation of a failure domain.
+    EvacuationEnded = "CF6104", Info, "evacuation ended";
 
     /// This daemon answered an operator's command.
     CommandAnswered = "CF7101", Info, "operator command answered";
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -67,4 +67,6 @@
     Lease = "lease", "gauge", [];
     /// Ranges granted to local servers.
     Ranges = "ranges", "gauge", [];
+    /// Failure domains whose evacuations are in force at this daemon.
+    Evacuations = "evacuations", "gauge", [];
 }
