Move all ranges of an evacuated server at once, and give a restored domain ranges back

Calls for keys are refused 2.5 s after the order, and a plan is made once a second, so 16 moves at a time are too few for the 48 ranges of one of two servers.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,6 +14,7 @@
 mod planner;
 mod range_history;
 mod repair;
+mod restore;
 mod snapshot;
 mod space_saving;
 
@@ -22,6 +23,6 @@
     placer::{assign_unowned, PlacementChanges, Placer},
     plan::{Action, ImbalanceCost, Plan, PlannerState, Reason, ServicePlannerState},
     planner::plan,
-    snapshot::{KeyLoad, LostOwner, RangeView, ServerView, ServiceView, Side, Snapshot},
+    snapshot::{DomainUse, KeyLoad, LostOwner, RangeView, ServerView, ServiceView, Side, Snapshot},
     space_saving::{KeyCount, SpaceSaving},
 };
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -3,7 +3,7 @@
         load_table::LoadTable,
         plan,
         range_history::{RangeHistory, RangeRecord},
-        Action, Plan, PlannerState, RangeView, Reason, ServerView, ServiceView, Side, Snapshot,
+        Action, DomainUse, Plan, PlannerState, RangeView, Reason, ServerView, ServiceView, Side, Snapshot,
     },
     crate::{
         clock::Ms,
@@ -236,6 +236,7 @@
                 failure_domain: session.open.failure_domain.clone(),
                 slots: server.slots,
                 is_draining: state.is_drained(session, server),
+                domain_use: domain_use(state, &session.open.failure_domain),
                 side: host_side_in_split(state, &session.open.host, &session.open.failure_domain),
             });
         }
@@ -243,6 +244,14 @@
     views
 }
 
+fn domain_use(state: &State, failure_domain: &str) -> DomainUse {
+    match state.last_evacuation(failure_domain) {
+        None => DomainUse::Normal,
+        Some(evacuation) if evacuation.ended == 0 => DomainUse::Evacuated,
+        Some(_) => DomainUse::Restored,
+    }
+}
+
 /// Returns the half of a host, or `None` if no split has been started.
 fn host_side_in_split(state: &State, host: &str, failure_domain: &str) -> Option<Side> {
     let is_started = state.split().stage() != SplitStage::Idle;
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        balance, consolidate, draft::Draft, repair, Plan, PlannerState, ServicePlannerState, ServiceView,
-        Snapshot,
+        balance, consolidate, draft::Draft, repair, restore, Plan, PlannerState, ServicePlannerState,
+        ServiceView, Snapshot,
     },
     crate::clock::Ms,
 };
@@ -40,6 +40,7 @@
     let unassigned = repair::assign_unowned(&mut draft, now);
     repair::move_from_drained(&mut draft);
     repair::move_to_own_side(&mut draft, service_state);
+    restore::fill_restored(&mut draft);
     balance::spread_idle(&mut draft);
     balance::balance(&mut draft, service_state, now);
     consolidate::consolidate_ranges(&mut draft, service_state, now);
--- a/src/placement/repair.rs
+++ b/src/placement/repair.rs
@@ -1,10 +1,13 @@
 use {
-    super::{draft, draft::Draft, LostOwner, RangeView, Reason, ServicePlannerState},
+    super::{draft, draft::Draft, DomainUse, LostOwner, RangeView, Reason, ServicePlannerState},
     crate::clock::Ms,
 };
 
 /// Maximum number of planned moves that are under way at the same time away from a server that is being drained.
 const DRAIN_MOVES_MAX: usize = 16;
+/// The same for a server of an evacuated failure domain. Calls for its keys are refused 2.5 s after the order, and a
+/// plan is made once a second: 128 ranges are on their way by then, and servers own 10 to 50.
+const EVACUATION_MOVES_MAX: usize = 64;
 
 /// Numbers of ranges that stay without an owner in this plan.
 #[derive(Clone, Copy, Debug, Default)]
@@ -85,8 +88,12 @@
         if !view.servers[from].is_draining {
             continue;
         }
+        let moves_max = match view.servers[from].domain_use {
+            DomainUse::Evacuated => EVACUATION_MOVES_MAX,
+            DomainUse::Normal | DomainUse::Restored => DRAIN_MOVES_MAX,
+        };
         for position in draft.ranges[from].clone() {
-            if draft.outgoing_moves[from] >= DRAIN_MOVES_MAX {
+            if draft.outgoing_moves[from] >= moves_max {
                 break;
             }
             let target = draft.choose_server(&view.ranges[position], |_| false);
--- a/src/placement/snapshot.rs
+++ b/src/placement/snapshot.rs
@@ -57,10 +57,24 @@
     pub slots: u32,
     /// Whether it is being drained: its ranges move away and it takes no new ones.
     pub is_draining: bool,
+    /// Whether its failure domain is evacuated, or was.
+    pub domain_use: DomainUse,
     /// The half that it belongs to, if a split has been started.
     pub side: Option<Side>,
 }
 
+/// Whether the servers of a failure domain may be used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DomainUse {
+    /// It was never evacuated.
+    #[default]
+    Normal,
+    /// It is evacuated. Its servers also count as being drained.
+    Evacuated,
+    /// Its evacuation has ended, and its servers get ranges back.
+    Restored,
+}
+
 /// One of the two halves of a split.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
--- a/tests/evacuation_orders.rs
+++ b/tests/evacuation_orders.rs
@@ -210,6 +210,58 @@
     );
 }
 
+/// Guards against a restored domain that stays without keys because the servers elsewhere have room for all of them.
+#[test]
+fn ranges_come_back() {
+    let mut f = fixture(&["a", "b"]);
+    order(&mut f, start("a"));
+    f.place();
+    assert_eq!((owned_ranges(&f, 1), owned_ranges(&f, 2)), (0, 4));
+    let releases = |f: &Fixture| Placer::default().changes(&f.state, f.now).releases;
+    assert_eq!(releases(&f), [], "during the evacuation");
+    order(&mut f, finish("a"));
+    let to = f.session(1);
+    let moves = releases(&f);
+    assert_eq!(moves.len(), 1, "balancing by load does the rest");
+    assert!(moves.iter().all(|release| release.to_session == to));
+    for release in moves {
+        f.commit(change::Body::ReleaseRange(release));
+    }
+    assert_eq!(releases(&f), [], "the moves under way count");
+    let mut f = fixture(&["a", "b"]);
+    order(&mut f, start("c"));
+    order(&mut f, finish("c"));
+    f.place();
+    let before = releases(&f);
+    order(&mut f, start("c"));
+    assert_eq!(releases(&f), before, "a domain without servers moves nothing");
+}
+
+/// Calls for keys are refused 2.5 s after the order, so all ranges of an ordinary server must be on their way by then.
+#[test]
+fn all_ranges_move_at_once() {
+    let mut f = Fixture::new();
+    let boundaries: Vec<String> = (10..50).map(|n| format!("\"k{n}\"")).collect();
+    f.apply_schema(&SCHEMA.replace(r#""c", "f", "m""#, &boundaries.join(",")));
+    for (host, domain) in [(1, "a"), (2, "b")] {
+        let open = OpenSession {
+            host: format!("host-{host}"),
+            process: host,
+            failure_domain: domain.into(),
+            ..OpenSession::default()
+        };
+        f.commit(change::Body::OpenSession(open));
+        let session = f.session(host);
+        f.set_servers(session, vec![server(host, true)], &[]);
+        f.place();
+    }
+    let owned = owned_ranges(&f, 1);
+    assert_eq!(owned, 41);
+    order(&mut f, start("a"));
+    let changes = Placer::default().changes(&f.state, f.now);
+    assert_eq!(changes.releases.len(), owned);
+}
+
 #[test]
 fn domain_takes_no_ranges() {
     let mut f = fixture(&["a", "b"]);
