Use the load that servers report in the queue in front of them

Servers that share their machines work several times as slowly for some hundred ms, and say so in their answers. The queue now keeps the pace of a server's work (WorkPace) and records the times of calls in units of usual work. Expected times, the order and the reported load follow the present pace, which fades to the mean pace within 400 ms. A call of an undivided service that cannot end by its objective at a server that is slow just now is refused there as `server-slow`, if its entry daemon states that it can try another server. Reported slots and calls that wait inside the server lower the number of calls that it gets (SlotLimit).

A change of the load no longer counts as a new departure of a server that leaves.

--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -88,6 +88,8 @@
     ServerRefused = "server-refused", 503, NotRun;
     /// The server refused the call before running it, since it is full.
     ServerFull = "server-full", 503, NotRun;
+    /// The daemon of the server refused the call, since the server works too slowly just now for the call to end in time.
+    ServerSlow = "server-slow", 503, NotRun;
     /// The server refused the call before running it, since it takes no new calls.
     ServerDraining = "server-draining", 503, NotRun;
     /// The request has crashed servers and is refused by all daemons.
--- a/src/call/routed_retry.rs
+++ b/src/call/routed_retry.rs
@@ -6,7 +6,7 @@
 /// Time that must be left before the deadline for another try.
 const TRY_TIME_MIN: Ms = Ms(40);
 /// Number of daemons that may refuse a call without asking a server before the call fails.
-const REFUSALS_MAX: u32 = 4;
+pub const REFUSALS_MAX: u32 = 4;
 
 /// The facts that the decision after one try of a routed call depends on. A routed call names a host and a path
 /// instead of a service.
--- a/src/call/server_queue.rs
+++ b/src/call/server_queue.rs
@@ -1,15 +1,15 @@
 use {
-    super::{Reason, ServerRate},
+    super::{
+        call_times::CallTimes,
+        slot_limit::SlotLimit,
+        waiting_call::{can_end_in_time, WaitingCall},
+        Reason, ReportedLoad, ServerRate, WorkPace,
+    },
     crate::clock::Ms,
 };
 
-/// Weight of the latest call in the exponential moving averages of call times.
-const MEAN_WEIGHT: f64 = 0.1;
 /// Maximum number of waiting calls per slot. Further ones are refused.
 const WAITING_PER_SLOT_MAX: usize = 16;
-/// Share of the mean time of its kind that a call must have left to be sent to the server. With less it would
-/// rarely end in time, and the slot is better used for another call.
-const TIME_LEFT_SHARE_MIN: f64 = 0.8;
 /// Longest wait of a call that cannot meet its objective, as a share of the time that few calls of its kind exceed.
 const LATE_WAIT_SHARE: f64 = 0.5;
 /// Number of slots that have to become free while a short call may wait in any case. If it were refused for the wait for
@@ -20,9 +20,9 @@
 const IN_TIME_WAIT_SHARE: f64 = 0.1;
 /// A call counts as short compared with another one up to this share of the other's expected time.
 const SHORT_CALL_SHARE: f64 = 0.5;
-/// Number of mean deviations above the mean time of its kind that are planned for a call, so that most calls end in
-/// time.
-const LONG_TIME_DEVIATIONS: f64 = 2.5;
+/// Pace of a server from which it counts as slow just now, as a multiple of the mean time of work. Below it, another
+/// server would rarely be faster by more than the time that the second try costs.
+const SLOW_PACE_MIN: f64 = 1.25;
 /// Shortest retry delay for refused callers, in ms.
 const RETRY_AFTER_MIN_MS: f64 = 50.0;
 /// Share of the retry delay that is added as jitter, so that refused callers do not retry at the same time.
@@ -81,53 +81,6 @@
     pub is_exclusive: bool,
 }
 
-/// A call that waits for a slot.
-#[derive(Clone, Copy, Debug)]
-struct WaitingCall {
-    ticket: u64,
-    request: AdmissionRequest,
-    /// Whether the call could not meet its objective when it arrived.
-    is_late: bool,
-    /// Time by which the call should end.
-    finish_by: Ms,
-    /// Whether another kind takes much longer.
-    is_short: bool,
-    /// Expected time of the call, in ms.
-    time_ms: f64,
-    /// Time that few calls of its kind exceed, in ms: the mean and some deviations.
-    long_ms: f64,
-}
-
-impl WaitingCall {
-    /// Returns the sort key. Higher priorities come first, then calls that can meet their objectives, then short
-    /// ones, then those that must start earlier, then earlier arrivals.
-    fn order(&self) -> (u8, bool, bool, Ms, u64) {
-        let start_by = self.finish_by - Ms(self.long_ms as u64);
-        let rank = u8::MAX - self.request.priority;
-        (rank, self.is_late, !self.is_short, start_by, self.ticket)
-    }
-
-    /// Returns the latest time at which the call can start and still end in time.
-    fn latest_start(&self) -> Ms {
-        // A call that was late on arrival waits only for a short time.
-        let latest_end = if self.is_late {
-            self.finish_by
-        } else {
-            self.request.deadline
-        };
-        latest_end - least_time(self.time_ms)
-    }
-}
-
-/// Times of the calls of one kind.
-#[derive(Clone, Copy, Debug)]
-struct KindTime {
-    kind: u64,
-    mean_ms: f64,
-    /// Mean absolute deviation from the mean time.
-    deviation_ms: f64,
-}
-
 /// The slots of one backend server and the calls that wait for them.
 ///
 /// Under overload a call enters the queue only if it, and all calls behind it, can still end when their callers
@@ -135,7 +88,13 @@
 /// callers know early that they must retry.
 #[derive(Clone, Debug)]
 pub struct ServerQueue {
+    slot_limit: SlotLimit,
+    /// Number of slots as of the latest time that the queue was given.
     slots: usize,
+    /// Pace of the server's work by its own reports.
+    work_pace: WorkPace,
+    /// Pace relative to the mean pace, as of the latest time that the queue was given.
+    pace: f64,
     /// Limit that the server names, if it does.
     rate: Option<ServerRate>,
     running: usize,
@@ -144,10 +103,7 @@
     next_ticket: u64,
     /// Whether an exclusive call is running.
     runs_exclusive_call: bool,
-    /// Mean time of calls of all kinds, in ms.
-    mean_ms: f64,
-    /// Sorted by kind.
-    kinds: Vec<KindTime>,
+    times: CallTimes,
     refusals: u64,
 }
 
@@ -155,14 +111,16 @@
     /// Returns a queue for a server with `slots` free slots.
     pub fn new(slots: usize) -> Self {
         Self {
+            slot_limit: SlotLimit::new(slots),
             slots: slots.max(1),
+            work_pace: WorkPace::default(),
+            pace: 1.0,
             rate: None,
             running: 0,
             waiting: Vec::new(),
             next_ticket: 0,
             runs_exclusive_call: false,
-            mean_ms: 0.0,
-            kinds: Vec::new(),
+            times: CallTimes::default(),
             refusals: 0,
         }
     }
@@ -177,10 +135,8 @@
 
     /// Decides whether a call runs, waits or is refused.
     pub fn admit(&mut self, now: Ms, request: AdmissionRequest) -> Admission {
-        let (time_ms, long_ms) = (
-            self.expected_time_ms(request.kind),
-            self.long_time_ms(request.kind),
-        );
+        self.refresh(now);
+        let time_ms = self.expected_time_ms(request.kind);
         if request.deadline <= now || !can_end_in_time(now, time_ms, request.deadline) {
             return self.refuse(Reason::DeadlineTooShort, now);
         }
@@ -188,18 +144,8 @@
             self.start(request.is_exclusive, now);
             return Admission::Run;
         }
-        let is_late = request.objective < now + Ms(time_ms as u64);
-        let is_short = time_ms <= self.longest_time_ms() * SHORT_CALL_SHARE;
-        let waiting = WaitingCall {
-            ticket: self.next_ticket,
-            request,
-            is_late,
-            finish_by: self.finish_by(now, request, long_ms, is_late, is_short),
-            is_short,
-            time_ms,
-            long_ms,
-        };
-        let position = self.waiting.partition_point(|w| w.order() < waiting.order());
+        let waiting = self.waiting_call(now, request);
+        let position = self.position(&waiting);
         if !self.fits_in_time(now, position, &waiting) {
             return self.refuse(Reason::Overloaded, now);
         }
@@ -218,34 +164,77 @@
         }
     }
 
+    /// Records the load that the server reports.
+    pub fn report_load(&mut self, load: &ReportedLoad, now: Ms) {
+        self.work_pace.report(load.work_percent, now);
+        self.slot_limit.report(load, self.running, now);
+        self.refresh(now);
+    }
+
+    /// Brings the pace and the number of slots up to `now`.
+    pub fn refresh(&mut self, now: Ms) {
+        self.slots = self.slot_limit.slots(now);
+        let pace = self.work_pace.factor(now);
+        if pace == self.pace {
+            return;
+        }
+        self.pace = pace;
+        for waiting in &mut self.waiting {
+            waiting.time_ms = self.times.expected_ms(waiting.request.kind, pace);
+            waiting.long_ms = self.times.long_ms(waiting.request.kind, pace);
+        }
+        self.waiting.sort_by_key(WaitingCall::order);
+    }
+
+    /// Returns the time that work takes, as a multiple of the mean time.
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// Returns the time that work takes in percent of the mean time.
+    pub fn pace_percent(&self) -> u32 {
+        (self.pace * 100.0).round() as u32
+    }
+
+    /// Refuses a call that another server can take if it cannot end by its objective here, but could at the mean pace of
+    /// this server. It addresses servers that are slow for some hundred ms, while others of their service are not.
+    pub fn refuse_slow(&mut self, now: Ms, request: AdmissionRequest) -> Option<Refusal> {
+        self.refresh(now);
+        if self.pace < SLOW_PACE_MIN {
+            return None;
+        }
+        let call = self.waiting_call(now, request);
+        let position = self.position(&call);
+        let may_start = position == 0 && self.may_start(request.is_exclusive, now);
+        let ahead_ms: f64 = self.waiting[..position].iter().map(|w| w.time_ms).sum();
+        let wait_ms = match may_start {
+            true => 0.0,
+            false => (ahead_ms + self.mean_ms()) / self.slots as f64,
+        };
+        let total_ms = wait_ms + call.time_ms;
+        let ends_in_time = |ms: f64| now + Ms(ms as u64) <= request.objective;
+        let is_refused = !ends_in_time(total_ms) && ends_in_time(total_ms / self.pace);
+        is_refused.then(|| self.refusal(Reason::ServerSlow, now))
+    }
+
     /// Frees the slot of a call of `kind`. `took` is the time that it ran, or `None` if this time is not
     /// representative.
     pub fn finish(&mut self, kind: u64, took: Option<Ms>) {
+        self.finish_at_pace(kind, took, 1.0);
+    }
+
+    /// Frees the slot of a call of `kind` that ran at `pace`, as a multiple of the mean time of work.
+    pub fn finish_at_pace(&mut self, kind: u64, took: Option<Ms>, pace: f64) {
         self.running = self.running.saturating_sub(1);
         self.runs_exclusive_call = false;
-        let Some(took) = took.map(|took| took.0 as f64) else {
-            return;
-        };
-        self.mean_ms = updated_mean(self.mean_ms, took);
-        match self.kinds.binary_search_by_key(&kind, |k| k.kind) {
-            Ok(i) => {
-                let known = &mut self.kinds[i];
-                known.deviation_ms += ((took - known.mean_ms).abs() - known.deviation_ms) * MEAN_WEIGHT;
-                known.mean_ms = updated_mean(known.mean_ms, took);
-            }
-            Err(i) => {
-                let new = KindTime {
-                    kind,
-                    mean_ms: took,
-                    deviation_ms: 0.0,
-                };
-                self.kinds.insert(i, new);
-            }
+        if let Some(took) = took {
+            self.times.record(kind, took.0 as f64, pace);
         }
     }
 
     /// Drops the calls that can no longer end in time, and gives a free slot to the first of the others.
     pub fn dequeue(&mut self, now: Ms) -> Dequeued {
+        self.refresh(now);
         let mut dequeued = Dequeued::default();
         self.waiting.retain(|w| {
             let is_expired = w.request.deadline <= now || now > w.latest_start();
@@ -322,14 +311,14 @@
 
     /// Returns the mean time of calls of all kinds.
     pub fn mean_time(&self) -> Ms {
-        Ms(self.mean_ms as u64)
+        Ms(self.mean_ms() as u64)
     }
 
-    /// Returns the time that one slot needs for a call on average: the mean time of calls, or more if the server names
-    /// a limit that its slots would exceed.
+    /// Returns the time that one slot needs for a call on average at the mean pace of the server: the mean time of calls,
+    /// or more if the server names a limit that its slots would exceed.
     pub fn slot_time(&self) -> Ms {
         let limited = self.rate.map_or(Ms::ZERO, |rate| rate.interval());
-        self.mean_time().max(Ms(limited.0 * self.slots as u64))
+        Ms(self.times.mean_ms(1.0) as u64).max(Ms(limited.0 * self.slots as u64))
     }
 
     /// Returns the expected time of a call of `kind`, or zero if the kind is unknown.
@@ -342,37 +331,53 @@
     pub fn retry_after(&self, now: Ms) -> Ms {
         let work_ms: f64 = self.waiting.iter().map(|w| w.time_ms).sum();
         let rate_wait_ms = self.rate_wait(self.waiting.len(), now).0 as f64;
-        let start_ms = ((work_ms + self.mean_ms) / self.slots as f64).max(rate_wait_ms);
-        let wait = (start_ms + self.mean_ms).max(RETRY_AFTER_MIN_MS);
+        let start_ms = ((work_ms + self.mean_ms()) / self.slots as f64).max(rate_wait_ms);
+        let wait = (start_ms + self.mean_ms()).max(RETRY_AFTER_MIN_MS);
         let jitter = (self.refusals as f64 * JITTER_STEP).fract() * RETRY_AFTER_JITTER;
         Ms((wait * (1.0 + jitter)) as u64)
     }
 
     fn refuse(&mut self, reason: Reason, now: Ms) -> Admission {
+        Admission::Refused(self.refusal(reason, now))
+    }
+
+    fn refusal(&mut self, reason: Reason, now: Ms) -> Refusal {
         self.refusals += 1;
-        Admission::Refused(Refusal {
+        Refusal {
             reason,
             retry_after: self.retry_after(now),
-        })
+        }
     }
 
-    /// Returns the expected time of a call of `kind` in ms, or zero if the kind is unknown.
-    fn expected_time_ms(&self, kind: u64) -> f64 {
-        let found = self.kinds.binary_search_by_key(&kind, |k| k.kind);
-        found.map_or(0.0, |i| self.kinds[i].mean_ms)
+    /// Returns a call that arrives now as one that waits.
+    fn waiting_call(&self, now: Ms, request: AdmissionRequest) -> WaitingCall {
+        let time_ms = self.expected_time_ms(request.kind);
+        let long_ms = self.times.long_ms(request.kind, self.pace);
+        let is_late = request.objective < now + Ms(time_ms as u64);
+        let is_short = time_ms <= self.times.longest_ms(self.pace) * SHORT_CALL_SHARE;
+        WaitingCall {
+            ticket: self.next_ticket,
+            request,
+            is_late,
+            finish_by: self.finish_by(now, request, long_ms, is_late, is_short),
+            is_short,
+            time_ms,
+            long_ms,
+        }
+    }
+
+    /// Returns the position of a call that arrives now among those that wait.
+    fn position(&self, call: &WaitingCall) -> usize {
+        self.waiting.partition_point(|w| w.order() < call.order())
     }
 
-    /// Returns the expected time of the slowest kind in ms.
-    fn longest_time_ms(&self) -> f64 {
-        self.kinds.iter().map(|k| k.mean_ms).fold(0.0, f64::max)
+    fn expected_time_ms(&self, kind: u64) -> f64 {
+        self.times.expected_ms(kind, self.pace)
     }
 
-    /// Returns the time that few calls of `kind` exceed, in ms.
-    fn long_time_ms(&self, kind: u64) -> f64 {
-        let found = self.kinds.binary_search_by_key(&kind, |k| k.kind);
-        found.map_or(0.0, |i| {
-            self.kinds[i].mean_ms + self.kinds[i].deviation_ms * LONG_TIME_DEVIATIONS
-        })
+    /// Returns the mean time of calls of all kinds in ms.
+    fn mean_ms(&self) -> f64 {
+        self.times.mean_ms(self.pace)
     }
 
     /// Returns whether `new` can end in time at `position` without making a call behind it late that has the same
@@ -435,7 +440,7 @@
     ) -> Ms {
         let late_wait_ms = long_ms * LATE_WAIT_SHARE;
         let wait_ms = match (is_late, is_short) {
-            (_, true) => late_wait_ms.max(self.mean_ms / self.slots as f64 * SHORT_WAIT_SLOTS),
+            (_, true) => late_wait_ms.max(self.mean_ms() / self.slots as f64 * SHORT_WAIT_SLOTS),
             (true, false) => late_wait_ms,
             (false, false) => long_ms * IN_TIME_WAIT_SHARE,
         };
@@ -445,28 +450,8 @@
 
     /// Returns when `call` is expected to end if `ahead` calls of `work_ms` in total wait before it.
     fn expected_end(&self, now: Ms, ahead: usize, work_ms: f64, call: &WaitingCall) -> Ms {
-        let slot_wait_ms = (work_ms + self.mean_ms) / self.slots as f64;
+        let slot_wait_ms = (work_ms + self.mean_ms()) / self.slots as f64;
         let wait_ms = slot_wait_ms.max(self.rate_wait(ahead, now).0 as f64);
         now + Ms((wait_ms + call.long_ms) as u64)
     }
 }
-
-/// Returns whether a call that starts now has enough time until `deadline` to be sent to the server: at least
-/// [`TIME_LEFT_SHARE_MIN`] of its expected time.
-fn can_end_in_time(now: Ms, time_ms: f64, deadline: Ms) -> bool {
-    now + least_time(time_ms) <= deadline
-}
-
-/// Returns the time that must be left for a call that is expected to take `time_ms`.
-fn least_time(time_ms: f64) -> Ms {
-    Ms((time_ms * TIME_LEFT_SHARE_MIN) as u64)
-}
-
-/// Returns the exponential moving average after one more value. Zero means that there is no average yet.
-fn updated_mean(mean: f64, value: f64) -> f64 {
-    if mean == 0.0 {
-        value
-    } else {
-        mean + (value - mean) * MEAN_WEIGHT
-    }
-}
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -106,7 +106,9 @@
         if let Err(reason) = self.check_dispatch(&server, dispatch) {
             return CallResult::failed(reason);
         }
-        let slot = match server.gate.acquire(request).await {
+        let has_other_server = !dispatch.service.divided_by_key
+            && dispatch.call.route.as_ref().is_some_and(|r| r.has_other_server);
+        let slot = match server.gate.acquire(request, has_other_server).await {
             Ok(slot) => slot,
             Err(refusal) => {
                 // Refused calls count as load too. Otherwise the load of a hot range could not exceed the throughput of
@@ -241,6 +243,8 @@
             .gauge(Metric::ServerRunning, &[service], load.running.into());
         self.metrics
             .gauge(Metric::ServerWaiting, &[service], load.waiting.into());
+        self.metrics
+            .gauge(Metric::ServerPace, &[service], load.pace_percent.into());
     }
 
     /// Updates what is known of the health of a server, and removes the server if its calls fail repeatedly.
--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -93,6 +93,10 @@
     pub notice: Cell<ServerNotice>,
     /// Limits the log lines about changes of `notice`.
     pub notice_log_limit: RefCell<RateLimit>,
+    /// Number of slots that the server reported last, if it did.
+    pub reported_slots: Cell<Option<u32>>,
+    /// Limits the log lines about the load that the server reports.
+    pub load_log_limit: RefCell<RateLimit>,
     pub is_leaving: Cell<bool>,
     /// Time from which no call is sent, because the server leaves.
     pub closes_at: Cell<Ms>,
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -3,7 +3,7 @@
     crate::{
         call::{
             after_try, normalize_unknown_service, reached_server, AttemptHistory, Call, CallResult, EndCause,
-            Outcome, Reason, RoutedContext, RoutedStep,
+            Outcome, Reason, RoutedContext, RoutedStep, REFUSALS_MAX,
         },
         clock::Ms,
         control::Suspicion,
@@ -151,6 +151,7 @@
                 objective_ms: u32::try_from(terms.route.objective.0).unwrap_or(u32::MAX),
                 origin: self.local_service(),
                 host: request.host,
+                has_other_server: false,
             }),
             ..Call::default()
         }
@@ -163,6 +164,10 @@
         let (mut sent, mut refusals) = (0, 0);
         self.with_route_budget(&call.service, |budget| budget.earn());
         loop {
+            if let Some(route) = &mut call.route {
+                // A further refusal must leave the call another try, which is then no longer the last one.
+                route.has_other_server = refusals + 1 < REFUSALS_MAX;
+            }
             let (result, target) = self.send_attempt(&mut call, terms, &tried).await;
             let result = normalize_unknown_service(result);
             let is_throttled = target.is_none() && result.reason == Some(Reason::Overloaded);
@@ -239,6 +244,9 @@
         if candidates.is_empty() {
             return (CallResult::failed(Reason::NoServer), None);
         }
+        if let Some(route) = &mut call.route {
+            route.has_other_server &= candidates.len() > 1;
+        }
         let service = call.service.clone();
         if let Err(retry_after) = self.throttle_send(&self.service_throttle, call, &service) {
             let result = CallResult {
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -122,6 +122,8 @@
             last_heartbeat: Cell::default(),
             notice: Cell::default(),
             notice_log_limit: RefCell::default(),
+            reported_slots: Cell::default(),
+            load_log_limit: RefCell::default(),
             is_leaving: Cell::new(false),
             closes_at: Cell::new(Ms::MAX),
             predecessor: RefCell::new(predecessor),
--- a/src/daemon/server_notice.rs
+++ b/src/daemon/server_notice.rs
@@ -1,6 +1,12 @@
 use {
     super::{daemon_cx::DaemonCx, local_server::LocalServer},
-    crate::{edge::ServerNotice, event::Event, log_event},
+    crate::{
+        call::{LoadError, ReportedLoad},
+        edge::{LoadNotice, ServerNotice},
+        event::Event,
+        log_event,
+        metrics::Metric,
+    },
     std::rc::Rc,
     tokio::task::spawn_local,
 };
@@ -10,10 +16,13 @@
     /// calls of all daemons.
     pub(super) fn obey_notice(self: &Rc<Self>, server: &Rc<LocalServer>, notice: ServerNotice) {
         let before = server.notice.replace(notice);
-        if before == notice {
-            return;
+        // The same figures in another answer are news: they state the load as it is now.
+        match notice.load {
+            LoadNotice::Missing => {}
+            LoadNotice::Reported(load) => self.apply_load(server, load),
+            LoadNotice::Bad(error) => self.log_bad_load(server, error),
         }
-        if notice.is_leaving {
+        if notice.is_leaving && !before.is_leaving {
             self.mark_leaving(server, "its answer says so");
             let (cx, announced) = (self.clone(), server.announced.clone());
             spawn_local(async move {
@@ -34,4 +43,33 @@
             );
         }
     }
+
+    fn apply_load(&self, server: &LocalServer, load: ReportedLoad) {
+        server.gate.report_load(&load);
+        let announced = server.announced.slots;
+        let slots = load.slots.min(announced);
+        if server.reported_slots.replace(Some(slots)).unwrap_or(announced) == slots {
+            return;
+        }
+        let passed = server.load_log_limit.borrow_mut().pass(self.clock.now());
+        if let Some(suppressed) = passed {
+            log_event!(
+                self.log, Event::ServerSlotsReported;
+                "service" => &server.announced.service, "server" => &server.announced.address,
+                "slots" => load.slots, "announced" => announced, "suppressed" => suppressed
+            );
+        }
+    }
+
+    fn log_bad_load(&self, server: &LocalServer, error: LoadError) {
+        self.metrics.count(Metric::BadLoads, &[&server.announced.service]);
+        let passed = server.load_log_limit.borrow_mut().pass(self.clock.now());
+        if let Some(suppressed) = passed {
+            log_event!(
+                self.log, Event::ServerLoadIgnored;
+                "service" => &server.announced.service, "server" => &server.announced.address,
+                "error" => error.to_string(), "suppressed" => suppressed
+            );
+        }
+    }
 }
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        call::{Admission, AdmissionRequest, Reason, Refusal, RefusalShare, ServerQueue},
+        call::{Admission, AdmissionRequest, Reason, Refusal, RefusalShare, ReportedLoad, ServerQueue},
         clock::{Clock, Ms},
         wire::peer::ServerLoad,
     },
@@ -39,6 +39,8 @@
     gate: Rc<SlotGate>,
     kind: u64,
     taken_at: Ms,
+    /// Pace of the server when the slot was taken, as a multiple of the mean time of work.
+    pace: f64,
     /// Whether the time of the call counts in the mean time of its kind.
     has_run: Cell<bool>,
 }
@@ -68,7 +70,13 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let took = self.has_run.get().then(|| self.age());
-        self.gate.queue.borrow_mut().finish(self.kind, took);
+        {
+            let mut queue = self.gate.queue.borrow_mut();
+            queue.refresh(self.gate.clock.now());
+            // The pace may have changed while the call ran.
+            let pace = f64::midpoint(self.pace, queue.pace());
+            queue.finish_at_pace(self.kind, took, pace);
+        }
         self.gate.clone().assign_free_slots();
     }
 }
@@ -106,11 +114,28 @@
         self.clone().assign_free_slots();
     }
 
-    /// Waits for a slot.
+    /// Records the load that the server reports.
+    pub fn report_load(self: &Rc<Self>, load: &ReportedLoad) {
+        self.queue.borrow_mut().report_load(load, self.clock.now());
+        self.clone().assign_free_slots();
+    }
+
+    /// Waits for a slot. A call that another server can take is refused at once if this one is too slow for it just now.
     ///
     /// # Errors
     /// Returns the reason why the call is refused. The call has not been sent.
-    pub async fn acquire(self: &Rc<Self>, request: AdmissionRequest) -> Result<Slot, Refusal> {
+    pub async fn acquire(
+        self: &Rc<Self>,
+        request: AdmissionRequest,
+        has_other_server: bool,
+    ) -> Result<Slot, Refusal> {
+        // It does not count in the share of refused calls, which entry daemons trust for longer than a server is slow.
+        if has_other_server {
+            let refusal = self.queue.borrow_mut().refuse_slow(self.clock.now(), request);
+            if let Some(refusal) = refusal {
+                return Err(refusal);
+            }
+        }
         let acquired = self.acquire_slot(request).await;
         let now = self.clock.now();
         self.refusals.borrow_mut().count(acquired.is_err(), now);
@@ -150,6 +175,7 @@
             gate: self.clone(),
             kind,
             taken_at: self.clock.now(),
+            pace: self.queue.borrow().pace(),
             has_run: Cell::new(false),
         }
     }
@@ -204,18 +230,22 @@
 
     /// Returns the expected run time of a call of `kind`.
     pub fn expected_time(&self, kind: u64) -> Ms {
-        self.queue.borrow().expected_time(kind)
+        let mut queue = self.queue.borrow_mut();
+        queue.refresh(self.clock.now());
+        queue.expected_time(kind)
     }
 
     /// Returns the load of the server as it is now.
     pub fn load(&self) -> ServerLoad {
-        let queue = self.queue.borrow();
+        let mut queue = self.queue.borrow_mut();
+        queue.refresh(self.clock.now());
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         ServerLoad {
             running: count(queue.running()),
             waiting: count(queue.waiting()),
             slots: count(queue.slots()),
             mean_ms: u32::try_from(queue.slot_time().0).unwrap_or(u32::MAX),
+            pace_percent: queue.pace_percent(),
             refused_percent: self.refusals.borrow().percent(self.clock.now()),
         }
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -27,7 +27,7 @@
     request_signature::{RequestSignature, SignatureError},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
     server_dialect::{
-        read_limit, read_load, AnswerHead, FoldDialect, ReportedLoad, ServerDialect, ServerNotice,
+        read_limit, read_load, AnswerHead, FoldDialect, LoadNotice, ServerDialect, ServerNotice,
     },
     server_edge::{check_server, read_announce, read_leave, LeaveRequest},
     server_orders::{Order, OrderError, ServerOrders},
--- a/src/edge/server_dialect.rs
+++ b/src/edge/server_dialect.rs
@@ -1,20 +1,14 @@
 use {
     super::{caller_edge::forwarded_headers, Attempt},
-    crate::{call::Reason, clock::Ms, wire::peer::Header},
+    crate::{
+        call::{LoadError, Reason, ReportedLoad},
+        clock::Ms,
+        wire::peer::Header,
+    },
     http::{header, request, response::Parts, HeaderMap, Method, Request, StatusCode},
     percent_encoding::{percent_encode, NON_ALPHANUMERIC},
-    std::ops::RangeInclusive,
 };
 
-/// Work of a server that takes its usual time, in percent.
-const USUAL_WORK_PERCENT: u32 = 100;
-/// Most slots that a server may plausibly report.
-const REPORTED_SLOTS_MAX: u32 = 100_000;
-/// Most running or waiting calls that a server may plausibly report.
-const REPORTED_CALLS_MAX: u32 = 1_000_000;
-/// Times of work that a server may plausibly report, in percent of the usual time.
-const REPORTED_WORK_PERCENT: RangeInclusive<u32> = 1..=10_000;
-
 /// The headers of the HTTP protocol that backend servers speak.
 pub trait ServerDialect {
     /// Returns the request head of one attempt, which has the time `remaining` until its deadline.
@@ -43,21 +37,20 @@
     pub limit_per_s: Option<f64>,
     /// Whether the server takes no new calls because it leaves.
     pub is_leaving: bool,
-    /// The load that the server reports, or `None` if it reports none that makes sense.
-    pub load: Option<ReportedLoad>,
+    /// The load that the server reports.
+    pub load: LoadNotice,
 }
 
-/// The load of a server by its own report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Number of calls that it runs.
-    pub running: u32,
-    /// Number of calls that wait in it.
-    pub waiting: u32,
-    /// Number of calls that it can run at the same time.
-    pub slots: u32,
-    /// Time that work takes at this moment, in percent of the usual time.
-    pub work_percent: u32,
+/// The load in an answer of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoadNotice {
+    /// The server reports none.
+    #[default]
+    Missing,
+    /// The load that it reports.
+    Reported(ReportedLoad),
+    /// What it reports makes no sense and counts as not reported.
+    Bad(LoadError),
 }
 
 /// Classification of the head of an answer.
@@ -146,31 +139,20 @@
     (limit.is_finite() && limit >= 0.0).then_some(limit)
 }
 
-/// Returns the load in the header `name`: the numbers of running and waiting calls and of slots, and, if the server
-/// knows it, the time that work takes in percent of the usual time, separated by commas. Returns `None` if the header is
-/// missing or malformed, or if a number is out of its range.
-pub fn read_load(headers: &HeaderMap, name: &str) -> Option<ReportedLoad> {
-    let text = headers.get(name)?.to_str().ok()?;
-    let mut numbers = Vec::with_capacity(4);
-    for field in text.split(',') {
-        let number: u32 = field.trim().parse().ok()?;
-        numbers.push(number);
-    }
-    let (running, waiting, slots, work_percent) = match numbers.as_slice() {
-        [running, waiting, slots] => (*running, *waiting, *slots, USUAL_WORK_PERCENT),
-        [running, waiting, slots, work_percent] => (*running, *waiting, *slots, *work_percent),
-        _ => return None,
+/// Returns the load in the header `name`, in the form that [`ReportedLoad`] reads.
+pub fn read_load(headers: &HeaderMap, name: &str) -> LoadNotice {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return LoadNotice::Missing;
     };
-    let is_plausible = (1..=REPORTED_SLOTS_MAX).contains(&slots)
-        && running <= REPORTED_CALLS_MAX
-        && waiting <= REPORTED_CALLS_MAX
-        && REPORTED_WORK_PERCENT.contains(&work_percent);
-    is_plausible.then_some(ReportedLoad {
-        running,
-        waiting,
-        slots,
-        work_percent,
-    })
+    if values.next().is_some() {
+        return LoadNotice::Bad(LoadError::Repeated);
+    }
+    let text = value.to_str().map_err(|_| LoadError::NoNumber);
+    match text.and_then(str::parse) {
+        Ok(load) => LoadNotice::Reported(load),
+        Err(error) => LoadNotice::Bad(error),
+    }
 }
 
 /// Returns whether the end of an answer is delimited: by its length, by its last chunk, or because it has no body.
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -95,6 +95,10 @@
     RequestQuarantined = "CF2109", Error, "request quarantined";
     /// A local server has named a limit of requests in its answers, has changed it, or no longer names one.
     ServerLimitNamed = "CF2110", Warning, "server limit named";
+    /// A local server reported a load that makes no sense. It counts as not reported.
+    ServerLoadIgnored = "CF2121", Warning, "server load ignored";
+    /// A local server reported fewer slots than it announced, or as many again.
+    ServerSlotsReported = "CF2122", Info, "server slots reported";
 
     /// A link to another daemon was opened.
     LinkOpened = "CF3001", Info, "link opened";
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -52,6 +52,10 @@
     ServerRunning = "server_running", "gauge", ["service"];
     /// Calls that are waiting for a local server.
     ServerWaiting = "server_waiting", "gauge", ["service"];
+    /// Time that work takes on a local server by its own reports, in percent of the mean time.
+    ServerPace = "server_pace", "gauge", ["service"];
+    /// Answers of local servers whose reported load makes no sense.
+    BadLoads = "bad_loads", "counter", ["service"];
     /// Log index of the configuration in force at this daemon.
     Revision = "revision", "gauge", [];
     /// Time from the proposal of a configuration until it is in force at this daemon, in ms. It is the difference of
--- a/tests/domain_choice.rs
+++ b/tests/domain_choice.rs
@@ -100,6 +100,7 @@
             slots: queue.slots() as u32,
             mean_ms: queue.mean_time().0 as u32,
             refused_percent: 0,
+            pace_percent: 100,
         }
     }
 
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -145,6 +145,7 @@
         slots: 12,
         mean_ms,
         refused_percent: 0,
+        pace_percent: 100,
     };
     for (candidate, mean_ms) in candidates.iter().zip([100, 180, 180, 180]) {
         balancer.record_load(&candidate.target, &load(mean_ms), now);
@@ -177,6 +178,7 @@
             slots: 12,
             mean_ms: 180,
             refused_percent,
+            pace_percent: 100,
         };
         balancer.record_load(&candidate.target, &load, now);
     }
