Use reported figures only while they explain the times of calls

The pace now counts for the rest of its phase, the work of a call is added up between reports, and the figures are not used while times in units of usual work vary more than the measured ones (CallTimes::trusts_pace).

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -38,7 +38,7 @@
     server_rate::ServerRate,
     slot_limit::SlotLimit,
     tenure::{Role, Tenure, Tenures},
-    work_pace::{WorkPace, PACE_FACTOR_MAX},
+    work_pace::{Pace, WorkPace, PACE_FACTOR_MAX},
 };
 
 /// A call in the form in which daemons forward it.
--- a/src/call/server_queue.rs
+++ b/src/call/server_queue.rs
@@ -3,7 +3,8 @@
         call_times::CallTimes,
         slot_limit::SlotLimit,
         waiting_call::{can_end_in_time, WaitingCall},
-        Reason, ReportedLoad, ServerRate, WorkPace,
+        work_pace::PACE_FACTOR_MAX,
+        Pace, Reason, ReportedLoad, ServerRate, WorkPace,
     },
     crate::clock::Ms,
 };
@@ -94,7 +95,7 @@
     /// Pace of the server's work by its own reports.
     work_pace: WorkPace,
     /// Pace relative to the mean pace, as of the latest time that the queue was given.
-    pace: f64,
+    pace: Pace,
     /// Limit that the server names, if it does.
     rate: Option<ServerRate>,
     running: usize,
@@ -114,7 +115,7 @@
             slot_limit: SlotLimit::new(slots),
             slots: slots.max(1),
             work_pace: WorkPace::default(),
-            pace: 1.0,
+            pace: Pace::MEAN,
             rate: None,
             running: 0,
             waiting: Vec::new(),
@@ -174,7 +175,10 @@
     /// Brings the pace and the number of slots up to `now`.
     pub fn refresh(&mut self, now: Ms) {
         self.slots = self.slot_limit.slots(now);
-        let pace = self.work_pace.factor(now);
+        let pace = match self.times.trusts_pace() {
+            true => self.work_pace.pace(now),
+            false => Pace::MEAN,
+        };
         if pace == self.pace {
             return;
         }
@@ -187,20 +191,20 @@
     }
 
     /// Returns the time that work takes, as a multiple of the mean time.
-    pub fn pace(&self) -> f64 {
-        self.pace
+    pub fn work_done_ms(&self, now: Ms) -> f64 {
+        self.work_pace.work_done_ms(now)
     }
 
     /// Returns the time that work takes in percent of the mean time.
     pub fn pace_percent(&self) -> u32 {
-        (self.pace * 100.0).round() as u32
+        (self.pace.factor * 100.0).round() as u32
     }
 
     /// Refuses a call that another server can take if it cannot end by its objective here, but could at the mean pace of
     /// this server. It addresses servers that are slow for some hundred ms, while others of their service are not.
     pub fn refuse_slow(&mut self, now: Ms, request: AdmissionRequest) -> Option<Refusal> {
         self.refresh(now);
-        if self.pace < SLOW_PACE_MIN {
+        if self.pace.factor < SLOW_PACE_MIN {
             return None;
         }
         let call = self.waiting_call(now, request);
@@ -213,22 +217,23 @@
         };
         let total_ms = wait_ms + call.time_ms;
         let ends_in_time = |ms: f64| now + Ms(ms as u64) <= request.objective;
-        let is_refused = !ends_in_time(total_ms) && ends_in_time(total_ms / self.pace);
+        let is_refused =
+            !ends_in_time(total_ms) && ends_in_time(call.time_ms / (self.pace.factor * PACE_FACTOR_MAX));
         is_refused.then(|| self.refusal(Reason::ServerSlow, now))
     }
 
     /// Frees the slot of a call of `kind`. `took` is the time that it ran, or `None` if this time is not
     /// representative.
     pub fn finish(&mut self, kind: u64, took: Option<Ms>) {
-        self.finish_at_pace(kind, took, 1.0);
+        self.finish_work(kind, took, took.map_or(0.0, |took| took.0 as f64));
     }
 
     /// Frees the slot of a call of `kind` that ran at `pace`, as a multiple of the mean time of work.
-    pub fn finish_at_pace(&mut self, kind: u64, took: Option<Ms>, pace: f64) {
+    pub fn finish_work(&mut self, kind: u64, took: Option<Ms>, work_ms: f64) {
         self.running = self.running.saturating_sub(1);
         self.runs_exclusive_call = false;
         if let Some(took) = took {
-            self.times.record(kind, took.0 as f64, pace);
+            self.times.record(kind, took.0 as f64, work_ms);
         }
     }
 
@@ -318,7 +323,7 @@
     /// or more if the server names a limit that its slots would exceed.
     pub fn slot_time(&self) -> Ms {
         let limited = self.rate.map_or(Ms::ZERO, |rate| rate.interval());
-        Ms(self.times.mean_ms(1.0) as u64).max(Ms(limited.0 * self.slots as u64))
+        Ms(self.times.mean_ms(Pace::MEAN) as u64).max(Ms(limited.0 * self.slots as u64))
     }
 
     /// Returns the expected time of a call of `kind`, or zero if the kind is unknown.
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -39,8 +39,8 @@
     gate: Rc<SlotGate>,
     kind: u64,
     taken_at: Ms,
-    /// Pace of the server when the slot was taken, as a multiple of the mean time of work.
-    pace: f64,
+    /// Work that the server had done when the slot was taken, by [`ServerQueue::work_done_ms`].
+    work_done_ms: f64,
     /// Whether the time of the call counts in the mean time of its kind.
     has_run: Cell<bool>,
 }
@@ -72,10 +72,8 @@
         let took = self.has_run.get().then(|| self.age());
         {
             let mut queue = self.gate.queue.borrow_mut();
-            queue.refresh(self.gate.clock.now());
-            // The pace may have changed while the call ran.
-            let pace = f64::midpoint(self.pace, queue.pace());
-            queue.finish_at_pace(self.kind, took, pace);
+            let work_ms = queue.work_done_ms(self.gate.clock.now()) - self.work_done_ms;
+            queue.finish_work(self.kind, took, work_ms);
         }
         self.gate.clone().assign_free_slots();
     }
@@ -175,7 +173,7 @@
             gate: self.clone(),
             kind,
             taken_at: self.clock.now(),
-            pace: self.queue.borrow().pace(),
+            work_done_ms: self.queue.borrow().work_done_ms(self.clock.now()),
             has_run: Cell::new(false),
         }
     }
--- a/tests/routed_retries.rs
+++ b/tests/routed_retries.rs
@@ -32,6 +32,22 @@
     CallResult::answered(status, Vec::new(), Default::default())
 }
 
+/// Guards against a call that ends, is counted as sent, or takes from the retry budget because the daemon of a slow server
+/// refused it: it has not run, and another server may take it.
+#[test]
+fn slow_server_leads_to_another() {
+    for idempotent in [false, true] {
+        let refused = CallResult::failed(Reason::ServerSlow);
+        assert!(!reached_server(&refused));
+        let mut budget = RetryBudget::default();
+        while budget.spend() {}
+        assert_eq!(
+            step(&refused, context(idempotent, false), &mut budget),
+            RoutedStep::Retry
+        );
+    }
+}
+
 /// A non-idempotent call that may have run is never sent again.
 #[test]
 fn unknown_or_answered_not_retried() {
