Leave slow servers out of the choice of entry daemons at random

An entry daemon that multiplies the cost of a server by its reported pace makes the same choice as all others that learn the same figure: 400 of 400 chose the one fast server. Now a server that is n times as slow is left out with a probability of 1 - 1/n, which decays within 400 ms, and no server is preferred for being fast. Fewer slots than announced count.

tests/load_herding.rs passes (4 tests). Seen failing: slow_server_gets_less without the change (110 of 400 calls), and fast_server_not_crowded and stale_pace_ignored with the pace in the cost instead.

--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -43,6 +43,9 @@
 const LINK_FULL_DELAY: Ms = Ms(300);
 /// Time in which a reported share of refused calls decays to zero, so that the server is tried again.
 const REFUSAL_FADE_TIME: Ms = Ms(4_000);
+/// Time in which a reported pace of a server's work decays to the usual one: that of a phase in which a server that shares
+/// its machine is slow.
+const PACE_FADE_TIME: Ms = Ms(400);
 /// Lower bound of the share of calls that a server is assumed to accept.
 const ACCEPTED_SHARE_MIN: f64 = 0.05;
 /// Time after which the record of an unused server or link is dropped.
@@ -139,6 +142,19 @@
         (left > 0.0).then_some((load, left))
     }
 
+    /// Returns the share of its usual calls that a server gets while it works slowly, by the last report of its daemon.
+    ///
+    /// It addresses entry daemons that learn at the same time that some servers are slow. Each leaves out such a server
+    /// at random, so that their calls spread over the others, and none is preferred because it is fast just now.
+    fn pace_share(&self, now: Ms) -> f64 {
+        let Some((load, at)) = &self.reported else {
+            return 1.0;
+        };
+        let left = 1.0 - (now - *at).0 as f64 / PACE_FADE_TIME.0 as f64;
+        let slowness = f64::from(load.pace_percent) / 100.0 - 1.0;
+        1.0 / (1.0 + slowness.max(0.0) * left.max(0.0))
+    }
+
     /// Returns the mean time of a call, or zero if none is known.
     fn call_time_ms(&self, now: Ms) -> f64 {
         self.reported_load(now)
@@ -155,7 +171,12 @@
             0.0 => typical_ms,
             mean_ms => mean_ms,
         };
-        let slots = f64::from(candidate.slots.max(1));
+        // A server that reports fewer slots than it announced gets no more calls than that.
+        let slots = reported.map_or(candidate.slots, |(load, _)| match load.slots {
+            0 => candidate.slots,
+            slots => slots.min(candidate.slots),
+        });
+        let slots = f64::from(slots.max(1));
         let busy = (reported_calls.max(f64::from(self.in_flight)) + 1.0) / slots;
         // Calls queue only at a full server, but the reported load lags, so the wait counts from a nearly full one.
         let wait = (busy - NEARLY_FULL_SHARE).max(0.0) * QUEUE_COST_FACTOR + busy * BUSY_COST_FACTOR;
@@ -228,6 +249,7 @@
     /// one, since a server that looks free only because it is unknown would draw calls into other failure domains.
     pub fn choose(&mut self, candidates: &[Candidate], now: Ms, rng: &mut impl Rng) -> Option<usize> {
         let sampled = self.sample(candidates, now, rng);
+        let sampled = self.without_slow(candidates, sampled, now, rng);
         let typical_ms = self.typical_time_ms(candidates, &sampled, now);
         let mut best: Option<(usize, (bool, f64))> = None;
         for i in sampled {
@@ -245,6 +267,25 @@
         best.map(|(i, _)| i)
     }
 
+    /// Leaves out servers that work slowly, each with the probability that its pace calls for, unless no other is left.
+    fn without_slow(
+        &mut self,
+        candidates: &[Candidate],
+        sampled: Vec<usize>,
+        now: Ms,
+        rng: &mut impl Rng,
+    ) -> Vec<usize> {
+        let mut is_kept = |i: &usize| {
+            let share = self.stats(&candidates[*i].target, now).pace_share(now);
+            share >= 1.0 || rng.random_bool(share)
+        };
+        let kept: Vec<usize> = sampled.iter().copied().filter(|i| is_kept(i)).collect();
+        if kept.is_empty() {
+            return sampled;
+        }
+        kept
+    }
+
     /// Returns the mean call time of the sampled servers that are known, or zero if none is.
     fn typical_time_ms(&mut self, candidates: &[Candidate], sampled: &[usize], now: Ms) -> f64 {
         let times = sampled.iter().map(|i| {
