--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -246,6 +246,8 @@
             warmup: Cell::new(warmup),
             is_cold: Cell::new(false),
             limit_per_s: Cell::default(),
+            reported_slots: Cell::default(),
+            load_log_limit: RefCell::default(),
             is_leaving: Cell::new(false),
             closes_at: Cell::new(Ms::MAX),
             predecessor: RefCell::default(),
--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -99,6 +99,10 @@
     pub is_cold: Cell<bool>,
     /// Limit of calls a second that its gate applies.
     pub limit_per_s: Cell<Option<f64>>,
+    /// Number of slots that the server reported last, if it did.
+    pub reported_slots: Cell<Option<u32>>,
+    /// Limits the log lines about the load that the server reports.
+    pub load_log_limit: RefCell<RateLimit>,
     pub is_leaving: Cell<bool>,
     /// Time from which no call is sent, because the server leaves.
     pub closes_at: Cell<Ms>,
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        call::{Admission, AdmissionRequest, Reason, Refusal, RefusalShare, ServerQueue},
+        call::{Admission, AdmissionRequest, Reason, Refusal, RefusalShare, ReportedLoad, ServerQueue},
         clock::{Clock, Ms},
         wire::peer::ServerLoad,
     },
@@ -45,6 +45,8 @@
     gate: Rc<SlotGate>,
     kind: u64,
     taken_at: Ms,
+    /// Work that the server had done when the slot was taken, by [`ServerQueue::work_done_ms`].
+    work_done_ms: f64,
     /// Whether the time of the call counts in the mean time of its kind.
     has_run: Cell<bool>,
 }
@@ -74,7 +76,11 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let took = self.has_run.get().then(|| self.age());
-        self.gate.queue.borrow_mut().finish(self.kind, took);
+        {
+            let mut queue = self.gate.queue.borrow_mut();
+            let work_ms = queue.work_done_ms(self.gate.clock.now()) - self.work_done_ms;
+            queue.finish_work(self.kind, took, work_ms);
+        }
         self.gate.clone().assign_free_slots();
     }
 }
@@ -123,11 +129,28 @@
         self.queue.borrow_mut().charge_rate(charged, now);
     }
 
-    /// Waits for a slot.
+    /// Records the load that the server reports.
+    pub fn report_load(self: &Rc<Self>, load: &ReportedLoad) {
+        self.queue.borrow_mut().report_load(load, self.clock.now());
+        self.clone().assign_free_slots();
+    }
+
+    /// Waits for a slot. A call that another server can take is refused at once if this one is too slow for it just now.
     ///
     /// # Errors
     /// Returns the reason why the call is refused. The call has not been sent.
-    pub async fn acquire(self: &Rc<Self>, request: AdmissionRequest) -> Result<Slot, Refusal> {
+    pub async fn acquire(
+        self: &Rc<Self>,
+        request: AdmissionRequest,
+        has_other_server: bool,
+    ) -> Result<Slot, Refusal> {
+        // It does not count in the share of refused calls, which entry daemons trust for longer than a server is slow.
+        if has_other_server {
+            let refusal = self.queue.borrow_mut().refuse_slow(self.clock.now(), request);
+            if let Some(refusal) = refusal {
+                return Err(refusal);
+            }
+        }
         let acquired = self.acquire_slot(request).await;
         let now = self.clock.now();
         self.refusals.borrow_mut().count(acquired.is_err(), now);
@@ -173,6 +196,7 @@
             gate: self.clone(),
             kind,
             taken_at: now,
+            work_done_ms: self.queue.borrow().work_done_ms(now),
             has_run: Cell::new(false),
         }
     }
@@ -227,18 +251,22 @@
 
     /// Returns the expected run time of a call of `kind`.
     pub fn expected_time(&self, kind: u64) -> Ms {
-        self.queue.borrow().expected_time(kind)
+        let mut queue = self.queue.borrow_mut();
+        queue.refresh(self.clock.now());
+        queue.expected_time(kind)
     }
 
     /// Returns the load of the server as it is now.
     pub fn load(&self) -> ServerLoad {
-        let queue = self.queue.borrow();
+        let mut queue = self.queue.borrow_mut();
+        queue.refresh(self.clock.now());
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         ServerLoad {
             running: count(queue.running()),
             waiting: count(queue.waiting()),
             slots: count(queue.slots()),
             mean_ms: u32::try_from(queue.slot_time().0).unwrap_or(u32::MAX),
+            pace_percent: queue.pace_percent(),
             refused_percent: self.refusals.borrow().percent(self.clock.now()),
         }
     }
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -99,6 +99,10 @@
     ServerCold = "CF2111", Info, "server cold";
     /// A local server no longer counts as cold.
     ServerWarm = "CF2112", Info, "server warm";
+    /// A local server reported a load that makes no sense. It counts as not reported.
+    ServerLoadIgnored = "CF2121", Warning, "server load ignored";
+    /// A local server reported fewer slots than it announced, or as many again.
+    ServerSlotsReported = "CF2122", Info, "server slots reported";
 
     /// A link to another daemon was opened.
     LinkOpened = "CF3001", Info, "link opened";
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -54,6 +54,10 @@
     ServerWaiting = "server_waiting", "gauge", ["service"];
     /// Local servers that are cold.
     ServersCold = "servers_cold", "gauge", [];
+    /// Time that work takes on a local server by its own reports, in percent of the mean time.
+    ServerPace = "server_pace", "gauge", ["service"];
+    /// Answers of local servers whose reported load makes no sense.
+    BadLoads = "bad_loads", "counter", ["service"];
     /// Log index of the configuration in force at this daemon.
     Revision = "revision", "gauge", [];
     /// Time from the proposal of a configuration until it is in force at this daemon, in ms. It is the difference of
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -40,6 +40,9 @@
 const LINK_FULL_DELAY: Ms = Ms(300);
 /// Time in which a reported share of refused calls decays to zero, so that the server is tried again.
 const REFUSAL_FADE_TIME: Ms = Ms(4_000);
+/// Time in which a reported pace of a server's work decays to the usual one: that of a phase in which a server that shares
+/// its machine is slow.
+const PACE_FADE_TIME: Ms = Ms(400);
 /// Lower bound of the share of calls that a server is assumed to accept.
 const ACCEPTED_SHARE_MIN: f64 = 0.05;
 /// Share of its capacity that a cold server is assumed to have while no call time is known.
@@ -138,6 +141,19 @@
         (left > 0.0).then_some((load, left))
     }
 
+    /// Returns the share of its usual calls that a server gets while it works slowly, by the last report of its daemon.
+    ///
+    /// It addresses entry daemons that learn at the same time that some servers are slow. Each leaves out such a server
+    /// at random, so that their calls spread over the others, and none is preferred because it is fast just now.
+    fn pace_share(&self, now: Ms) -> f64 {
+        let Some((load, at)) = &self.reported else {
+            return 1.0;
+        };
+        let left = 1.0 - (now - *at).0 as f64 / PACE_FADE_TIME.0 as f64;
+        let slowness = f64::from(load.pace_percent) / 100.0 - 1.0;
+        1.0 / (1.0 + slowness.max(0.0) * left.max(0.0))
+    }
+
     /// Returns the mean time of a call, or zero if none is known.
     fn call_time_ms(&self, now: Ms) -> f64 {
         self.reported_load(now)
@@ -160,7 +176,12 @@
             0.0 => typical_ms,
             mean_ms => mean_ms,
         };
-        let slots = f64::from(candidate.slots.max(1));
+        // A server that reports fewer slots than it announced gets no more calls than that.
+        let slots = reported.map_or(candidate.slots, |(load, _)| match load.slots {
+            0 => candidate.slots,
+            slots => slots.min(candidate.slots),
+        });
+        let slots = f64::from(slots.max(1));
         let calls = reported_calls.max(f64::from(self.in_flight));
         let busy = match candidate.warmup_per_s {
             // The calls that a cold server has count against its share. One more counts as at a warm server, since
@@ -247,7 +268,8 @@
     /// A daemon of a large cluster knows little about most servers. One that it has not called yet counts as an average
     /// one, since a server that looks free only because it is unknown would draw calls into other failure domains.
     pub fn choose(&mut self, candidates: &[Candidate], now: Ms, rng: &mut impl Rng) -> Option<usize> {
-        let mut sampled = self.sample(candidates, now, rng);
+        let sampled = self.sample(candidates, now, rng);
+        let mut sampled = self.without_slow(candidates, sampled, now, rng);
         let typical_ms = self.typical_time_ms(candidates, &sampled, now);
         let domain_cost = f64::from(self.settings.other_domain_percent) / 100.0;
         skip_cold(candidates, &mut sampled, typical_ms, rng);
@@ -267,6 +289,25 @@
         best.map(|(i, _)| i)
     }
 
+    /// Leaves out servers that work slowly, each with the probability that its pace calls for, unless no other is left.
+    fn without_slow(
+        &mut self,
+        candidates: &[Candidate],
+        sampled: Vec<usize>,
+        now: Ms,
+        rng: &mut impl Rng,
+    ) -> Vec<usize> {
+        let mut is_kept = |i: &usize| {
+            let share = self.stats(&candidates[*i].target, now).pace_share(now);
+            share >= 1.0 || rng.random_bool(share)
+        };
+        let kept: Vec<usize> = sampled.iter().copied().filter(|i| is_kept(i)).collect();
+        if kept.is_empty() {
+            return sampled;
+        }
+        kept
+    }
+
     /// Returns the mean call time of the sampled warm servers that are known, or zero if none is.
     fn typical_time_ms(&mut self, candidates: &[Candidate], sampled: &[usize], now: Ms) -> f64 {
         let warm = sampled.iter().filter(|i| candidates[**i].warmup_per_s.is_none());
--- a/tests/cold_choice.rs
+++ b/tests/cold_choice.rs
@@ -48,6 +48,7 @@
             slots: SLOTS as u32,
             mean_ms: self.queue.slot_time().0 as u32,
             refused_percent: 0,
+            pace_percent: 100,
         }
     }
 }
