Decide when a hedged request may be sent

An idempotent call that is late at one server waits for it until its deadline. HedgePolicy learns the response times of each route and decides after which delay a hedged request may be sent, and whether: it needs a token of the share for hedged requests and one of the retry budget, enough time, a route that allows another attempt, and a service that does not refuse calls.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -4,9 +4,11 @@
 mod fingerprint;
 mod guard;
 mod guard_wire;
+mod hedge_policy;
 mod outcome;
 mod reason;
 mod refusal_share;
+mod response_times;
 mod retry;
 mod retry_budget;
 mod routed_retry;
@@ -19,13 +21,14 @@
     fingerprint::Fingerprint,
     guard::{Guard, GuardDecision, GuardEntry, GuardId, GuardLimits, GuardPhase},
     guard_wire::GuardChange,
+    hedge_policy::{HedgeContext, HedgePolicy, NoHedge},
     outcome::Outcome,
     reason::Reason,
     refusal_share::RefusalShare,
     retry::{after_attempt, AttemptHistory, NextStep, RetryContext},
     retry_budget::RetryBudget,
     routed_retry::{
-        after_try, normalize_unknown_service, reached_server, EndCause, RoutedContext, RoutedStep,
+        after_try, ends_call, normalize_unknown_service, reached_server, EndCause, RoutedContext, RoutedStep,
     },
     server_queue::{Admission, AdmissionRequest, Dequeued, Refusal, ServerQueue},
     server_rate::ServerRate,
--- a/src/call/retry_budget.rs
+++ b/src/call/retry_budget.rs
@@ -38,9 +38,14 @@
         self.tokens = (self.tokens + self.tokens_per_call).min(self.capacity);
     }
 
+    /// Returns whether there is a token for a retry.
+    pub fn has_token(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Takes the token for a retry. Returns whether there was one.
     pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        if !self.has_token() {
             return false;
         }
         self.tokens -= 1.0;
--- a/src/call/routed_retry.rs
+++ b/src/call/routed_retry.rs
@@ -88,6 +88,12 @@
     }
 }
 
+/// Returns whether the answer of a server goes to the caller, even if the call may be tried again. Status 5xx other than
+/// 504 may be a failure of this server alone, so an idempotent call is tried at another one.
+pub fn ends_call(result: &CallResult) -> bool {
+    result.outcome == Outcome::Answered && (result.status < 500 || result.status == 504)
+}
+
 /// Replaces reasons for an unknown service, kind or route by `NoConfiguration`. The entry daemon has found the
 /// route and the service, so a daemon that does not know them lacks the current configuration.
 pub fn normalize_unknown_service(result: CallResult) -> CallResult {
@@ -130,11 +136,7 @@
 /// Returns why a result is final regardless of other servers and the budget, or `None` if it is not.
 fn final_cause(result: &CallResult, context: RoutedContext) -> Option<EndCause> {
     match result.outcome {
-        // Status 5xx other than 504 may be a failure of this server alone, so an idempotent call is tried at
-        // another one.
-        Outcome::Answered if !context.idempotent || result.status < 500 || result.status == 504 => {
-            Some(EndCause::Answered)
-        }
+        Outcome::Answered if !context.idempotent || ends_call(result) => Some(EndCause::Answered),
         Outcome::Unknown if !context.idempotent => Some(EndCause::MayHaveRun),
         _ if context.now + TRY_TIME_MIN >= context.deadline => Some(EndCause::NoTime),
         _ => None,
