Send hedged requests for late calls in the entry daemon

The routed path sends a late idempotent call of an undivided service to a second server that is expected to be faster and has a free slot. The first response wins and the other attempt is dropped, which cancels it at its server. Without balance.second_tries_percent nothing changes. New events CF2021 and CF2022, and metrics hedges, hedges_won and hedges_held_back.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -5,7 +5,7 @@
         local_server::{LocalServer, LostServer},
     },
     crate::{
-        call::{RetryBudget, Tenures},
+        call::{HedgePolicy, RetryBudget, Tenures},
         clock::{Clock, Ms},
         control::{Applied, ControlHandle, Server, State},
         edge::ServerDialect,
@@ -76,6 +76,8 @@
     pub service_throttle: RefCell<EntryThrottle>,
     /// Retry budgets of calls by routes, sorted by service.
     pub route_budgets: RefCell<Vec<(String, RetryBudget)>>,
+    /// Decide on hedged requests, sorted by service. Empty while hedged requests are disabled.
+    pub hedge_policies: RefCell<Vec<(String, HedgePolicy)>>,
     pub state: RefCell<Rc<State>>,
     /// Notified when the state has changed.
     pub state_changed: Notify,
@@ -178,6 +180,7 @@
             owner_throttle: RefCell::new(EntryThrottle::for_owners()),
             service_throttle: RefCell::new(EntryThrottle::for_services()),
             route_budgets: RefCell::default(),
+            hedge_policies: RefCell::default(),
             state: RefCell::default(),
             state_changed: Notify::new(),
             changed_spans: RefCell::default(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 mod guard_task;
 mod guarded_call;
 mod heartbeat;
+mod hedged_attempt;
 mod key_reload;
 mod left_servers;
 mod local_server;
--- a/src/daemon/route_limits.rs
+++ b/src/daemon/route_limits.rs
@@ -56,11 +56,16 @@
         }
     }
 
+    /// Returns this daemon's share of the unspent retries that all daemons together may save for a service.
+    pub(super) fn saved_retries_max(&self) -> f64 {
+        let sessions = self.state().sessions().len().max(1) as f64;
+        (ROUTE_RETRIES_SAVED_MAX / sessions).max(1.0)
+    }
+
     /// Calls `f` with the retry budget of the service, which is created on first use. Its limit is this daemon's share
     /// of the limit of all daemons.
     pub(super) fn with_route_budget<T>(&self, service: &str, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let sessions = self.state().sessions().len().max(1) as f64;
-        let saved_max = (ROUTE_RETRIES_SAVED_MAX / sessions).max(1.0);
+        let saved_max = self.saved_retries_max();
         let mut budgets = self.route_budgets.borrow_mut();
         let found = budgets.binary_search_by(|(name, _)| name.as_str().cmp(service));
         let i = found.unwrap_or_else(|i| {
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -1,5 +1,5 @@
 use {
-    super::{call_path::ActiveCall, daemon_cx::DaemonCx, dispatch::Dispatch},
+    super::{call_path::ActiveCall, daemon_cx::DaemonCx, dispatch::Dispatch, hedged_attempt::Attempts},
     crate::{
         call::{
             after_try, normalize_unknown_service, reached_server, AttemptHistory, Call, CallResult, EndCause,
@@ -55,13 +55,14 @@
 }
 
 /// The route, service and time limits of one call, as its entry daemon determined them.
-struct CallTerms<'a> {
-    route: &'a Route,
-    service: &'a Service,
-    kind: CallKind,
-    started: Ms,
-    objective: Ms,
-    deadline: Ms,
+#[derive(Clone)]
+pub(super) struct CallTerms<'a> {
+    pub route: &'a Route,
+    pub service: &'a Service,
+    pub kind: CallKind,
+    pub started: Ms,
+    pub objective: Ms,
+    pub deadline: Ms,
 }
 
 impl DaemonCx {
@@ -162,15 +163,24 @@
         let mut tried: Vec<Target> = Vec::new();
         let (mut sent, mut refusals) = (0, 0);
         self.with_route_budget(&call.service, |budget| budget.earn());
+        self.earn_hedge(&call.service);
         loop {
-            let (result, target) = self.send_attempt(&mut call, terms, &tried).await;
-            let result = normalize_unknown_service(result);
-            let is_throttled = target.is_none() && result.reason == Some(Reason::Overloaded);
-            tried.extend(target);
-            if reached_server(&result) {
-                sent += 1;
-            } else {
-                refusals += 1;
+            let Attempts {
+                earlier,
+                result,
+                targets,
+            } = self.send_attempt(&mut call, terms, &tried, sent).await;
+            let is_throttled = targets.is_empty() && result.reason == Some(Reason::Overloaded);
+            tried.extend(targets);
+            for ended in earlier.iter().chain([&result]) {
+                if reached_server(ended) {
+                    sent += 1;
+                } else {
+                    refusals += 1;
+                }
+            }
+            if let Some(earlier) = &earlier {
+                open_attempts.record(earlier);
             }
             let context = RoutedContext {
                 now: self.clock.now(),
@@ -200,8 +210,10 @@
             self.metrics.count(Metric::Retries, &[&call.service, reason]);
             open_attempts.record(&result);
             // The next try must take into account a crash that the other daemon has counted.
-            if result.reason == Some(Reason::ServerLost) && result.revision > self.state().applied() {
-                self.await_applied(result.revision).await;
+            for lost in earlier.iter().chain([&result]) {
+                if lost.reason == Some(Reason::ServerLost) && lost.revision > self.state().applied() {
+                    self.await_applied(lost.revision).await;
+                }
             }
             if step == RoutedStep::AwaitChange {
                 self.await_ownership_change().await;
@@ -218,34 +230,35 @@
         );
     }
 
-    /// Sends the call to one server. Returns the server as well if it was chosen among several.
+    /// Sends the call to one server, or to two if the first one is late and a hedged request may be sent.
     async fn send_attempt(
         self: &Rc<Self>,
         call: &mut Call,
         terms: &CallTerms<'_>,
         tried: &[Target],
-    ) -> (CallResult, Option<Target>) {
+        sent: u32,
+    ) -> Attempts {
         if let Some(route) = &mut call.route {
             let left = terms.objective - self.clock.now();
             route.objective_ms = u32::try_from(left.0).unwrap_or(u32::MAX);
         }
         if self.suspicion(call) == Suspicion::Quarantined {
-            return (CallResult::failed(Reason::Quarantined), None);
+            return Attempts::one(CallResult::failed(Reason::Quarantined));
         }
         if terms.service.divided_by_key {
-            return (self.send_to_owner(call, terms).await, None);
+            let result = self.send_to_owner(call, terms).await;
+            return Attempts::one(normalize_unknown_service(result));
         }
         let candidates = self.untried_candidates(&call.service, tried);
         if candidates.is_empty() {
-            return (CallResult::failed(Reason::NoServer), None);
+            return Attempts::one(CallResult::failed(Reason::NoServer));
         }
         let service = call.service.clone();
         if let Err(retry_after) = self.throttle_send(&self.service_throttle, call, &service) {
-            let result = CallResult {
+            return Attempts::one(CallResult {
                 retry_after,
                 ..CallResult::failed(Reason::Overloaded)
-            };
-            return (result, None);
+            });
         }
         let now = self.clock.now();
         let chosen = {
@@ -253,10 +266,21 @@
             self.balancer.borrow_mut().choose(&candidates, now, &mut *rng)
         };
         let Some(chosen) = chosen.map(|i| &candidates[i]) else {
-            return (CallResult::failed(Reason::NoServer), None);
+            return Attempts::one(CallResult::failed(Reason::NoServer));
         };
+        call.server.clone_from(&chosen.target.server);
+        self.send_with_hedge(call, terms, chosen, &candidates, sent).await
+    }
+
+    /// Sends the call to the server `chosen` among several, which it names.
+    pub(super) async fn send_to(
+        self: &Rc<Self>,
+        call: &Call,
+        terms: &CallTerms<'_>,
+        chosen: &Candidate,
+    ) -> CallResult {
+        let now = self.clock.now();
         let (target, peer_address) = (&chosen.target, &chosen.peer_address);
-        call.server.clone_from(&target.server);
         let in_flight = super::call_path::InFlight::new(self, target, now);
         let result = if self.session.get() == Some(target.session) {
             self.call_server(&target.server, dispatch(call, terms, 0)).await
@@ -274,8 +298,9 @@
                 .record_load(target, load, self.clock.now());
         }
         in_flight.finish_with(signal_of(&result, self.clock.now() - now));
-        self.update_throttle(&self.service_throttle, call, &service, &result);
-        (result, Some(target.clone()))
+        self.update_throttle(&self.service_throttle, call, &call.service, &result);
+        self.record_refusal(call, &result);
+        normalize_unknown_service(result)
     }
 
     /// Sends the call to the owner of its key.
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -75,7 +75,11 @@
     CallNotRetried = "CF2010", Info, "call not tried again";
     /// The entry daemon refuses a call because the servers that may run it refuse most calls of its kind.
     CallThrottled = "CF2011", Info, "call throttled at its entry daemon";
-    /// A call is cancelled because its caller no longer waits for the answer.
+    /// A hedged request was sent for a routed call whose first attempt is late.
+    CallHedged = "CF2021", Info, "hedged request sent";
+    /// A routed call with a hedged request has a result, or both of its attempts failed.
+    HedgeEnded = "CF2022", Info, "hedged call decided";
+    /// A call is cancelled because its caller no longer waits for the answer, or because another server answered first.
     CallCancelled = "CF2101", Info, "call cancelled";
     /// A call with a known request id got the recorded answer.
     AnswerReplayed = "CF2102", Info, "answer replayed";
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -48,6 +48,12 @@
     ServerAttemptMs = "server_try_ms", "timer", ["service"];
     /// Retries of routed calls.
     Retries = "retries", "counter", ["service", "reason"];
+    /// Hedged requests sent for late routed calls.
+    Hedges = "hedges", "counter", ["service"];
+    /// Hedged requests that were answered before the first attempt of their call.
+    HedgesWon = "hedges_won", "counter", ["service"];
+    /// Late routed calls for which no hedged request was sent.
+    HedgesHeldBack = "hedges_held_back", "counter", ["service", "cause"];
     /// Calls that are running on local servers.
     ServerRunning = "server_running", "gauge", ["service"];
     /// Calls that are waiting for a local server.
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -145,18 +145,23 @@
             .map_or(self.mean_ms, |(load, _)| f64::from(load.mean_ms))
     }
 
-    /// Returns the cost of one more call, comparable between servers. `delay_ms` is the delay of the link, and
-    /// `typical_ms` the time of a call if this server's is not known.
-    fn cost(&self, candidate: &Candidate, delay_ms: f64, typical_ms: f64, now: Ms) -> f64 {
+    /// Returns the share of the slots that are in use with one more call.
+    fn busy_share(&self, candidate: &Candidate, now: Ms) -> f64 {
         let reported = self.reported_load(now);
         let reported_calls =
             reported.map_or(0.0, |(load, left)| f64::from(load.running + load.waiting) * left);
+        let slots = f64::from(candidate.slots.max(1));
+        (reported_calls.max(f64::from(self.in_flight)) + 1.0) / slots
+    }
+
+    /// Returns the cost of one more call, comparable between servers. `delay_ms` is the delay of the link, and
+    /// `typical_ms` the time of a call if this server's is not known.
+    fn cost(&self, candidate: &Candidate, delay_ms: f64, typical_ms: f64, now: Ms) -> f64 {
         let mean_ms = match self.call_time_ms(now) {
             0.0 => typical_ms,
             mean_ms => mean_ms,
         };
-        let slots = f64::from(candidate.slots.max(1));
-        let busy = (reported_calls.max(f64::from(self.in_flight)) + 1.0) / slots;
+        let busy = self.busy_share(candidate, now);
         // Calls queue only at a full server, but the reported load lags, so the wait counts from a nearly full one.
         let wait = (busy - NEARLY_FULL_SHARE).max(0.0) * QUEUE_COST_FACTOR + busy * BUSY_COST_FACTOR;
         let domain_factor = if candidate.is_same_domain {
@@ -349,6 +354,17 @@
         }
     }
 
+    /// Records that a call was cancelled after `took`, because another server answered first. Its end is recorded
+    /// separately.
+    ///
+    /// The call would have taken longer, so a time below the mean reveals nothing. Without this, a server that is slow for
+    /// all calls would seem fast, because only the calls that it answered first would count.
+    pub fn record_cancelled(&mut self, target: &Target, took: Ms, now: Ms) {
+        let stats = self.stats(target, now);
+        let excess_ms = (took.0 as f64 - stats.mean_ms).max(0.0);
+        stats.mean_ms += excess_ms * CALL_TIME_WEIGHT;
+    }
+
     /// Returns whether a server is ejected.
     pub fn is_ejected(&self, target: &Target, now: Ms) -> bool {
         match self.position(target) {
@@ -365,6 +381,48 @@
             .retain(|link| now < link.measured_at + UNUSED_RECORD_TTL);
     }
 
+    /// Returns the index of the server that gets a hedged request: of a few random candidates, the best one that is
+    /// expected to answer within `within`, has room, and does not refuse calls. `typical` is the time of a call if that of
+    /// a server is not known.
+    ///
+    /// Servers that are ejected, in slow start or behind a full link get none, since a hedged request must not add to
+    /// their load.
+    pub fn choose_hedge(
+        &mut self,
+        candidates: &[Candidate],
+        within: Ms,
+        typical: Ms,
+        now: Ms,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let typical_ms = typical.0 as f64;
+        let mut best: Option<(usize, f64)> = None;
+        for i in self.sample(candidates, now, rng) {
+            let candidate = &candidates[i];
+            let delay_ms = self.delay_ms(&candidate.peer_address, now);
+            if self.is_ejected(&candidate.target, now) || delay_ms >= LINK_FULL_DELAY.0 as f64 {
+                continue;
+            }
+            let stats = self.stats(&candidate.target, now);
+            let call_ms = match stats.call_time_ms(now) {
+                0.0 => typical_ms,
+                mean_ms => mean_ms,
+            };
+            let is_faster = call_ms + delay_ms < within.0 as f64;
+            let is_free =
+                stats.busy_share(candidate, now) <= NEARLY_FULL_SHARE && stats.refused_share(now) == 0.0;
+            let cost = stats.cost(candidate, delay_ms, typical_ms, now);
+            if is_faster
+                && is_free
+                && stats.load_share(now) >= 1.0
+                && best.is_none_or(|(_, least)| cost < least)
+            {
+                best = Some((i, cost));
+            }
+        }
+        best.map(|(i, _)| i)
+    }
+
     fn position(&self, target: &Target) -> Result<usize, usize> {
         self.servers.binary_search_by(|stats| stats.target.cmp(target))
     }
