--- a/src/call/hedge_policy.rs
+++ b/src/call/hedge_policy.rs
@@ -8,18 +8,21 @@
 const QUANTILES: [f64; 4] = [0.90, 0.95, 0.98, 0.99];
 /// Number of recorded calls that must exceed a quantile before it is used.
 const SAMPLES_ABOVE_MIN: f64 = 2.0;
-/// Share of the late calls that must last longer than the delay and the median time together, since a hedged request
-/// takes about that time. It limits the extra work to about five hedged requests for each one that wins. In a service
-/// whose times vary little, no quantile fulfils it, and hedged requests would not help.
+/// Share of the late calls that must last longer than a hedged request would. It limits the extra work to about five hedged
+/// requests for each one that wins. In a service whose times vary little, no quantile fulfils it, and hedged requests
+/// would not help.
 const WIN_SHARE_MIN: f64 = 0.2;
 /// Shortest delay of a hedged request. Times are measured in whole milliseconds, so that a shorter delay would be within
 /// the error of measurement.
 const DELAY_MIN: Ms = Ms(2);
 /// Time that must be left before the deadline. It is the same as for a retry.
 const TIME_LEFT_MIN: Ms = Ms(40);
-/// Time for which no hedged requests are sent after two servers have refused calls for lack of room. Queues of servers work
-/// off their backlog within an objective, which is 1 to 2 s for most routes.
-const REFUSAL_PAUSE: Ms = Ms(2_000);
+/// Share of refused attempts above which the service counts as refusing calls for lack of room. Below it, single servers
+/// are full for a moment while others have room, which is usual at 0.7 of the capacity.
+const REFUSED_SHARE_MAX: f64 = 0.1;
+/// Weight of the latest attempt in the share of refused attempts. About the last 20 attempts count, so that a few refusals
+/// in a row have effect at once.
+const REFUSED_WEIGHT: f64 = 0.05;
 /// Time after the last call of a route after which its response times are not relied on any more.
 const UNUSED_TTL: Ms = Ms(60_000);
 /// Number of calls between two updates of the delay of a route, to save processor time.
@@ -87,8 +90,10 @@
     /// Delay of hedged requests, as of the last update; `None` while too few calls are recorded, or if hedged requests would
     /// rarely win.
     delay: Option<Ms>,
-    /// Median time as of the last update, or zero while too few calls are recorded.
+    /// Median time as of the last update, or zero while no call is recorded.
     median: Ms,
+    /// Time after the delay that at least [`WIN_SHARE_MIN`] of the late calls last, as of the last update.
+    left: Ms,
     /// Number of calls since the last update of `delay`.
     calls_since_update: u32,
 }
@@ -104,8 +109,9 @@
         let mut delays = usable.map(|q| times.quantile(*q).max(DELAY_MIN));
         self.delay = delays.find(|delay| {
             let late = times.count_above(*delay) as f64;
-            let lasting = times.count_above(*delay + self.median) as f64;
-            late >= SAMPLES_ABOVE_MIN && lasting >= late * WIN_SHARE_MIN
+            let lasting_share = late / times.len() as f64 * WIN_SHARE_MIN;
+            self.left = times.quantile(1.0 - lasting_share) - *delay;
+            late >= SAMPLES_ABOVE_MIN && self.left >= self.median
         });
     }
 }
@@ -126,10 +132,8 @@
     is_enabled: bool,
     /// Sorted by route.
     routes: Vec<RouteTimes>,
-    /// The server that refused a call for lack of room last, and when.
-    last_refusal: Option<(String, Ms)>,
-    /// Until when the service counts as refusing calls for lack of room.
-    refusing_until: Ms,
+    /// Share of the latest attempts that servers refused for lack of room.
+    refused_share: f64,
 }
 
 impl HedgePolicy {
@@ -142,8 +146,7 @@
             budget: RetryBudget::new(share, saved_max),
             is_enabled: percent > 0,
             routes: Vec::new(),
-            last_refusal: None,
-            refusing_until: Ms::ZERO,
+            refused_share: 0.0,
         }
     }
 
@@ -157,9 +160,7 @@
         self.budget.earn();
     }
 
-    /// Records the response time of a first attempt that was not hedged, or that won or lost against its hedged request.
-    /// A lost one counts with the time after which it was cancelled, which is above the delay. So the share of calls
-    /// above the delay is the same as without hedged requests.
+    /// Records the response time of a first attempt that was not cancelled.
     pub fn record_time(&mut self, route: &str, took: Ms, now: Ms) {
         let share = self.share;
         let known = self.route(route, now);
@@ -171,18 +172,19 @@
         }
     }
 
-    /// Records that `server` refused a call for lack of room. Once two servers have done so within a short time, the
-    /// service counts as refusing calls. A single one may be full because it is in grey failure.
-    pub fn record_refused(&mut self, server: &str, now: Ms) {
-        match &mut self.last_refusal {
-            Some((last, at)) if last == server => *at = now,
-            last_refusal => {
-                let earlier = last_refusal.replace((server.to_owned(), now));
-                if earlier.is_some_and(|(_, at)| now < at + REFUSAL_PAUSE) {
-                    self.refusing_until = now + REFUSAL_PAUSE;
-                }
-            }
-        }
+    /// Records that a first attempt was cancelled after `took` because its hedged request was answered first. It counts with
+    /// at least the time that late calls often reach. If the time until the cancellation counted instead, hedged requests
+    /// would hide the slow responses that they are sent for.
+    pub fn record_cancelled(&mut self, route: &str, took: Ms, now: Ms) {
+        let known = self.known(route, now);
+        let often = known.and_then(|known| Some(known.delay? + known.left));
+        self.record_time(route, took.max(often.unwrap_or_default()), now);
+    }
+
+    /// Records that an attempt of the service ended, and whether its server refused it for lack of room.
+    pub fn record_attempt(&mut self, refused: bool) {
+        let latest = f64::from(u8::from(refused));
+        self.refused_share += (latest - self.refused_share) * REFUSED_WEIGHT;
     }
 
     /// Returns the time after which an attempt of a call of `route` is late, or `None` if no hedged request is to be
@@ -196,6 +198,11 @@
         self.known(route, now).map_or(Ms::ZERO, |known| known.median)
     }
 
+    /// Returns the time within which a hedged request for a late call of `route` must be answered to win often enough.
+    pub fn time_to_win(&self, route: &str, now: Ms) -> Ms {
+        self.known(route, now).map_or(Ms::ZERO, |known| known.left)
+    }
+
     /// Checks whether a hedged request may be sent for a call of `route` that is late. Takes no token.
     ///
     /// # Errors
@@ -213,7 +220,7 @@
         if context.now + self.median(route, context.now).max(TIME_LEFT_MIN) >= context.deadline {
             return Err(NoHedge::NoTime);
         }
-        if context.now < self.refusing_until {
+        if self.refused_share > REFUSED_SHARE_MAX {
             return Err(NoHedge::Refusing);
         }
         match self.budget.has_token() && retries.has_token() {
@@ -253,6 +260,7 @@
             last_used: now,
             delay: None,
             median: Ms::ZERO,
+            left: Ms::ZERO,
             calls_since_update: 0,
         };
         self.routes.insert(i, new);
--- a/src/call/response_times.rs
+++ b/src/call/response_times.rs
@@ -69,6 +69,11 @@
         Ms(self.0.value_at_quantile(quantile))
     }
 
+    /// Returns the number of calls.
+    pub fn len(&self) -> u64 {
+        self.0.len()
+    }
+
     /// Returns the number of calls that took longer than `time`.
     pub fn count_above(&self, time: Ms) -> u64 {
         self.0.len() - self.0.count_between(0, time.0)
--- a/src/daemon/hedged_attempt.rs
+++ b/src/daemon/hedged_attempt.rs
@@ -122,13 +122,12 @@
             self.learn(call, terms, &earlier, sent_at);
         }
         if ends_call(&earlier) {
-            if is_first {
-                self.record_cancelled(call, &hedge.chosen.target, hedged_at);
-            } else {
-                let took = self.clock.now() - sent_at;
-                self.with_hedge_policy(name, |policy| policy.record_time(route, took, self.clock.now()));
-                self.record_cancelled(call, &first.target, sent_at);
-            }
+            self.record_loser(
+                call,
+                terms,
+                is_first,
+                [(first, sent_at), (&hedge.chosen, hedged_at)],
+            );
             self.log_hedge_end(call, Some(is_first), sent_at);
             return Attempts {
                 earlier: None,
@@ -176,13 +175,13 @@
             sent: sent + 1,
             sent_max: terms.route.attempts,
         };
-        let median = self.with_route_budget(name, |retries| {
+        let times = self.with_route_budget(name, |retries| {
             self.with_hedge_policy(name, |policy| {
                 policy.check(route, context, retries)?;
-                Ok(policy.median(route, now))
+                Ok((policy.time_to_win(route, now), policy.median(route, now)))
             })
         });
-        let median = median.unwrap_or(Err(NoHedge::Disabled))?;
+        let (within, median) = times.unwrap_or(Err(NoHedge::Disabled))?;
         let current = self.candidates(name);
         let others: Vec<Candidate> = candidates
             .iter()
@@ -191,7 +190,7 @@
             .collect();
         let chosen = {
             let (mut balancer, mut rng) = (self.balancer.borrow_mut(), self.rng.borrow_mut());
-            balancer.choose_hedge(&others, now - sent_at, median, now, &mut *rng)
+            balancer.choose_hedge(&others, within, median, now, &mut *rng)
         };
         let chosen = chosen.map(|i| others[i].clone()).ok_or(NoHedge::NoServer)?;
         let permit = {
@@ -246,20 +245,32 @@
         });
     }
 
-    /// Records that the server of an attempt refused it for lack of room, if it did.
-    pub(super) fn record_refusal(&self, call: &Call, result: &CallResult) {
-        if matches!(result.reason, Some(Reason::Overloaded | Reason::ServerFull)) {
-            let now = self.clock.now();
-            self.with_hedge_policy(&call.service, |policy| policy.record_refused(&call.server, now));
-        }
+    /// Records whether the server of an attempt refused it for lack of room.
+    pub(super) fn record_refusal(&self, service: &str, result: &CallResult) {
+        let refused = matches!(result.reason, Some(Reason::Overloaded | Reason::ServerFull));
+        self.with_hedge_policy(service, |policy| policy.record_attempt(refused));
     }
 
-    /// Records that the attempt at `target` is cancelled because another server answered first. To the throttle, the
-    /// call counts as accepted, since the server had not refused it.
-    fn record_cancelled(&self, call: &Call, target: &Target, sent_at: Ms) {
+    /// Records that an attempt is cancelled because the other one was answered first. `attempts` are the servers of the
+    /// first attempt and of the hedged request, and when they were sent. To the throttle, the cancelled one counts as
+    /// accepted, since its server had not refused it.
+    fn record_loser(
+        &self,
+        call: &Call,
+        terms: &CallTerms<'_>,
+        has_first_won: bool,
+        attempts: [(&Candidate, Ms); 2],
+    ) {
         let now = self.clock.now();
+        let (loser, sent_at) = attempts[usize::from(has_first_won)];
+        let took = now - sent_at;
+        if !has_first_won {
+            self.with_hedge_policy(&call.service, |policy| {
+                policy.record_cancelled(&terms.route.name, took, now);
+            });
+        }
         let mut balancer = self.balancer.borrow_mut();
-        balancer.record_cancelled(target, now - sent_at, now);
+        balancer.record_cancelled(&loser.target, took, now);
         let mut throttle = self.service_throttle.borrow_mut();
         throttle.record_accepted(&call.service, &call.kind, now);
     }
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -299,7 +299,7 @@
         }
         in_flight.finish_with(signal_of(&result, self.clock.now() - now));
         self.update_throttle(&self.service_throttle, call, &call.service, &result);
-        self.record_refusal(call, &result);
+        self.record_refusal(&call.service, &result);
         normalize_unknown_service(result)
     }
 
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -31,6 +31,8 @@
 const CANDIDATES_COMPARED: usize = 4;
 /// Weight of the latest call in the exponential moving average of call times.
 const CALL_TIME_WEIGHT: f64 = 0.2;
+/// Time that a cancelled call would have taken, relative to the time until it was cancelled.
+const CANCELLED_TIME_FACTOR: f64 = 2.0;
 /// Time that a call must have had for its failure to count against the server. A shorter deadline may expire at a
 /// healthy server too.
 const FAILED_TIME_MIN: Ms = Ms(200);
@@ -45,6 +47,8 @@
 const REFUSAL_FADE_TIME: Ms = Ms(4_000);
 /// Lower bound of the share of calls that a server is assumed to accept.
 const ACCEPTED_SHARE_MIN: f64 = 0.05;
+/// Highest share of refused calls of a server that gets a hedged request. Even servers with some room refuse single calls.
+const HEDGE_REFUSED_SHARE_MAX: f64 = 0.1;
 /// Time after which the record of an unused server or link is dropped.
 const UNUSED_RECORD_TTL: Ms = Ms(120_000);
 
@@ -95,6 +99,8 @@
     reported: Option<(ServerLoad, Ms)>,
     /// When the slow start began, or `None` if the server gets its full share.
     slow_start_since: Option<Ms>,
+    /// When a call to the server was cancelled last because another server answered first.
+    cancelled_at: Option<Ms>,
     last_used: Ms,
 }
 
@@ -109,6 +115,7 @@
             ejected_until: Ms::ZERO,
             reported: None,
             slow_start_since: None,
+            cancelled_at: None,
             last_used: now,
         }
     }
@@ -139,10 +146,18 @@
         (left > 0.0).then_some((load, left))
     }
 
-    /// Returns the mean time of a call, or zero if none is known.
+    /// Returns the mean time of a call, or zero if none is known. The daemon of the server does not count cancelled calls,
+    /// so its report is too low for a server that some calls were cancelled at.
     fn call_time_ms(&self, now: Ms) -> f64 {
-        self.reported_load(now)
-            .map_or(self.mean_ms, |(load, _)| f64::from(load.mean_ms))
+        let own_ms = self.mean_ms;
+        let has_cancelled = self
+            .cancelled_at
+            .is_some_and(|at| now < at + REPORTED_LOAD_FADE_TIME);
+        match self.reported_load(now) {
+            Some((load, _)) if has_cancelled => f64::from(load.mean_ms).max(own_ms),
+            Some((load, _)) => f64::from(load.mean_ms),
+            None => own_ms,
+        }
     }
 
     /// Returns the share of the slots that are in use with one more call.
@@ -354,15 +369,18 @@
         }
     }
 
-    /// Records that a call was cancelled after `took`, because another server answered first. Its end is recorded
-    /// separately.
+    /// Records that a call was cancelled after `took` because another server answered first. Its end is recorded separately.
     ///
-    /// The call would have taken longer, so a time below the mean reveals nothing. Without this, a server that is slow for
-    /// all calls would seem fast, because only the calls that it answered first would count.
+    /// The call would have taken longer, on average about twice as long if slow calls have a long tail. A time below the
+    /// mean reveals nothing. Without this, a server that is slow or hangs would seem fast, because only the calls that it
+    /// answered first would count.
     pub fn record_cancelled(&mut self, target: &Target, took: Ms, now: Ms) {
         let stats = self.stats(target, now);
-        let excess_ms = (took.0 as f64 - stats.mean_ms).max(0.0);
-        stats.mean_ms += excess_ms * CALL_TIME_WEIGHT;
+        let excess_ms = took.0 as f64 * CANCELLED_TIME_FACTOR - stats.mean_ms;
+        if took.0 as f64 > stats.mean_ms {
+            stats.mean_ms += excess_ms * CALL_TIME_WEIGHT;
+            stats.cancelled_at = Some(now);
+        }
     }
 
     /// Returns whether a server is ejected.
@@ -409,8 +427,8 @@
                 mean_ms => mean_ms,
             };
             let is_faster = call_ms + delay_ms < within.0 as f64;
-            let is_free =
-                stats.busy_share(candidate, now) <= NEARLY_FULL_SHARE && stats.refused_share(now) == 0.0;
+            let is_free = stats.busy_share(candidate, now) <= 1.0
+                && stats.refused_share(now) <= HEDGE_REFUSED_SHARE_MAX;
             let cost = stats.cost(candidate, delay_ms, typical_ms, now);
             if is_faster
                 && is_free
