--- a/benches/placement/strategy.rs
+++ b/benches/placement/strategy.rs
@@ -242,6 +242,7 @@
             slots: SLOTS as u32,
             is_draining: world.servers[*i].is_draining,
             side: Some(side(world.servers[*i].is_second_half)),
+            ..ServerView::default()
         });
         let ranges = (0..world.ranges.len()).map(|r| {
             let range = &world.ranges[r];
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -5,10 +5,12 @@
 mod fingerprint;
 mod guard;
 mod guard_wire;
+mod hedge_policy;
 mod outcome;
 mod reason;
 mod refusal_share;
 mod reported_load;
+mod response_times;
 mod retry;
 mod retry_budget;
 mod routed_retry;
@@ -25,6 +27,7 @@
     fingerprint::Fingerprint,
     guard::{Guard, GuardDecision, GuardEntry, GuardId, GuardLimits, GuardPhase},
     guard_wire::GuardChange,
+    hedge_policy::{HedgeContext, HedgePolicy, NoHedge},
     outcome::Outcome,
     reason::Reason,
     refusal_share::RefusalShare,
@@ -32,7 +35,7 @@
     retry::{after_attempt, AttemptHistory, NextStep, RetryContext},
     retry_budget::RetryBudget,
     routed_retry::{
-        after_try, normalize_unknown_service, reached_server, EndCause, RoutedContext, RoutedStep,
+        after_try, ends_call, normalize_unknown_service, reached_server, EndCause, RoutedContext, RoutedStep,
         REFUSALS_MAX,
     },
     server_queue::{Admission, AdmissionRequest, Dequeued, Refusal, ServerQueue},
--- a/src/daemon/evacuation.rs
+++ b/src/daemon/evacuation.rs
@@ -176,12 +176,18 @@
     /// Handles the end of the evacuation of this host's failure domain, which was committed at log index `ended`.
     ///
     /// It is called before any further call is sent to a local server, also if this daemon missed the whole evacuation.
-    /// The local servers got no calls meanwhile, so they may be cold: whatever this daemon knows of their warmth is to
-    /// be discarded here.
+    /// The local servers may have become cold shortly before, so what this daemon knows of their warmth is discarded.
     fn handle_evacuation_end(&self, ended: u64) {
         log_event!(
             self.log, Event::DomainRestored;
             "failure_domain" => &self.settings.failure_domain, "ended" => ended
         );
+        let now = self.clock.now();
+        for server in self.servers.borrow().iter() {
+            let mut warmup = server.warmup.get();
+            warmup.forget_warmth(now);
+            server.warmup.set(warmup);
+        }
+        self.update_limits();
     }
 }
--- a/src/route/balancer.rs
+++ b/src/route/balancer.rs
@@ -1,33 +1,19 @@
 use {
-    super::Candidate,
+    super::{
+        server_stats::{cold_share, ServerStats, SLOW_START_TIME},
+        Candidate,
+    },
     crate::{call::Outcome, clock::Ms, settings::BalanceSettings, wire::peer::ServerLoad},
     rand::Rng,
 };
 
-/// Consecutive failures after which a server is ejected, i.e. gets no calls for a while.
-const CONSECUTIVE_FAILURES_MAX: u32 = 3;
-/// Length of the first ejection of a server. It doubles with each further ejection.
-const EJECTION_MIN: Ms = Ms(1_000);
-/// Length of the longest ejection.
-const EJECTION_MAX: Ms = Ms(30_000);
-/// Time over which the load of a server that is new or returns from an ejection rises to its full share.
-const SLOW_START_TIME: Ms = Ms(5_000);
-/// Share of its full load that a server gets at the beginning of its slow start.
-const SLOW_START_SHARE_MIN: f64 = 0.1;
-/// Time in which the load that a server's daemon reported decays to zero. In a large cluster, a daemon calls the same
-/// server only every few seconds.
-const REPORTED_LOAD_FADE_TIME: Ms = Ms(4_000);
-/// Share of the slots in use from which calls are expected to queue.
-const NEARLY_FULL_SHARE: f64 = 0.75;
-/// Expected wait, in mean call times, for each unit of the slot share in use above `NEARLY_FULL_SHARE`.
-const QUEUE_COST_FACTOR: f64 = 8.0;
-/// Expected wait, in mean call times, for each unit of the slot share in use. It spreads calls over equal servers.
-const BUSY_COST_FACTOR: f64 = 0.2;
 /// Number of servers that are compared for one call. All but the last one are in the daemon's failure domain, if there
 /// are enough.
 const CANDIDATES_COMPARED: usize = 4;
 /// Weight of the latest call in the exponential moving average of call times.
 const CALL_TIME_WEIGHT: f64 = 0.2;
+/// Time that a cancelled call would have taken, relative to the time until it was cancelled.
+const CANCELLED_TIME_FACTOR: f64 = 2.0;
 /// Time that a call must have had for its failure to count against the server. A shorter deadline may expire at a
 /// healthy server too.
 const FAILED_TIME_MIN: Ms = Ms(200);
@@ -38,15 +24,8 @@
 /// Delay from which a link counts as full. Calls then spend much of their latency objective in transit, and each
 /// further call delays everything else on the link, including the messages of control hosts.
 const LINK_FULL_DELAY: Ms = Ms(300);
-/// Time in which a reported share of refused calls decays to zero, so that the server is tried again.
-const REFUSAL_FADE_TIME: Ms = Ms(4_000);
-/// Time in which a reported pace of a server's work decays to the usual one: that of a phase in which a server that shares
-/// its machine is slow.
-const PACE_FADE_TIME: Ms = Ms(400);
-/// Lower bound of the share of calls that a server is assumed to accept.
-const ACCEPTED_SHARE_MIN: f64 = 0.05;
-/// Share of its capacity that a cold server is assumed to have while no call time is known.
-const COLD_SHARE_UNKNOWN: f64 = 0.1;
+/// Highest share of refused calls of a server that gets a hedged request. Even servers with some room refuse single calls.
+const HEDGE_REFUSED_SHARE_MAX: f64 = 0.1;
 /// Time after which the record of an unused server or link is dropped.
 const UNUSED_RECORD_TTL: Ms = Ms(120_000);
 
@@ -84,124 +63,6 @@
     }
 }
 
-/// Statistics that this daemon keeps about one server.
-#[derive(Clone, Debug)]
-struct ServerStats {
-    target: Target,
-    in_flight: u32,
-    mean_ms: f64,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Ms,
-    /// The load that the server's daemon reported last, and when.
-    reported: Option<(ServerLoad, Ms)>,
-    /// When the slow start began, or `None` if the server gets its full share.
-    slow_start_since: Option<Ms>,
-    last_used: Ms,
-}
-
-impl ServerStats {
-    fn new(target: Target, now: Ms) -> Self {
-        Self {
-            target,
-            in_flight: 0,
-            mean_ms: 0.0,
-            failures: 0,
-            ejections: 0,
-            ejected_until: Ms::ZERO,
-            reported: None,
-            slow_start_since: None,
-            last_used: now,
-        }
-    }
-
-    /// Returns the share of its full load that the server gets during a slow start.
-    fn load_share(&self, now: Ms) -> f64 {
-        let Some(since) = self.slow_start_since else {
-            return 1.0;
-        };
-        let age = (now - since).0 as f64 / SLOW_START_TIME.0 as f64;
-        age.clamp(SLOW_START_SHARE_MIN, 1.0)
-    }
-
-    /// Returns the share of the calls to the server that its daemon refuses, by its last report.
-    fn refused_share(&self, now: Ms) -> f64 {
-        let reported = self.reported.as_ref();
-        reported.map_or(0.0, |(load, at)| {
-            let age = (now - *at).0 as f64 / REFUSAL_FADE_TIME.0 as f64;
-            f64::from(load.refused_percent) / 100.0 * (1.0 - age).max(0.0)
-        })
-    }
-
-    /// Returns the load that the server's daemon reported, and the share of it that still counts, unless the report is
-    /// too old.
-    fn reported_load(&self, now: Ms) -> Option<(&ServerLoad, f64)> {
-        let (load, at) = self.reported.as_ref()?;
-        let left = 1.0 - (now - *at).0 as f64 / REPORTED_LOAD_FADE_TIME.0 as f64;
-        (left > 0.0).then_some((load, left))
-    }
-
-    /// Returns the share of its usual calls that a server gets while it works slowly, by the last report of its daemon.
-    ///
-    /// It addresses entry daemons that learn at the same time that some servers are slow. Each leaves out such a server
-    /// at random, so that their calls spread over the others, and none is preferred because it is fast just now.
-    fn pace_share(&self, now: Ms) -> f64 {
-        let Some((load, at)) = &self.reported else {
-            return 1.0;
-        };
-        let left = 1.0 - (now - *at).0 as f64 / PACE_FADE_TIME.0 as f64;
-        let slowness = f64::from(load.pace_percent) / 100.0 - 1.0;
-        1.0 / (1.0 + slowness.max(0.0) * left.max(0.0))
-    }
-
-    /// Returns the mean time of a call, or zero if none is known.
-    fn call_time_ms(&self, now: Ms) -> f64 {
-        self.reported_load(now)
-            .map_or(self.mean_ms, |(load, _)| f64::from(load.mean_ms))
-    }
-
-    /// Returns the cost of one more call, comparable between servers. `domain_cost` is the cost of a server in another
-    /// failure domain, relative to one in the daemon's own. `delay_ms` is the delay of the link, and
-    /// `typical_ms` the time of a call if this server's is not known.
-    fn cost(&self, candidate: &Candidate, domain_cost: f64, delay_ms: f64, typical_ms: f64, now: Ms) -> f64 {
-        let reported = self.reported_load(now);
-        let reported_calls =
-            reported.map_or(0.0, |(load, left)| f64::from(load.running + load.waiting) * left);
-        let known_ms = match candidate.warmup_per_s {
-            // The time that the daemon of a cold server reports is that between two calls of its limit.
-            Some(_) => self.mean_ms,
-            None => self.call_time_ms(now),
-        };
-        let mean_ms = match known_ms {
-            0.0 => typical_ms,
-            mean_ms => mean_ms,
-        };
-        // A server that reports fewer slots than it announced gets no more calls than that.
-        let slots = reported.map_or(candidate.slots, |(load, _)| match load.slots {
-            0 => candidate.slots,
-            slots => slots.min(candidate.slots),
-        });
-        let slots = f64::from(slots.max(1));
-        let calls = reported_calls.max(f64::from(self.in_flight));
-        let busy = match candidate.warmup_per_s {
-            // The calls that a cold server has count against its share. One more counts as at a warm server, since
-            // `skip_cold` lets a cold one be compared only with the probability of its share.
-            Some(_) => calls / (slots * cold_share(candidate, mean_ms)) + 1.0 / slots,
-            None => (calls + 1.0) / slots,
-        };
-        // Calls queue only at a full server, but the reported load lags, so the wait counts from a nearly full one.
-        let wait = (busy - NEARLY_FULL_SHARE).max(0.0) * QUEUE_COST_FACTOR + busy * BUSY_COST_FACTOR;
-        let domain_factor = if candidate.is_same_domain {
-            1.0
-        } else {
-            domain_cost
-        };
-        // The expected number of tries until the server accepts a call.
-        let tries = 1.0 / (1.0 - self.refused_share(now)).max(ACCEPTED_SHARE_MIN);
-        (1.0 + wait) * (1.0 + mean_ms) * domain_factor * tries / self.load_share(now) + delay_ms
-    }
-}
-
 /// Measured time that calls spend in transit to a daemon and back.
 #[derive(Clone, Debug)]
 struct LinkDelay {
@@ -271,7 +132,7 @@
         let sampled = self.sample(candidates, now, rng);
         let mut sampled = self.without_slow(candidates, sampled, now, rng);
         let typical_ms = self.typical_time_ms(candidates, &sampled, now);
-        let domain_cost = f64::from(self.settings.other_domain_percent) / 100.0;
+        let domain_cost = self.domain_cost();
         skip_cold(candidates, &mut sampled, typical_ms, rng);
         let mut best: Option<(usize, (bool, f64))> = None;
         for i in sampled {
@@ -413,6 +274,20 @@
         }
     }
 
+    /// Records that a call was cancelled after `took` because another server answered first. Its end is recorded separately.
+    ///
+    /// The call would have taken longer, on average about twice as long if slow calls have a long tail. A time below the
+    /// mean reveals nothing. Without this, a server that is slow or hangs would seem fast, because only the calls that it
+    /// answered first would count.
+    pub fn record_cancelled(&mut self, target: &Target, took: Ms, now: Ms) {
+        let stats = self.stats(target, now);
+        let excess_ms = took.0 as f64 * CANCELLED_TIME_FACTOR - stats.mean_ms;
+        if took.0 as f64 > stats.mean_ms {
+            stats.mean_ms += excess_ms * CALL_TIME_WEIGHT;
+            stats.cancelled_at = Some(now);
+        }
+    }
+
     /// Returns whether a server is ejected.
     pub fn is_ejected(&self, target: &Target, now: Ms) -> bool {
         match self.position(target) {
@@ -429,6 +304,55 @@
             .retain(|link| now < link.measured_at + UNUSED_RECORD_TTL);
     }
 
+    /// Returns the index of the server that gets a hedged request: of a few random candidates, the best one that is
+    /// expected to answer within `within`, has room, and does not refuse calls. `typical` is the time of a call if that of
+    /// a server is not known.
+    ///
+    /// Servers that are cold, ejected, in slow start or behind a full link get none, since a hedged request must not add to
+    /// their load.
+    pub fn choose_hedge(
+        &mut self,
+        candidates: &[Candidate],
+        within: Ms,
+        typical: Ms,
+        now: Ms,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let typical_ms = typical.0 as f64;
+        let domain_cost = self.domain_cost();
+        let mut best: Option<(usize, f64)> = None;
+        for i in self.sample(candidates, now, rng) {
+            let candidate = &candidates[i];
+            let delay_ms = self.delay_ms(&candidate.peer_address, now);
+            let is_cold = candidate.warmup_per_s.is_some();
+            if is_cold || self.is_ejected(&candidate.target, now) || delay_ms >= LINK_FULL_DELAY.0 as f64 {
+                continue;
+            }
+            let stats = self.stats(&candidate.target, now);
+            let call_ms = match stats.call_time_ms(now) {
+                0.0 => typical_ms,
+                mean_ms => mean_ms,
+            };
+            let is_faster = call_ms + delay_ms < within.0 as f64;
+            let is_free = stats.busy_share(candidate, call_ms, now) <= 1.0
+                && stats.refused_share(now) <= HEDGE_REFUSED_SHARE_MAX;
+            let cost = stats.cost(candidate, domain_cost, delay_ms, typical_ms, now);
+            if is_faster
+                && is_free
+                && stats.load_share(now) >= 1.0
+                && best.is_none_or(|(_, least)| cost < least)
+            {
+                best = Some((i, cost));
+            }
+        }
+        best.map(|(i, _)| i)
+    }
+
+    /// Returns the cost of a server in another failure domain, relative to one in the daemon's own.
+    fn domain_cost(&self) -> f64 {
+        f64::from(self.settings.other_domain_percent) / 100.0
+    }
+
     fn position(&self, target: &Target) -> Result<usize, usize> {
         self.servers.binary_search_by(|stats| stats.target.cmp(target))
     }
@@ -442,37 +366,6 @@
     }
 }
 
-impl ServerStats {
-    /// Records a failure. Returns whether the server is ejected by it; its slow start begins when the ejection
-    /// ends.
-    fn record_failure(&mut self, now: Ms) -> bool {
-        self.failures += 1;
-        if self.failures < CONSECUTIVE_FAILURES_MAX || now < self.ejected_until {
-            return false;
-        }
-        let ejection = Ms(EJECTION_MIN.0 << self.ejections.min(8)).min(EJECTION_MAX);
-        self.ejections += 1;
-        self.ejected_until = now + ejection;
-        self.slow_start_since = Some(self.ejected_until);
-        // One more failure after the ejection causes the next one.
-        self.failures = CONSECUTIVE_FAILURES_MAX - 1;
-        true
-    }
-}
-
-/// Returns the share of its capacity that a server has at the moment if a call takes `time_ms`, or if that is not known and
-/// zero is given: all of it unless the server is cold.
-fn cold_share(candidate: &Candidate, time_ms: f64) -> f64 {
-    let Some(per_s) = candidate.warmup_per_s else {
-        return 1.0;
-    };
-    if time_ms <= 0.0 {
-        return COLD_SHARE_UNKNOWN;
-    }
-    let busy_slots = per_s * time_ms / 1000.0;
-    (busy_slots / f64::from(candidate.slots.max(1))).min(1.0)
-}
-
 /// Leaves each cold server in the sample with the probability of its share only, unless all are cold.
 ///
 /// The load that this addresses: many entry daemons know the same cold server, and each sees it idle. If all of them
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod entry_throttle;
 mod first_arrivals;
 mod router;
+mod server_stats;
 mod weighted_round_robin;
 
 pub use {
