Assign keys to cold servers only within the share that their warm-up allows

A server that has just started has no load, so the planner gave it the keys of lost servers and rebalancing moves while it took only a few calls a second. A cold server now counts with warmup_per_s x the reported mean call time as its slots for ranges without an owner, also as their last owner, and for those of drained servers; rebalancing moves do not go to it. If only cold servers without room are left, ranges without an owner are assigned all the same.

--- a/benches/placement/strategy.rs
+++ b/benches/placement/strategy.rs
@@ -240,6 +240,7 @@
             host: format!("h{i}"),
             failure_domain: format!("d{}", world.servers[*i].domain),
             slots: SLOTS as u32,
+            cold_slots: None,
             is_draining: world.servers[*i].is_draining,
             side: Some(side(world.servers[*i].is_second_half)),
         });
--- a/src/placement/balance.rs
+++ b/src/placement/balance.rs
@@ -67,7 +67,8 @@
         return;
     }
     for _ in 0..view.ranges.len() {
-        let Some(to) = draft.least_loaded(0.0, |_, _| true) else {
+        // Idle ranges may also go to cold servers, which have room for them.
+        let Some(to) = draft.least_loaded(0.0, |i, _| draft.has_room(i, RANGE_LOAD_MIN_SLOTS)) else {
             return;
         };
         let Some(from) = donor(draft, to) else {
@@ -98,7 +99,8 @@
     let mut costs = Vec::with_capacity(draft.view.servers.len());
     for (i, server) in draft.view.servers.iter().enumerate() {
         let before = service_state.imbalance_cost(server.session, &server.address);
-        if server.is_draining {
+        // A warm-up ends within seconds, so a cold server says nothing about a lasting imbalance.
+        if server.is_draining || server.cold_slots.is_some() {
             costs.push(0.0);
             continue;
         }
@@ -163,7 +165,7 @@
 fn receiver(draft: &Draft<'_>, from: usize) -> Option<usize> {
     let view = draft.view;
     draft.least_loaded(0.0, |i, s| {
-        i != from && can_transfer(draft, &view.servers[from], s)
+        i != from && s.cold_slots.is_none() && can_transfer(draft, &view.servers[from], s)
     })
 }
 
--- a/src/placement/consolidate.rs
+++ b/src/placement/consolidate.rs
@@ -47,7 +47,8 @@
         if let Some(to) =
             surrounding_owner.filter(|to| is_single_key && is_cold(i) && range.owner != Some(*to))
         {
-            if service_state.tokens >= 1.0 && !view.servers[to].is_draining {
+            let takes_moves = !view.servers[to].is_draining && view.servers[to].cold_slots.is_none();
+            if service_state.tokens >= 1.0 && takes_moves {
                 service_state.tokens -= 1.0;
                 draft.move_range(i, to, Reason::Cooled);
                 remaining -= 1;
--- a/src/placement/draft.rs
+++ b/src/placement/draft.rs
@@ -59,6 +59,18 @@
         f64::from(self.view.servers[server].slots.max(1))
     }
 
+    /// Returns the slots that a server has at the moment: all of them unless it is cold.
+    fn present_slots(&self, server: usize) -> f64 {
+        let cold_slots = self.view.servers[server].cold_slots;
+        cold_slots.unwrap_or_else(|| self.slots(server))
+    }
+
+    /// Returns whether a server may get `load` more: any warm one, and a cold one within its present slots.
+    pub fn has_room(&self, server: usize, load: f64) -> bool {
+        let cold_slots = self.view.servers[server].cold_slots;
+        cold_slots.is_none_or(|slots| self.loads[server] + load <= slots)
+    }
+
     /// Returns the load of a server as a share of its slots.
     pub fn utilisation(&self, server: usize) -> f64 {
         self.loads[server] / self.slots(server)
@@ -71,7 +83,7 @@
         self.total_load / slots.max(1.0)
     }
 
-    /// Returns the server that would have the least utilisation with `load` added, among those that `is_eligible`
+    /// Returns the server that would have the least utilisation of its present slots with `load` added, among those that `is_eligible`
     /// accepts and that are not being drained.
     pub fn least_loaded(&self, load: f64, is_eligible: impl Fn(usize, &ServerView) -> bool) -> Option<usize> {
         let mut best: Option<(usize, f64)> = None;
@@ -83,7 +95,7 @@
             if server.is_draining || !is_eligible(i, server) {
                 continue;
             }
-            let after = (self.loads[i] + load) / self.slots(i);
+            let after = (self.loads[i] + load) / self.present_slots(i);
             if best.is_none_or(|(_, least)| after < least) {
                 best = Some((i, after));
             }
@@ -92,13 +104,28 @@
     }
 
     /// Returns the server that a range should go to: the least loaded one of its half that `avoid` does not exclude,
-    /// else of its half, else of all servers unless the split is settled.
+    /// else of its half, else of all servers unless the split is settled. Cold servers without room are left out.
     pub fn choose_server(&self, range: &RangeView, avoid: impl Fn(&ServerView) -> bool) -> Option<usize> {
+        let load = effective_load(range);
+        self.choose_among(range, avoid, |i| self.has_room(i, load))
+    }
+
+    /// Like [`Self::choose_server`], but cold servers without room are not left out.
+    pub fn choose_any_server(&self, range: &RangeView, avoid: impl Fn(&ServerView) -> bool) -> Option<usize> {
+        self.choose_among(range, avoid, |_| true)
+    }
+
+    fn choose_among(
+        &self,
+        range: &RangeView,
+        avoid: impl Fn(&ServerView) -> bool,
+        is_allowed: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
         let load = effective_load(range);
         let is_on_side = |s: &ServerView| is_side_compatible(self.view, range.side, s.side);
-        self.least_loaded(load, |_, s| is_on_side(s) && !avoid(s))
-            .or_else(|| self.least_loaded(load, |_, s| is_on_side(s)))
-            .or_else(|| self.least_loaded(load, |_, _| !self.view.is_settled))
+        self.least_loaded(load, |i, s| is_allowed(i) && is_on_side(s) && !avoid(s))
+            .or_else(|| self.least_loaded(load, |i, s| is_allowed(i) && is_on_side(s)))
+            .or_else(|| self.least_loaded(load, |i, _| is_allowed(i) && !self.view.is_settled))
     }
 
     /// Assigns a range without an owner to a server.
--- a/src/placement/load_table.rs
+++ b/src/placement/load_table.rs
@@ -18,6 +18,8 @@
     service: String,
     start: Key,
     pub load: f64,
+    /// Calls a second, as last reported.
+    calls_per_s: f64,
     pub top: Vec<KeyLoad>,
     pub middle: Option<Key>,
     reported_at: Ms,
@@ -45,6 +47,7 @@
             service: report.service.clone(),
             start,
             load: report.busy_slots,
+            calls_per_s: report.calls_per_second,
             top: top.collect(),
             middle: (!report.middle.is_empty()).then(|| Key::new(report.middle.clone())),
             reported_at: now,
@@ -64,6 +67,16 @@
         found.filter(|load| now - load.reported_at < STALE_AFTER)
     }
 
+    /// Returns the mean time of a call of a service in seconds, or `None` if none was reported lately.
+    pub fn call_time_s(&self, service: &str, now: Ms) -> Option<f64> {
+        let loads = self.loads.iter().filter(|l| l.service == service);
+        let reported = loads.filter(|l| now - l.reported_at < STALE_AFTER && l.calls_per_s > 0.0);
+        let (busy, calls) = reported.fold((0.0, 0.0), |(busy, calls), l| {
+            (busy + l.load, calls + l.calls_per_s)
+        });
+        (calls > 0.0).then(|| busy / calls)
+    }
+
     /// Removes loads whose last report is too old.
     pub fn prune(&mut self, now: Ms) {
         self.loads.retain(|load| now - load.reported_at < STALE_AFTER);
--- a/src/placement/placer.rs
+++ b/src/placement/placer.rs
@@ -9,7 +9,7 @@
         clock::Ms,
         control::{Range, RangeTable, State},
         key::KeyRange,
-        schema::Service,
+        schema::{Service, Warmup},
         split,
         wire::{
             control::{AssignRange, JoinRanges, ReleaseRange, SplitStage, SplitStep},
@@ -24,6 +24,9 @@
 /// Time between two full plans.
 const PLAN_INTERVAL: Ms = Ms(1000);
 
+/// Share of its slots that a cold server counts with while no call time is reported.
+const COLD_SHARE_UNKNOWN: f64 = 0.1;
+
 /// Changes that placement proposes to have committed.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PlacementChanges {
@@ -157,7 +160,8 @@
     }
 
     fn service_view(&self, state: &State, table: &RangeTable, service: &Service, now: Ms) -> ServiceView {
-        let servers = server_views(state, &table.service);
+        let call_time_s = self.loads.call_time_s(&table.service, now);
+        let servers = server_views(state, service, call_time_s);
         let records = self.history.ranges(&table.service);
         let ranges = table.ranges().iter().enumerate().map(|(i, range)| {
             let span = table.span(i);
@@ -224,17 +228,20 @@
     ranges.any(|r| r.owner.is_none())
 }
 
-/// Returns the servers of a service, sorted by session and address.
-fn server_views(state: &State, service: &str) -> Vec<ServerView> {
+/// Returns the servers of a service, sorted by session and address. `call_time_s` is the mean time of a call in seconds, if
+/// it is known.
+fn server_views(state: &State, service: &Service, call_time_s: Option<f64>) -> Vec<ServerView> {
     let mut views = Vec::new();
     for session in state.sessions() {
-        for server in session.servers_of(service) {
+        for server in session.servers_of(&service.name) {
+            let warmup = service.warmup.filter(|_| server.cold);
             views.push(ServerView {
                 session: session.id,
                 address: server.address.clone(),
                 host: session.open.host.clone(),
                 failure_domain: session.open.failure_domain.clone(),
                 slots: server.slots,
+                cold_slots: warmup.map(|w| cold_slots(server.slots, w, call_time_s)),
                 is_draining: state.is_drained(session, server),
                 side: host_side_in_split(state, &session.open.host, &session.open.failure_domain),
             });
@@ -243,6 +250,15 @@
     views
 }
 
+/// Returns the slots that the calls of a cold server keep busy at the rate that its service allows.
+fn cold_slots(slots: u32, warmup: Warmup, call_time_s: Option<f64>) -> f64 {
+    let slots = f64::from(slots.max(1));
+    match call_time_s {
+        Some(call_time_s) => (warmup.per_s * call_time_s).min(slots),
+        None => slots * COLD_SHARE_UNKNOWN,
+    }
+}
+
 /// Returns the half of a host, or `None` if no split has been started.
 fn host_side_in_split(state: &State, host: &str, failure_domain: &str) -> Option<Side> {
     let is_started = state.split().stage() != SplitStage::Idle;
--- a/src/placement/repair.rs
+++ b/src/placement/repair.rs
@@ -1,5 +1,5 @@
 use {
-    super::{draft, draft::Draft, LostOwner, RangeView, Reason, ServicePlannerState},
+    super::{draft, draft::Draft, LostOwner, RangeView, Reason, ServerView, ServicePlannerState},
     crate::clock::Ms,
 };
 
@@ -36,22 +36,38 @@
 }
 
 /// Returns the new owner of a range without one and the reason for it, or `None` if no server can take the range.
+///
+/// A cold server gets the range only if it has room for its load, also if it is the last owner. If only cold servers
+/// without room are left, the range goes to one of them all the same: a cold owner serves some calls of its keys, while
+/// keys without an owner get none.
 fn new_owner(draft: &Draft<'_>, range: &RangeView) -> Option<(usize, Reason)> {
     let servers = &draft.view.servers;
     let can_take = |i: usize| {
         !servers[i].is_draining && draft::is_side_compatible(draft.view, range.side, servers[i].side)
     };
-    if let Some(target) = range.target.filter(|t| can_take(*t)) {
+    let has_room = |i: &usize| draft.has_room(*i, draft::effective_load(range));
+    let target = range.target.filter(|t| can_take(*t));
+    if let Some(target) = target.filter(has_room) {
         return Some((target, Reason::MoveTarget));
     }
     let Some(lost_owner) = &range.lost_owner else {
-        return draft.choose_server(range, |_| false).map(|to| (to, Reason::New));
+        let to = draft.choose_server(range, |_| false);
+        let to = to.or_else(|| draft.choose_any_server(range, |_| false))?;
+        return Some((to, Reason::New));
     };
     let is_back = |i: &usize| servers[*i].host == lost_owner.host && can_take(*i);
-    if let Some(back) = (0..servers.len()).find(is_back) {
+    let back = (0..servers.len()).find(is_back);
+    if let Some(back) = back.filter(has_room) {
         return Some((back, Reason::OwnerBack));
     }
-    let to = draft.choose_server(range, |s| s.failure_domain == lost_owner.failure_domain)?;
+    let is_in_lost_domain = |s: &ServerView| s.failure_domain == lost_owner.failure_domain;
+    if let Some(to) = draft.choose_server(range, is_in_lost_domain) {
+        return Some((to, Reason::OwnerLost));
+    }
+    if let Some(back) = back {
+        return Some((back, Reason::OwnerBack));
+    }
+    let to = draft.choose_any_server(range, is_in_lost_domain)?;
     Some((to, Reason::OwnerLost))
 }
 
@@ -78,7 +94,8 @@
     lost_owner.is_some_and(|o| now - o.at < draft.view.loss.wait)
 }
 
-/// Moves ranges away from servers that are being drained, a bounded number at a time.
+/// Moves ranges away from servers that are being drained, a bounded number at a time. A range for which only cold servers
+/// without room are left stays until one of them is warm, since its owner still serves it.
 pub(super) fn move_from_drained(draft: &mut Draft<'_>) {
     let view = draft.view;
     for from in 0..view.servers.len() {
--- a/src/placement/snapshot.rs
+++ b/src/placement/snapshot.rs
@@ -55,6 +55,9 @@
     pub failure_domain: String,
     /// Number of requests that it runs at the same time.
     pub slots: u32,
+    /// Slots that count while it is cold, or `None` if it is warm. Ranges without an owner are assigned to a cold server
+    /// only within them, and rebalancing moves nothing to it.
+    pub cold_slots: Option<f64>,
     /// Whether it is being drained: its ranges move away and it takes no new ones.
     pub is_draining: bool,
     /// The half that it belongs to, if a split has been started.
