--- a/src/placement/restore.rs
+++ b/src/placement/restore.rs
@@ -10,7 +10,7 @@
 /// does the rest.
 const FILLED_SHARE: f64 = 0.5;
 
-/// Moves ranges back to the servers of failure domains whose evacuations have ended.
+/// Moves ranges back to the warm servers of failure domains whose evacuations have ended.
 ///
 /// It addresses the load after an evacuation. The servers that took the ranges over have room for them, so balancing
 /// alone would leave the restored servers without calls until the others are nearly full.
@@ -20,7 +20,8 @@
     let slots: f64 = accepting.map(|s| f64::from(s.slots.max(1))).sum();
     let mean_per_slot = view.ranges.len() as f64 / slots.max(1.0);
     for (to, server) in view.servers.iter().enumerate() {
-        if server.domain_use != DomainUse::Restored || server.is_draining {
+        let takes_ranges = !server.is_draining && server.cold_slots.is_none();
+        if server.domain_use != DomainUse::Restored || !takes_ranges {
             continue;
         }
         let is_arriving = |r: &&super::RangeView| r.is_moving && r.target == Some(to);
