--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lease;
 pub mod link;
 pub mod load;
+pub mod memory;
 pub mod metrics;
 pub mod placement;
 pub mod route;
