Limit the memory of request bodies, responses and forwarded calls

Cause: a daemon collected all bodies up to the limit of one body, whatever their number, and kept responses until their callers had read them. Now bodies and responses get their memory from the budget, a half of memory_bytes. Without the setting nothing is limited.

The descriptors were under their bound before as well (117 at most).

--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -78,6 +78,8 @@
     StaleConfiguration = "stale-configuration", 503, NotRun;
     /// The daemon has no valid lease.
     NoLease = "no-lease", 503, NotRun;
+    /// The daemon has no memory for the request or its answer.
+    NoMemory = "no-memory", 503, NotRun;
     /// The daemon is being drained.
     Draining = "draining", 503, NotRun;
     /// The deadline passed, or too little time was left, before the call was sent to a server.
--- a/src/call/retry.rs
+++ b/src/call/retry.rs
@@ -121,6 +121,7 @@
     matches!(
         reason,
         Reason::Overloaded
+            | Reason::NoMemory
             | Reason::NoLease
             | Reason::PeerUnreachable
             | Reason::ServerUnreachable
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -9,6 +9,7 @@
         key::Key,
         link::LinkError,
         log_event,
+        memory::Refused,
         route::{self, Candidate, KeyRoute, Signal},
         schema::{CallKind, Service},
         wire::peer::frame::Body,
@@ -49,6 +50,7 @@
             Ok(request) => self.parse_and_run(request).await,
             Err(BodyError::TooLarge) => (CallResult::failed(Reason::TooLarge), String::new()),
             Err(BodyError::Incomplete) => (CallResult::failed(Reason::IncompleteRequest), String::new()),
+            Err(BodyError::NoMemory) => (CallResult::failed(Reason::NoMemory), String::new()),
         };
         self.metrics
             .call(result.outcome.word(), self.clock.now() - started);
@@ -271,7 +273,8 @@
         let request = self.links.request(peer_address, Body::CallRequest(request));
         match timeout((time_left + FORWARD_GRACE).as_duration(), request).await {
             Ok(Ok(Body::CallAnswer(answer))) => {
-                let result = CallResult::from_wire(answer);
+                let mut result = CallResult::from_wire(answer);
+                result.body = self.budget.keep(result.body);
                 let now = self.clock.now();
                 let delay = now - sent_at - result.held;
                 self.balancer.borrow_mut().record_delay(peer_address, delay, now);
@@ -285,8 +288,12 @@
     }
 
     /// Runs a call that another daemon forwarded. The call is never forwarded again.
-    pub async fn run_forwarded(self: &Rc<Self>, call: Call) -> CallResult {
+    pub async fn run_forwarded(self: &Rc<Self>, mut call: Call) -> CallResult {
         let _active_call = ActiveCall::new(self);
+        match self.budget.try_keep(std::mem::take(&mut call.body)) {
+            Ok(body) => call.body = body,
+            Err(Refused) => return CallResult::failed(Reason::NoMemory),
+        }
         let deadline = self.clock.now() + Ms::from(call.deadline_ms);
         if route::is_too_old(&self.state(), self.session.get(), &call) {
             self.await_applied(call.revision).await;
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -15,6 +15,7 @@
         lease::{ConfigAge, ConfigFreshness, DaemonLease},
         link::{KeyRing, Links},
         log_event,
+        memory::MemoryBudget,
         metrics::{Metric, Metrics},
         placement::LoadMeter,
         route::{Balancer, Candidate, EntryThrottle, FirstArrivals, WeightedRoundRobin},
@@ -40,6 +41,8 @@
     pub clock: Clock,
     pub log: Logger,
     pub metrics: Metrics,
+    /// Budget of the memory that others make this process hold.
+    pub budget: MemoryBudget,
     /// Links for calls and guards.
     pub links: Links,
     /// Links for requests to control hosts. They are separate, so that such a request never waits behind calls to the
@@ -153,7 +156,9 @@
             control_hosts.insert(0, own);
         }
         let leader = control_hosts.first().cloned().unwrap_or_default();
+        let budget = MemoryBudget::of_process(parts.settings.memory_bytes, parts.clock.clone());
         Self {
+            budget,
             settings: parts.settings,
             clock: parts.clock,
             log: parts.log,
--- a/src/daemon/operator_handler.rs
+++ b/src/daemon/operator_handler.rs
@@ -21,11 +21,9 @@
 impl DaemonCx {
     /// Serves a request of an operator.
     pub async fn serve_operator(self: Rc<Self>, request: Result<HttpRequest, BodyError>) -> HttpResponse {
-        let Ok(request) = request else {
-            return edge::plain_response(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large or incomplete",
-            );
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => return edge::body_error_response(error),
         };
         if let Err(reason) = self.authenticate(&request) {
             self.log_refusal(&request, &reason);
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -202,7 +202,8 @@
             }
         };
         let stop = if is_for_callers { &stop } else { &never_stop };
-        let serving = spawn_local(edge::serve_http(
+        let serving = spawn_local(edge::serve_http_within(
+            cx.budget.clone(),
             listener,
             limits,
             log.clone(),
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -34,11 +34,9 @@
 impl DaemonCx {
     /// Serves a request of a local backend server.
     pub async fn serve_server(self: Rc<Self>, request: Result<HttpRequest, BodyError>) -> HttpResponse {
-        let Ok(request) = request else {
-            return edge::plain_response(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large or incomplete",
-            );
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => return edge::body_error_response(error),
         };
         let handled = match (request.method.as_str(), request.uri.path()) {
             ("POST", "/announce") => {
@@ -172,6 +170,7 @@
     pub(super) fn server_client(&self, address: &str, limits: ServerLimits) -> ServerClient {
         let (clock, lease) = (self.clock.clone(), self.lease.clone());
         ServerClient::new(address, limits, self.dialect.clone(), clock, lease)
+            .with_budget(self.budget.clone())
     }
 
     /// Marks a server as leaving. It keeps its ranges until they have moved, but gets no new ones.
--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -9,7 +9,7 @@
     hyper::rt::{Read, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
     std::{
-        io,
+        io::{self, IoSlice},
         pin::Pin,
         rc::Rc,
         task::{ready, Context, Poll, Waker},
@@ -46,6 +46,9 @@
     pending: Vec<u8>,
     /// Set once the connection is shut down for writing.
     linger: Option<Linger>,
+    /// Whether the library passes on a response in parts instead of copying it into one buffer. The copy would not be
+    /// accounted for in the budget of memory.
+    writes_vectored: bool,
 }
 
 impl CallerStream {
@@ -53,6 +56,7 @@
     pub fn new(stream: TcpStream, state: Rc<ConnectionState>, head_timeout: Ms) -> Self {
         Self {
             stream: TokioIo::new(stream),
+            writes_vectored: state.writing().is_limited(),
             head_timer: HeadTimer::new(state.clone(), head_timeout),
             state,
             scanner: RequestScanner::default(),
@@ -167,7 +171,29 @@
             self.pending = response;
             return Poll::Ready(Ok(buf.len()));
         }
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.state.writing().record_progress(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.writes_vectored
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_write_pending(cx))?;
+        let first = bufs.iter().find(|buf| !buf.is_empty());
+        if let Some((first, response)) = first.and_then(|buf| Some((buf, with_outcome(buf)?))) {
+            self.pending = response;
+            return Poll::Ready(Ok(first.len()));
+        }
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        self.state.writing().record_progress(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -6,13 +6,14 @@
         request_scanner::BodyLength,
     },
     crate::{
-        clock::{Clock, Ms},
+        clock::Clock,
         event::{Event, RateLimit},
         log_event,
+        memory::{HeldBuf, HoldKind, MemoryBudget},
         settings::CallerLimits,
     },
     http::{header, HeaderValue, Request},
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body_util::{BodyExt, Full},
     hyper::{
         body::{Body, Incoming},
         server::conn::http1,
@@ -40,6 +41,8 @@
     log: Logger,
     /// Limits the lines, since callers may leave at any rate.
     limit: RefCell<RateLimit>,
+    /// Limits the lines about requests that get no memory.
+    memory_limit: RefCell<RateLimit>,
 }
 
 impl ConnectionLog {
@@ -47,6 +50,16 @@
         Self {
             log,
             limit: RefCell::default(),
+            memory_limit: RefCell::default(),
+        }
+    }
+
+    fn record_no_memory(&self, from: SocketAddr, held: usize) {
+        if let Some(suppressed) = self.memory_limit.borrow_mut().pass(Clock::System.now()) {
+            log_event!(
+                self.log, Event::RequestOutOfMemory;
+                "from" => from.to_string(), "held" => held, "suppressed" => suppressed
+            );
         }
     }
 
@@ -88,6 +101,8 @@
     pub limits: L,
     pub stop: watch::Receiver<bool>,
     pub log: Rc<ConnectionLog>,
+    /// Budget from which the bodies of requests get their memory.
+    pub budget: MemoryBudget,
     pub handler: H,
 }
 
@@ -105,13 +120,17 @@
             limits,
             mut stop,
             log,
+            budget,
             handler,
         } = self;
         let _ = stream.set_nodelay(true);
         let initial_limits = limits();
-        let state = Rc::new(ConnectionState::new(stop.clone()));
+        let state = Rc::new(ConnectionState::new(
+            stop.clone(),
+            budget.hold(HoldKind::Writing, Some(from.ip())),
+        ));
         let mut cut_guard = CutGuard {
-            log,
+            log: log.clone(),
             state: state.clone(),
             from,
             error: "the process ends".into(),
@@ -120,12 +139,18 @@
         let service_state = state.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let (limits, handler, state) = (limits(), handler.clone(), service_state.clone());
+            let (budget, log) = (budget.clone(), log.clone());
             state.record_head(body_length(&request));
             async move {
-                let request = receive_request(request, from, limits.body_bytes, limits.body_timeout).await;
+                let request = receive_request(request, from, &budget, limits).await;
                 state.record_body();
+                let is_out_of_memory = request.as_ref().err() == Some(&BodyError::NoMemory);
+                if is_out_of_memory {
+                    log.record_no_memory(from, budget.held());
+                }
                 let mut response = handler(request).await;
-                if state.record_answer() {
+                state.writing().set_freed_bytes(response.body().len());
+                if state.record_answer() || is_out_of_memory {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
@@ -143,7 +168,8 @@
             sleep(STOP_GRACE).await;
             state.wait_until_idle().await;
         };
-        let served = tokio::select! {
+        let serving = async {
+            tokio::select! {
             // A request that has arrived is read before the connection is shut down.
             biased;
             served = connection.as_mut() => served,
@@ -151,8 +177,12 @@
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
+            }
+        };
+        cut_guard.error = tokio::select! {
+            served = serving => served.err().map_or_else(String::new, |e| e.to_string()),
+            () = state.writing().refused() => "it is not read while memory is short".into(),
         };
-        cut_guard.error = served.err().map_or_else(String::new, |e| e.to_string());
     }
 }
 
@@ -161,29 +191,50 @@
     exact.map_or(BodyLength::Chunked, BodyLength::Exact)
 }
 
-/// Receives the body of a request within the limits of size and time.
+/// Receives the body of a request within the limits of size, time and memory.
 async fn receive_request(
     request: Request<Incoming>,
     from: SocketAddr,
-    body_bytes: usize,
-    read_timeout: Ms,
+    budget: &MemoryBudget,
+    limits: CallerLimits,
 ) -> Result<HttpRequest, BodyError> {
     let (parts, body) = request.into_parts();
-    let collected = timeout(
-        read_timeout.as_duration(),
-        Limited::new(body, body_bytes).collect(),
-    )
-    .await;
-    let body = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(BodyError::TooLarge),
-        Ok(Err(_)) | Err(_) => return Err(BodyError::Incomplete),
-    };
+    let length = body.size_hint().exact().and_then(|n| usize::try_from(n).ok());
+    if budget.is_limited() && length.is_some_and(|n| n > limits.body_bytes) {
+        return Err(BodyError::TooLarge);
+    }
+    let hold = budget.hold(HoldKind::Body, Some(from.ip()));
+    let mut buf = HeldBuf::new(hold, length.map(|n| n.min(limits.body_bytes)));
+    let received = receive_body(body, &mut buf, limits.body_bytes);
+    match timeout(limits.body_timeout.as_duration(), received).await {
+        Ok(Ok(())) => {}
+        Ok(Err(e)) => return Err(e),
+        Err(_) if buf.hold().is_waiting() => return Err(BodyError::NoMemory),
+        Err(_) => return Err(BodyError::Incomplete),
+    }
     Ok(HttpRequest {
         from,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
-        body,
+        body: buf.finish(),
     })
 }
+
+/// Receives a body of up to `body_bytes`. While the budget has no room, nothing is read from the connection.
+async fn receive_body(mut body: Incoming, buf: &mut HeldBuf, body_bytes: usize) -> Result<(), BodyError> {
+    let mut left = body_bytes;
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = buf.hold().refused() => return Err(BodyError::NoMemory),
+        };
+        let Some(frame) = frame else { return Ok(()) };
+        let frame = frame.map_err(|_| BodyError::Incomplete)?;
+        if let Ok(data) = frame.into_data() {
+            left = left.checked_sub(data.len()).ok_or(BodyError::TooLarge)?;
+            buf.push(&data).await.map_err(|_| BodyError::NoMemory)?;
+        }
+    }
+}
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -1,5 +1,6 @@
 use {
     super::request_scanner::BodyLength,
+    crate::memory::Hold,
     std::cell::Cell,
     tokio::sync::{watch, Notify},
 };
@@ -51,11 +52,14 @@
     announces_close: Cell<bool>,
     stop: watch::Receiver<bool>,
     became_idle: Notify,
+    /// The response that is being written.
+    writing: Hold,
 }
 
 impl ConnectionState {
-    /// Returns the state of a new connection. `stop` tells whether the process is stopping.
-    pub fn new(stop: watch::Receiver<bool>) -> Self {
+    /// Returns the state of a new connection. `stop` tells whether the process is stopping, and `writing` is the hold on
+    /// memory of the responses that are written.
+    pub fn new(stop: watch::Receiver<bool>, writing: Hold) -> Self {
         Self {
             stage: Cell::default(),
             body_length: Cell::default(),
@@ -63,6 +67,7 @@
             announces_close: Cell::default(),
             stop,
             became_idle: Notify::new(),
+            writing,
         }
     }
 
@@ -70,6 +75,10 @@
         self.stage.get()
     }
 
+    pub fn writing(&self) -> &Hold {
+        &self.writing
+    }
+
     pub fn is_stopping(&self) -> bool {
         *self.stop.borrow()
     }
@@ -121,6 +130,7 @@
         let ends_answer = self.stage.get() == Stage::Answering;
         if ends_answer {
             self.stage.set(Stage::Idle);
+            self.writing.set_freed_bytes(0);
             self.became_idle.notify_one();
         }
         ends_answer
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,6 +1,6 @@
 use {
     super::connection::{Connection, ConnectionLog, STOP_GRACE},
-    crate::{event::Event, log_event, settings::CallerLimits},
+    crate::{event::Event, log_event, memory::MemoryBudget, settings::CallerLimits},
     bytes::Bytes,
     http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri},
     serde::Serialize,
@@ -39,6 +39,8 @@
     TooLarge,
     /// The body was cut off, or not sent in time.
     Incomplete,
+    /// The process has no memory for the body now.
+    NoMemory,
 }
 
 /// A response with its whole body.
@@ -51,6 +53,23 @@
 /// `limits` is called for each connection and again for the body of each request, as the limits may change
 /// meanwhile.
 pub async fn serve_http<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    log: Logger,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    L: Fn() -> CallerLimits + Clone + 'static,
+    H: Fn(Result<HttpRequest, BodyError>) -> F + Clone + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    serve_http_within(MemoryBudget::default(), listener, limits, log, stop, handler).await;
+}
+
+/// Serves HTTP/1.1 as [`serve_http`] does, with a budget from which the bodies of requests get their memory, and which
+/// closes connections whose responses are not read.
+pub async fn serve_http_within<L, H, F>(
+    budget: MemoryBudget,
     listener: TcpListener,
     limits: L,
     log: Logger,
@@ -83,6 +102,7 @@
             limits: limits.clone(),
             stop: connection_stop.clone(),
             log: connection_log.clone(),
+            budget: budget.clone(),
             handler: handler.clone(),
         };
         spawn_local(async move {
@@ -142,6 +162,22 @@
     response
 }
 
+/// Returns the response to a request of a server or an operator whose body could not be received.
+pub fn body_error_response(error: BodyError) -> HttpResponse {
+    match error {
+        BodyError::TooLarge | BodyError::Incomplete => plain_response(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large or incomplete",
+        ),
+        BodyError::NoMemory => {
+            let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now");
+            let headers = response.headers_mut();
+            headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+            response
+        }
+    }
+}
+
 /// Returns a response with a JSON body.
 pub fn json_response(status: StatusCode, value: &impl Serialize) -> HttpResponse {
     match serde_json::to_vec(value) {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -20,7 +20,8 @@
 pub use {
     caller_edge::{add_headers, caller_response, read_call, read_route_headers, RouteHeaders},
     http_server::{
-        json_response, json_text_response, plain_response, serve_http, BodyError, HttpRequest, HttpResponse,
+        body_error_response, json_response, json_text_response, plain_response, serve_http,
+        serve_http_within, BodyError, HttpRequest, HttpResponse,
     },
     operator_edge::{operator_command, CommandRequest},
     request_scanner::{BodyLength, RequestScanner},
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -8,12 +8,13 @@
         call::{Call, CallResult, Outcome, Reason},
         clock::{Clock, Ms},
         lease::DaemonLease,
+        memory::{HeldBuf, HoldKind, MemoryBudget},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{Request, Response},
     http_body_util::{BodyExt, Full},
     hyper::{
-        body::Incoming,
+        body::{Body, Incoming},
         client::conn::http1::{self, SendRequest},
     },
     std::{
@@ -87,6 +88,7 @@
     clock: Clock,
     lease: DaemonLease,
     dialect: Rc<dyn ServerDialect>,
+    budget: MemoryBudget,
     idle: RefCell<Vec<Connection>>,
     stopped: Rc<Cell<bool>>,
     /// Bytes buffered from the answer bodies that are being read.
@@ -136,6 +138,7 @@
             address: address.to_owned(),
             limits,
             dialect,
+            budget: MemoryBudget::default(),
             clock,
             lease,
             idle: RefCell::default(),
@@ -296,13 +299,23 @@
         })
     }
 
-    /// Reads a body to its end. Fails if all bodies that are being read together exceed the limit.
+    /// Sets the budget from which the answer bodies get their memory.
+    pub fn with_budget(self, budget: MemoryBudget) -> Self {
+        Self { budget, ..self }
+    }
+
+    /// Reads a body to its end. Waits while the budget has no room. Fails if all bodies that are being read together
+    /// exceed the limit.
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, Reason> {
         let mut buffered = BufferedBytes {
             total: &self.buffered_bytes,
             bytes: 0,
         };
-        let mut buf = BytesMut::new();
+        let length = body.size_hint().exact().and_then(|n| usize::try_from(n).ok());
+        if length.is_some_and(|n| self.budget.is_limited() && n > self.limits.answer_bytes) {
+            return Err(Reason::BadAnswer);
+        }
+        let mut buf = HeldBuf::new(self.budget.hold(HoldKind::Response, None), length);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Reason::BadAnswer)?;
             if let Ok(data) = frame.into_data() {
@@ -310,10 +323,11 @@
                 if self.buffered_bytes.get() > self.limits.answer_bytes {
                     return Err(Reason::BadAnswer);
                 }
-                buf.extend_from_slice(&data);
+                // Responses are not refused memory, but wait for it until the deadline of the call.
+                buf.push(&data).await.map_err(|_| Reason::BadAnswer)?;
             }
         }
-        Ok(buf.freeze())
+        Ok(buf.finish())
     }
 
     fn request(&self, attempt: &Attempt<'_>) -> Result<Request<Full<Bytes>>, http::Error> {
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -52,6 +52,8 @@
     ListenerClosed = "CF1006", Info, "listener closed";
     /// A connection ended before a request on it was completely answered.
     AnswerCutOff = "CF1007", Warning, "answer cut off";
+    /// A request was refused because the process has no memory for its body.
+    RequestOutOfMemory = "CF1008", Warning, "no memory for a request";
 
     /// A call was sent to a server behind this daemon.
     CallRoutedLocally = "CF2001", Info, "call routed to a local server";
