Do not refuse a waiting body in place of a stalled one

Cause: after 300 ms of waiting, and before the other body counted as stalled (1 s), the waiting one was refused, since bodies may wait for each other. While another large body is being received, that refusal now comes after 2 s only. The parts of the budget are called reservations, as holds are the keys that servers hold.

--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -9,7 +9,7 @@
         clock::Clock,
         event::{Event, RateLimit},
         log_event,
-        memory::{HeldBuf, HoldKind, MemoryBudget},
+        memory::{MemoryBudget, ReservationKind, ReservedBuf},
         settings::CallerLimits,
     },
     http::{header, HeaderValue, Request},
@@ -127,7 +127,7 @@
         let initial_limits = limits();
         let state = Rc::new(ConnectionState::new(
             stop.clone(),
-            budget.hold(HoldKind::Writing, Some(from.ip())),
+            budget.reservation(ReservationKind::Writing, Some(from.ip())),
         ));
         let mut cut_guard = CutGuard {
             log: log.clone(),
@@ -203,13 +203,13 @@
     if budget.is_limited() && length.is_some_and(|n| n > limits.body_bytes) {
         return Err(BodyError::TooLarge);
     }
-    let hold = budget.hold(HoldKind::Body, Some(from.ip()));
-    let mut buf = HeldBuf::new(hold, length.map(|n| n.min(limits.body_bytes)));
+    let reservation = budget.reservation(ReservationKind::Body, Some(from.ip()));
+    let mut buf = ReservedBuf::new(reservation, length.map(|n| n.min(limits.body_bytes)));
     let received = receive_body(body, &mut buf, limits.body_bytes);
     match timeout(limits.body_timeout.as_duration(), received).await {
         Ok(Ok(())) => {}
         Ok(Err(e)) => return Err(e),
-        Err(_) if buf.hold().is_waiting() => return Err(BodyError::NoMemory),
+        Err(_) if buf.reservation().is_waiting() => return Err(BodyError::NoMemory),
         Err(_) => return Err(BodyError::Incomplete),
     }
     Ok(HttpRequest {
@@ -222,13 +222,13 @@
 }
 
 /// Receives a body of up to `body_bytes`. While the budget has no room, nothing is read from the connection.
-async fn receive_body(mut body: Incoming, buf: &mut HeldBuf, body_bytes: usize) -> Result<(), BodyError> {
+async fn receive_body(mut body: Incoming, buf: &mut ReservedBuf, body_bytes: usize) -> Result<(), BodyError> {
     let mut left = body_bytes;
     loop {
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = buf.hold().refused() => return Err(BodyError::NoMemory),
+            () = buf.reservation().refused() => return Err(BodyError::NoMemory),
         };
         let Some(frame) = frame else { return Ok(()) };
         let frame = frame.map_err(|_| BodyError::Incomplete)?;
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -1,6 +1,6 @@
 use {
     super::request_scanner::BodyLength,
-    crate::memory::Hold,
+    crate::memory::Reservation,
     std::cell::Cell,
     tokio::sync::{watch, Notify},
 };
@@ -53,13 +53,13 @@
     stop: watch::Receiver<bool>,
     became_idle: Notify,
     /// The response that is being written.
-    writing: Hold,
+    writing: Reservation,
 }
 
 impl ConnectionState {
-    /// Returns the state of a new connection. `stop` tells whether the process is stopping, and `writing` is the hold on
+    /// Returns the state of a new connection. `stop` tells whether the process is stopping, and `writing` is the reservation of
     /// memory of the responses that are written.
-    pub fn new(stop: watch::Receiver<bool>, writing: Hold) -> Self {
+    pub fn new(stop: watch::Receiver<bool>, writing: Reservation) -> Self {
         Self {
             stage: Cell::default(),
             body_length: Cell::default(),
@@ -75,7 +75,7 @@
         self.stage.get()
     }
 
-    pub fn writing(&self) -> &Hold {
+    pub fn writing(&self) -> &Reservation {
         &self.writing
     }
 
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -8,7 +8,7 @@
         call::{Call, CallResult, Outcome, Reason},
         clock::{Clock, Ms},
         lease::DaemonLease,
-        memory::{HeldBuf, HoldKind, MemoryBudget},
+        memory::{MemoryBudget, ReservationKind, ReservedBuf},
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -315,7 +315,7 @@
         if length.is_some_and(|n| self.budget.is_limited() && n > self.limits.answer_bytes) {
             return Err(Reason::BadAnswer);
         }
-        let mut buf = HeldBuf::new(self.budget.hold(HoldKind::Response, None), length);
+        let mut buf = ReservedBuf::new(self.budget.reservation(ReservationKind::Response, None), length);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Reason::BadAnswer)?;
             if let Ok(data) = frame.into_data() {
--- a/src/memory/budget.rs
+++ b/src/memory/budget.rs
@@ -1,5 +1,5 @@
 use {
-    super::{HoldKind, HoldState, Ledger, Settled},
+    super::{Ledger, ReservationKind, ReservationState, Settled},
     crate::clock::{Clock, Ms},
     bytes::Bytes,
     std::{
@@ -14,7 +14,7 @@
 /// Part of a process's memory that its budget covers. The rest is for the process itself, for the copies of a body that
 /// a link makes, and for the buffers of 2,000 connections at up to 30 KB each.
 const BUDGET_PERCENT: u64 = 50;
-/// Interval at which waiting holds are looked at, if none of them ends before.
+/// Interval at which waiting reservations are looked at, if none of them ends before.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The memory for a request or response was refused.
@@ -33,11 +33,11 @@
 #[derive(Debug)]
 struct Inner {
     ledger: Ledger,
-    /// Wakers of the open holds, sorted by id.
+    /// Wakers of the open reservations, sorted by id.
     wakers: Vec<(u64, Arc<Notify>)>,
-    /// The waiting hold that settles the ledger at intervals.
+    /// The waiting reservation that settles the ledger at intervals.
     ticker: Option<u64>,
-    /// Number of holds that were refused.
+    /// Number of reservations that were refused.
     refused: u64,
 }
 
@@ -75,31 +75,44 @@
         self.0.is_some()
     }
 
+    /// Returns the size of the budget in bytes, if it is limited.
+    pub fn limit(&self) -> Option<usize> {
+        self.0.as_ref().map(|shared| shared.lock().ledger.limit())
+    }
+
+    /// Returns a copy of bytes that is not accounted for, or the same bytes if the budget is not limited.
+    pub fn detach(&self, bytes: &Bytes) -> Bytes {
+        match self.is_limited() {
+            true => Bytes::copy_from_slice(bytes),
+            false => bytes.clone(),
+        }
+    }
+
     /// Returns the number of bytes that are held.
     pub fn held(&self) -> usize {
         self.0.as_ref().map_or(0, |shared| shared.lock().ledger.held())
     }
 
-    /// Returns the number of holds that were refused so far.
+    /// Returns the number of reservations that were refused so far.
     pub fn refused(&self) -> u64 {
         self.0.as_ref().map_or(0, |shared| shared.lock().refused)
     }
 
-    /// Opens a hold without bytes. `client` is the address of a caller.
-    pub fn hold(&self, kind: HoldKind, client: Option<IpAddr>) -> Hold {
+    /// Opens a reservation without bytes. `client` is the address of a caller.
+    pub fn reservation(&self, kind: ReservationKind, client: Option<IpAddr>) -> Reservation {
         let open = self.0.as_ref().map(|shared| {
             let wake = Arc::new(Notify::new());
             let now = shared.clock.now();
             let mut inner = shared.lock();
             let id = inner.ledger.open(kind, client, now);
             inner.wakers.push((id, wake.clone()));
-            OpenHold {
+            OpenReservation {
                 shared: shared.clone(),
                 id,
                 wake,
             }
         });
-        Hold(open)
+        Reservation(open)
     }
 
     /// Accounts for the bytes of a request that is already held, until the last clone of the returned bytes is dropped.
@@ -110,10 +123,10 @@
         if bytes.is_empty() || !self.is_limited() {
             return Ok(bytes);
         }
-        let hold = self.hold(HoldKind::Body, None);
-        match hold.request(bytes.len()) {
-            HoldState::Held => Ok(hold.keep(bytes)),
-            HoldState::Waiting | HoldState::Refused => Err(Refused),
+        let reservation = self.reservation(ReservationKind::Body, None);
+        match reservation.request(bytes.len()) {
+            ReservationState::Held => Ok(reservation.keep(bytes)),
+            ReservationState::Waiting | ReservationState::Refused => Err(Refused),
         }
     }
 
@@ -122,9 +135,9 @@
         if bytes.is_empty() || !self.is_limited() {
             return bytes;
         }
-        let hold = self.hold(HoldKind::Kept, None);
-        hold.request(bytes.len());
-        hold.keep(bytes)
+        let reservation = self.reservation(ReservationKind::Kept, None);
+        reservation.request(bytes.len());
+        reservation.keep(bytes)
     }
 }
 
@@ -152,7 +165,7 @@
         }
     }
 
-    /// Lets another waiting hold settle the ledger.
+    /// Lets another waiting reservation settle the ledger.
     fn pass_ticker(&mut self, from: u64) {
         if self.ticker != Some(from) {
             return;
@@ -167,26 +180,26 @@
     }
 }
 
-/// A hold on memory of a budget. Its bytes return to the budget when it is dropped.
+/// A reservation of memory from a budget. Its bytes return to the budget when it is dropped.
 #[derive(Debug)]
-pub struct Hold(Option<OpenHold>);
+pub struct Reservation(Option<OpenReservation>);
 
 #[derive(Debug)]
-struct OpenHold {
+struct OpenReservation {
     shared: Arc<Shared>,
     id: u64,
     wake: Arc<Notify>,
 }
 
-impl Hold {
-    /// Waits until the hold has `bytes` more.
+impl Reservation {
+    /// Waits until the reservation has `bytes` more.
     ///
     /// # Errors
-    /// Returns an error if the hold was refused.
+    /// Returns an error if the reservation was refused.
     pub async fn reserve(&self, bytes: usize) -> Result<(), Refused> {
         let Some(open) = &self.0 else { return Ok(()) };
         let mut state = self.request(bytes);
-        while state == HoldState::Waiting {
+        while state == ReservationState::Waiting {
             let is_ticker = {
                 let mut inner = open.shared.lock();
                 *inner.ticker.get_or_insert(open.id) == open.id
@@ -203,40 +216,40 @@
         }
         open.shared.lock().pass_ticker(open.id);
         match state {
-            HoldState::Refused => Err(Refused),
-            HoldState::Held | HoldState::Waiting => Ok(()),
+            ReservationState::Refused => Err(Refused),
+            ReservationState::Held | ReservationState::Waiting => Ok(()),
         }
     }
 
-    fn request(&self, bytes: usize) -> HoldState {
-        self.0.as_ref().map_or(HoldState::Held, |open| {
+    fn request(&self, bytes: usize) -> ReservationState {
+        self.0.as_ref().map_or(ReservationState::Held, |open| {
             let now = open.shared.clock.now();
             open.shared.lock().ledger.request(open.id, bytes, now)
         })
     }
 
-    /// Waits until the hold is refused.
+    /// Waits until the reservation is refused.
     pub async fn refused(&self) {
         let Some(open) = &self.0 else {
             return std::future::pending().await;
         };
-        while open.shared.lock().ledger.state(open.id) != HoldState::Refused {
+        while open.shared.lock().ledger.state(open.id) != ReservationState::Refused {
             open.wake.notified().await;
         }
     }
 
-    /// Returns whether the budget of the hold has a limit.
+    /// Returns whether the budget of the reservation has a limit.
     pub fn is_limited(&self) -> bool {
         self.0.is_some()
     }
 
-    /// Returns whether the hold waits for bytes.
+    /// Returns whether the reservation waits for bytes.
     pub fn is_waiting(&self) -> bool {
         let state = self
             .0
             .as_ref()
             .map(|open| open.shared.lock().ledger.state(open.id));
-        state == Some(HoldState::Waiting)
+        state == Some(ReservationState::Waiting)
     }
 
     /// Returns bytes to the budget.
@@ -253,7 +266,7 @@
         self.with_ledger(|ledger, id, now| ledger.record_progress(id, bytes, now));
     }
 
-    /// Sets the bytes that the end of a hold of kind `Writing` frees.
+    /// Sets the bytes that the end of a reservation of kind `Writing` frees.
     pub fn set_freed_bytes(&self, bytes: usize) {
         self.with_ledger(|ledger, id, now| ledger.set_freed_bytes(id, bytes, now));
     }
@@ -265,17 +278,20 @@
         }
     }
 
-    /// Ties the hold to `bytes`: it ends once their last clone is dropped, and is no longer refused.
+    /// Ties the reservation to `bytes`: it ends once their last clone is dropped, and is no longer refused.
     pub fn keep(self, bytes: Bytes) -> Bytes {
         if self.0.is_none() || bytes.is_empty() {
             return bytes;
         }
         self.with_ledger(|ledger, id, _| ledger.keep(id));
-        Bytes::from_owner(HeldBytes { bytes, _hold: self })
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _reservation: self,
+        })
     }
 }
 
-impl Drop for OpenHold {
+impl Drop for OpenReservation {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         let mut inner = self.shared.lock();
@@ -288,10 +304,10 @@
     }
 }
 
-/// Bytes with the hold that accounts for them.
+/// Bytes with the reservation that accounts for them.
 struct HeldBytes {
     bytes: Bytes,
-    _hold: Hold,
+    _reservation: Reservation,
 }
 
 impl AsRef<[u8]> for HeldBytes {
--- a/src/memory/ledger.rs
+++ b/src/memory/ledger.rs
@@ -12,44 +12,45 @@
 /// A response of which nothing was taken for this time is stalled. A socket that is written to on a link of 2 Mbit/s
 /// accepts more bytes only after a third of its buffer was sent, which takes up to 2 s.
 pub const WRITE_STALL_TIME: Ms = Ms(3000);
-/// Age from which the rate of a body that is not stalled is compared with that of others.
+/// Age from which the rate of a body that is not stalled is compared with that of others, and time for which a body may
+/// wait for others that are not stalled.
 const RATE_AGE_MIN: Ms = Ms(2000);
 
-/// What a hold on memory is for.
+/// What a reservation is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HoldKind {
+pub enum ReservationKind {
     /// The body of a request that is being received. It may wait and be refused: the request has not run.
     Body,
     /// A request that waits or runs, or a response that is complete. It is neither made to wait nor refused.
     Kept,
     /// A response that is being read from a server. It may wait and is not refused.
     Response,
-    /// A response that is being written to a caller. Its bytes are accounted for by another hold, and its end frees them.
+    /// A response that is being written to a caller. Its bytes are accounted for by another reservation, and its end frees them.
     /// It may be refused: its connection is then closed.
     Writing,
 }
 
-/// State of a hold.
+/// State of a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HoldState {
-    /// The hold has what it asked for.
+pub enum ReservationState {
+    /// The reservation has what it asked for.
     Held,
-    /// The hold waits for more bytes.
+    /// The reservation waits for more bytes.
     Waiting,
-    /// The hold has to end.
+    /// The reservation has to end.
     Refused,
 }
 
-/// One hold on memory.
+/// One reservation of memory.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     id: u64,
-    kind: HoldKind,
+    kind: ReservationKind,
     client: Option<IpAddr>,
-    state: HoldState,
+    state: ReservationState,
     /// Bytes accounted for.
     bytes: usize,
-    /// Bytes that the hold waits for.
+    /// Bytes that the reservation waits for.
     wanted: usize,
     waiting_since: Ms,
     began: Ms,
@@ -61,11 +62,11 @@
 }
 
 impl Entry {
-    /// Returns the bytes that are free after the end of the hold.
+    /// Returns the bytes that are free after the end of the reservation.
     fn freed_bytes(&self) -> usize {
         match self.kind {
-            HoldKind::Writing => self.wanted,
-            HoldKind::Body | HoldKind::Kept | HoldKind::Response => self.bytes,
+            ReservationKind::Writing => self.wanted,
+            ReservationKind::Body | ReservationKind::Kept | ReservationKind::Response => self.bytes,
         }
     }
 
@@ -76,29 +77,29 @@
     /// Returns whether the peer does nothing although it could.
     fn is_stalled(&self, now: Ms) -> bool {
         let limit = match self.kind {
-            HoldKind::Body => STALL_TIME,
-            HoldKind::Writing => WRITE_STALL_TIME,
-            HoldKind::Kept | HoldKind::Response => return false,
+            ReservationKind::Body => STALL_TIME,
+            ReservationKind::Writing => WRITE_STALL_TIME,
+            ReservationKind::Kept | ReservationKind::Response => return false,
         };
-        self.state == HoldState::Held && now - self.progress_at >= limit
+        self.state == ReservationState::Held && now - self.progress_at >= limit
     }
 }
 
-/// Holds whose state has changed.
+/// Reservations whose state has changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Settled {
-    /// Holds that have got the bytes that they waited for.
+    /// Reservations that have got the bytes that they waited for.
     pub granted: Vec<u64>,
-    /// Holds that have to end.
+    /// Reservations that have to end.
     pub refused: Vec<u64>,
 }
 
-/// Decides which holds get memory from a budget of bytes, which wait and which are refused.
+/// Decides which reservations get memory from a budget of bytes, which wait and which are refused.
 ///
 /// Load: clients that send many large bodies at once and stop short of their ends, or do not read large responses. While
-/// the budget has room, every reservation is granted. Then reservations wait. If that lasts [`PRESSURE_TIME`], holds
+/// the budget has room, every reservation is granted. Then reservations wait. If that lasts [`PRESSURE_TIME`], reservations
 /// that make no progress are refused, those of the client that holds most first, and the oldest of them first; if there
-/// are none, a hold that waits itself, since holds may wait for each other; if there are none either, the slowest body.
+/// are none, a reservation that waits itself, since reservations may wait for each other; if there are none either, the slowest body.
 ///
 /// Large bodies use up to a half of the budget, all bodies up to three quarters, and responses the whole, since a
 /// response that is not read was computed in vain.
@@ -127,74 +128,84 @@
         }
     }
 
+    /// Returns the size of the budget in bytes.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Returns the number of bytes that are held.
     pub fn held(&self) -> usize {
         self.held
     }
 
-    /// Returns the number of holds that wait.
+    /// Returns the number of reservations that wait.
     pub fn waiting(&self) -> usize {
         self.waiting
     }
 
-    /// Returns the first hold that waits.
+    /// Returns the first reservation that waits.
     pub fn first_waiting(&self) -> Option<u64> {
-        let mut waiting = self.entries.iter().filter(|e| e.state == HoldState::Waiting);
+        let mut waiting = self
+            .entries
+            .iter()
+            .filter(|e| e.state == ReservationState::Waiting);
         waiting.next().map(|e| e.id)
     }
 
-    /// Opens a hold without bytes. `client` is the address of the sender or receiver, if it is not a trusted one.
-    pub fn open(&mut self, kind: HoldKind, client: Option<IpAddr>, now: Ms) -> u64 {
+    /// Opens a reservation without bytes. `client` is the address of the sender or receiver, if it is not a trusted one.
+    pub fn open(&mut self, kind: ReservationKind, client: Option<IpAddr>, now: Ms) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
         self.entries.push(Entry {
             id,
             kind,
             client,
-            state: HoldState::Held,
+            state: ReservationState::Held,
             bytes: 0,
             wanted: 0,
             waiting_since: now,
             began: now,
             progress_at: now,
             progress: 0,
-            is_response: kind == HoldKind::Response,
+            is_response: kind == ReservationKind::Response,
         });
         id
     }
 
-    /// Returns the state of a hold; `Refused` if it does not exist.
-    pub fn state(&self, id: u64) -> HoldState {
+    /// Returns the state of a reservation; `Refused` if it does not exist.
+    pub fn state(&self, id: u64) -> ReservationState {
         self.position(id)
-            .map_or(HoldState::Refused, |i| self.entries[i].state)
+            .map_or(ReservationState::Refused, |i| self.entries[i].state)
     }
 
-    /// Asks for more bytes for a hold. Returns its state then. A hold of kind `Kept` always gets them.
-    pub fn request(&mut self, id: u64, bytes: usize, now: Ms) -> HoldState {
+    /// Asks for more bytes for a reservation. Returns its state then. A reservation of kind `Kept` always gets them.
+    pub fn request(&mut self, id: u64, bytes: usize, now: Ms) -> ReservationState {
         let Some(i) = self.position(id) else {
-            return HoldState::Refused;
+            return ReservationState::Refused;
         };
         let entry = &mut self.entries[i];
-        if entry.state != HoldState::Held || bytes == 0 {
+        if entry.state != ReservationState::Held || bytes == 0 {
             return entry.state;
         }
         entry.wanted = bytes;
         entry.waiting_since = now;
-        entry.state = HoldState::Waiting;
+        entry.state = ReservationState::Waiting;
         let entry = *entry;
         self.waiting += 1;
         let is_behind_others = || {
             let mut others = self.entries.iter();
-            others.any(|e| e.id != id && e.state == HoldState::Waiting && class_of(e) == class_of(&entry))
+            others.any(|e| {
+                e.id != id && e.state == ReservationState::Waiting && class_of(e) == class_of(&entry)
+            })
         };
-        let may_overtake = entry.kind == HoldKind::Kept || self.waiting == 1 || !is_behind_others();
+        let may_overtake = entry.kind == ReservationKind::Kept || self.waiting == 1 || !is_behind_others();
         if may_overtake && self.fits(&entry) {
             self.grant(i, now);
         }
         self.entries[i].state
     }
 
-    /// Returns bytes of a hold to the budget.
+    /// Returns bytes of a reservation to the budget.
     pub fn give_back(&mut self, id: u64, bytes: usize, now: Ms) -> Settled {
         if let Some(i) = self.position(id) {
             let bytes = bytes.min(self.entries[i].bytes);
@@ -203,7 +214,7 @@
         self.grant_waiting(now)
     }
 
-    /// Records that the peer of a hold has sent or taken bytes.
+    /// Records that the peer of a reservation has sent or taken bytes.
     pub fn record_progress(&mut self, id: u64, bytes: usize, now: Ms) {
         if let Some(i) = self.position(id) {
             let entry = &mut self.entries[i];
@@ -212,7 +223,7 @@
         }
     }
 
-    /// Sets the bytes that the end of a hold of kind `Writing` frees.
+    /// Sets the bytes that the end of a reservation of kind `Writing` frees.
     pub fn set_freed_bytes(&mut self, id: u64, bytes: usize, now: Ms) {
         if let Some(i) = self.position(id) {
             let entry = &mut self.entries[i];
@@ -221,41 +232,48 @@
         }
     }
 
-    /// Turns a hold into one of kind `Kept`.
+    /// Turns a reservation into one of kind `Kept`.
     pub fn keep(&mut self, id: u64) {
         if let Some(i) = self.position(id) {
-            self.entries[i].kind = HoldKind::Kept;
+            self.entries[i].kind = ReservationKind::Kept;
         }
     }
 
-    /// Ends a hold and returns its bytes to the budget.
+    /// Ends a reservation and returns its bytes to the budget.
     pub fn close(&mut self, id: u64, now: Ms) -> Settled {
         let Some(i) = self.position(id) else {
             return Settled::default();
         };
         self.subtract(i, self.entries[i].bytes);
-        if self.entries[i].state == HoldState::Waiting {
+        if self.entries[i].state == ReservationState::Waiting {
             self.waiting -= 1;
         }
         self.entries.remove(i);
         self.grant_waiting(now)
     }
 
-    /// Grants what fits, and refuses holds if others have waited for too long.
+    /// Grants what fits, and refuses reservations if others have waited for too long.
     pub fn settle(&mut self, now: Ms) -> Settled {
         let mut settled = self.grant_waiting(now);
-        let waiting = || self.entries.iter().filter(|e| e.state == HoldState::Waiting);
+        let waiting = || {
+            self.entries
+                .iter()
+                .filter(|e| e.state == ReservationState::Waiting)
+        };
         let Some(since) = waiting().map(|e| e.waiting_since).min() else {
             return settled;
         };
         if now - since < PRESSURE_TIME {
             return settled;
         }
-        let ending = self.entries.iter().filter(|e| e.state == HoldState::Refused);
+        let ending = self
+            .entries
+            .iter()
+            .filter(|e| e.state == ReservationState::Refused);
         let ending: usize = ending.map(Entry::freed_bytes).sum();
         let wanted: usize = waiting().map(|e| e.wanted).sum();
         let smallest = waiting().map(|e| e.wanted).min().unwrap_or_default();
-        // Stalled holds are refused for all that wait, others only until one reservation fits.
+        // Stalled reservations are refused for all that wait, others only until one reservation fits.
         let mut missing = wanted.min(self.limit / 4).saturating_sub(ending);
         for id in self.stalled(now) {
             if missing == 0 {
@@ -286,15 +304,15 @@
         }
     }
 
-    /// Returns whether the bytes that a hold wants fit. One request always fits if nothing else is held, and one response
+    /// Returns whether the bytes that a reservation wants fit. One request always fits if nothing else is held, and one response
     /// if no other one is held.
     fn fits(&self, entry: &Entry) -> bool {
         let others = self.held - entry.bytes;
         let (cap, is_alone) = match entry.kind {
-            HoldKind::Kept | HoldKind::Writing => return true,
-            HoldKind::Response => (self.limit, self.response_bytes == entry.bytes),
-            HoldKind::Body if entry.is_small() => (self.limit / 4 * 3, others == 0),
-            HoldKind::Body => (self.limit / 2, others == 0),
+            ReservationKind::Kept | ReservationKind::Writing => return true,
+            ReservationKind::Response => (self.limit, self.response_bytes == entry.bytes),
+            ReservationKind::Body if entry.is_small() => (self.limit / 4 * 3, others == 0),
+            ReservationKind::Body => (self.limit / 2, others == 0),
         };
         is_alone || self.held + entry.wanted <= cap
     }
@@ -309,11 +327,11 @@
         entry.wanted = 0;
         // The wait was not the fault of the sender.
         entry.progress_at = now;
-        entry.state = HoldState::Held;
+        entry.state = ReservationState::Held;
         self.waiting -= 1;
     }
 
-    /// Grants what fits, to responses first, then to the clients that hold least. Within a class, a hold that does not
+    /// Grants what fits, to responses first, then to the clients that hold least. Within a class, a reservation that does not
     /// fit is not overtaken by later ones.
     fn grant_waiting(&mut self, now: Ms) -> Settled {
         let mut settled = Settled::default();
@@ -321,7 +339,10 @@
             return settled;
         }
         let shares = self.client_bytes();
-        let waiting = self.entries.iter().filter(|e| e.state == HoldState::Waiting);
+        let waiting = self
+            .entries
+            .iter()
+            .filter(|e| e.state == ReservationState::Waiting);
         let mut order: Vec<_> = waiting
             .map(|e| (class_of(e), share_of(&shares, e.client), e.waiting_since, e.id))
             .collect();
@@ -341,7 +362,7 @@
         settled
     }
 
-    /// Returns the stalled holds: those of the client that holds most first, and the oldest progress first.
+    /// Returns the stalled reservations: those of the client that holds most first, and the oldest progress first.
     fn stalled(&self, now: Ms) -> Vec<u64> {
         let shares = self.client_bytes();
         let stalled = self
@@ -355,13 +376,17 @@
         order.into_iter().map(|(.., id)| id).collect()
     }
 
-    /// Returns the body that holds most among those that have waited for [`PRESSURE_TIME`], and the oldest of these.
+    /// Returns the body that holds most among those that have waited for long, and the oldest of these. While another
+    /// large body is being received, it is given the time to end or to stall.
     fn longest_waiting(&self, now: Ms) -> Option<u64> {
+        let mut bodies = self.entries.iter().filter(|e| e.kind == ReservationKind::Body);
+        let is_received = bodies.any(|e| e.state == ReservationState::Held && !e.is_small());
+        let wait_min = if is_received { RATE_AGE_MIN } else { PRESSURE_TIME };
         let waiting = self.entries.iter().filter(|e| {
-            e.kind == HoldKind::Body
-                && e.state == HoldState::Waiting
+            e.kind == ReservationKind::Body
+                && e.state == ReservationState::Waiting
                 && e.bytes > 0
-                && now - e.waiting_since >= PRESSURE_TIME
+                && now - e.waiting_since >= wait_min
         });
         waiting
             .min_by_key(|e| (usize::MAX - e.bytes, e.began, e.id))
@@ -371,8 +396,8 @@
     /// Returns the body with the lowest rate among those that are old enough to compare.
     fn slowest(&self, now: Ms) -> Option<u64> {
         let bodies = self.entries.iter().filter(|e| {
-            e.kind == HoldKind::Body
-                && e.state == HoldState::Held
+            e.kind == ReservationKind::Body
+                && e.state == ReservationState::Held
                 && e.bytes > 0
                 && now - e.began >= RATE_AGE_MIN
         });
@@ -381,14 +406,14 @@
             .map(|e| e.id)
     }
 
-    /// Marks a hold as refused. Returns the bytes that its end frees.
+    /// Marks a reservation as refused. Returns the bytes that its end frees.
     fn refuse(&mut self, id: u64) -> usize {
         let Some(i) = self.position(id) else { return 0 };
         let entry = &mut self.entries[i];
-        if entry.state == HoldState::Waiting {
+        if entry.state == ReservationState::Waiting {
             self.waiting -= 1;
         }
-        entry.state = HoldState::Refused;
+        entry.state = ReservationState::Refused;
         entry.freed_bytes()
     }
 
@@ -414,12 +439,12 @@
     found.map_or(0, |i| shares[i].1)
 }
 
-/// Returns the class of a waiting hold. Lower ones are served first.
+/// Returns the class of a waiting reservation. Lower ones are served first.
 fn class_of(entry: &Entry) -> u8 {
     match entry.kind {
-        HoldKind::Kept | HoldKind::Writing => 0,
-        HoldKind::Response => 1,
-        HoldKind::Body if entry.is_small() => 2,
-        HoldKind::Body => 3,
+        ReservationKind::Kept | ReservationKind::Writing => 0,
+        ReservationKind::Response => 1,
+        ReservationKind::Body if entry.is_small() => 2,
+        ReservationKind::Body => 3,
     }
 }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -1,13 +1,14 @@
 //! Budget of the memory that others make a daemon hold.
 
 mod budget;
-mod held_buf;
 mod ledger;
+mod reserved_buf;
 
 pub use {
-    budget::{Hold, MemoryBudget, Refused},
-    held_buf::HeldBuf,
+    budget::{MemoryBudget, Refused, Reservation},
     ledger::{
-        HoldKind, HoldState, Ledger, Settled, PRESSURE_TIME, SMALL_BYTES, STALL_TIME, WRITE_STALL_TIME,
+        Ledger, ReservationKind, ReservationState, Settled, PRESSURE_TIME, SMALL_BYTES, STALL_TIME,
+        WRITE_STALL_TIME,
     },
+    reserved_buf::ReservedBuf,
 };
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -4,8 +4,8 @@
     clementinefold::{
         clock::{Clock, Ms},
         memory::{
-            HoldKind, HoldState, Ledger, MemoryBudget, Refused, Settled, PRESSURE_TIME, SMALL_BYTES,
-            STALL_TIME, WRITE_STALL_TIME,
+            Ledger, MemoryBudget, Refused, ReservationKind, ReservationState, Settled, PRESSURE_TIME,
+            SMALL_BYTES, STALL_TIME, WRITE_STALL_TIME,
         },
     },
     std::{
@@ -24,8 +24,8 @@
 }
 
 /// Opens a body and asks for its bytes.
-fn body(ledger: &mut Ledger, from: u8, bytes: usize, now: Ms) -> (u64, HoldState) {
-    let id = ledger.open(HoldKind::Body, client(from), now);
+fn body(ledger: &mut Ledger, from: u8, bytes: usize, now: Ms) -> (u64, ReservationState) {
+    let id = ledger.open(ReservationKind::Body, client(from), now);
     (id, ledger.request(id, bytes, now))
 }
 
@@ -33,10 +33,10 @@
 fn one_request_fits() {
     let mut ledger = Ledger::new(LIMIT);
     let (id, state) = body(&mut ledger, 1, 3 * LIMIT, START);
-    assert_eq!((state, ledger.held()), (HoldState::Held, 3 * LIMIT));
+    assert_eq!((state, ledger.held()), (ReservationState::Held, 3 * LIMIT));
     // Its response is read as well, although the budget is exceeded.
-    let response = ledger.open(HoldKind::Response, None, START);
-    assert_eq!(ledger.request(response, LIMIT, START), HoldState::Held);
+    let response = ledger.open(ReservationKind::Response, None, START);
+    assert_eq!(ledger.request(response, LIMIT, START), ReservationState::Held);
     ledger.close(response, START);
     ledger.close(id, START);
     assert_eq!(ledger.held(), 0);
@@ -48,17 +48,17 @@
     let (first, _) = body(&mut ledger, 1, LARGE, START);
     body(&mut ledger, 1, LARGE, START);
     let (third, state) = body(&mut ledger, 1, LARGE, START);
-    assert_eq!(state, HoldState::Waiting);
+    assert_eq!(state, ReservationState::Waiting);
     // Ordinary requests are not behind large ones, nor are responses.
-    assert_eq!(body(&mut ledger, 2, SMALL_BYTES, START).1, HoldState::Held);
-    let response = ledger.open(HoldKind::Response, None, START);
-    assert_eq!(ledger.request(response, LARGE, START), HoldState::Held);
+    assert_eq!(body(&mut ledger, 2, SMALL_BYTES, START).1, ReservationState::Held);
+    let response = ledger.open(ReservationKind::Response, None, START);
+    assert_eq!(ledger.request(response, LARGE, START), ReservationState::Held);
     ledger.close(response, START);
     let settled = ledger.close(first, START);
     assert!(settled.granted.is_empty());
     let (_, state) = body(&mut ledger, 3, LARGE, START);
-    assert_eq!(state, HoldState::Waiting, "it must not overtake the third");
-    assert_eq!(ledger.state(third), HoldState::Waiting);
+    assert_eq!(state, ReservationState::Waiting, "it must not overtake the third");
+    assert_eq!(ledger.state(third), ReservationState::Waiting);
 }
 
 #[test]
@@ -78,7 +78,7 @@
     let (last, _) = body(&mut ledger, 3, LARGE, now);
     ledger.record_progress(moving, 1, now + PRESSURE_TIME);
     assert!(ledger.settle(now + PRESSURE_TIME).refused.is_empty());
-    assert_eq!(ledger.state(last), HoldState::Waiting);
+    assert_eq!(ledger.state(last), ReservationState::Waiting);
 }
 
 #[test]
@@ -103,6 +103,18 @@
     assert_eq!(ledger.close(first, START).granted, [second]);
 }
 
+#[test]
+fn waiting_not_refused_for_stalled() {
+    // A sender that waits for a body that is about to count as stalled must not be refused in its place.
+    let mut ledger = Ledger::new(LIMIT);
+    let (stalled, _) = body(&mut ledger, 1, 2 * LARGE, START);
+    let (waiting, _) = body(&mut ledger, 1, SMALL_BYTES, START);
+    ledger.request(waiting, LARGE, START + Ms(1));
+    assert!(ledger.settle(START + STALL_TIME - Ms(1)).refused.is_empty());
+    assert_eq!(ledger.settle(START + STALL_TIME).refused, [stalled]);
+    assert_eq!(ledger.close(stalled, START + STALL_TIME).granted, [waiting]);
+}
+
 #[test]
 fn slowest_refused() {
     let mut ledger = Ledger::new(LIMIT);
@@ -125,7 +137,7 @@
         .map(|_| body(&mut ledger, 1, SMALL_BYTES, START).0)
         .collect();
     let (other, state) = body(&mut ledger, 2, SMALL_BYTES, START + Ms(1));
-    assert_eq!(state, HoldState::Waiting);
+    assert_eq!(state, ReservationState::Waiting);
     // The client that holds less is served before the earlier requests of the other one.
     assert_eq!(ledger.close(held[0], START).granted, [other]);
     assert_eq!(ledger.close(held[1], START).granted, [greedy[0]]);
@@ -137,9 +149,9 @@
 #[test]
 fn unread_response_refused() {
     let mut ledger = Ledger::new(LIMIT);
-    let kept = ledger.open(HoldKind::Kept, None, START);
-    assert_eq!(ledger.request(kept, LIMIT, START), HoldState::Held);
-    let writing = ledger.open(HoldKind::Writing, client(1), START);
+    let kept = ledger.open(ReservationKind::Kept, None, START);
+    assert_eq!(ledger.request(kept, LIMIT, START), ReservationState::Held);
+    let writing = ledger.open(ReservationKind::Writing, client(1), START);
     ledger.set_freed_bytes(writing, LIMIT, START);
     body(&mut ledger, 2, SMALL_BYTES, START);
     assert!(ledger.settle(START + WRITE_STALL_TIME - Ms(1)).refused.is_empty());
@@ -149,10 +161,10 @@
 #[test]
 fn responses_not_refused() {
     let mut ledger = Ledger::new(LIMIT);
-    let first = ledger.open(HoldKind::Response, None, START);
+    let first = ledger.open(ReservationKind::Response, None, START);
     ledger.request(first, LIMIT, START);
-    let second = ledger.open(HoldKind::Response, None, START);
-    assert_eq!(ledger.request(second, LARGE, START), HoldState::Waiting);
+    let second = ledger.open(ReservationKind::Response, None, START);
+    assert_eq!(ledger.request(second, LARGE, START), ReservationState::Waiting);
     assert!(ledger.settle(START + Ms(60_000)).refused.is_empty());
     // A response that is complete is still held.
     ledger.keep(first);
@@ -169,9 +181,9 @@
 fn returned_on_drop() {
     run(async {
         let budget = MemoryBudget::new(LIMIT, Clock::manual(START));
-        let hold = budget.hold(HoldKind::Body, client(1));
-        hold.reserve(100).await.unwrap();
-        let bytes = hold.keep(vec![1; 100].into());
+        let reservation = budget.reservation(ReservationKind::Body, client(1));
+        reservation.reserve(100).await.unwrap();
+        let bytes = reservation.keep(vec![1; 100].into());
         let clone = bytes.slice(10..20);
         drop(bytes);
         assert_eq!(budget.held(), 100);
@@ -186,11 +198,11 @@
 fn wakes_waiting() {
     run(async {
         let budget = MemoryBudget::new(LIMIT, Clock::System);
-        let first = budget.hold(HoldKind::Body, client(1));
+        let first = budget.reservation(ReservationKind::Body, client(1));
         first.reserve(LIMIT).await.unwrap();
         let (second, third) = (
-            budget.hold(HoldKind::Body, client(2)),
-            budget.hold(HoldKind::Body, client(3)),
+            budget.reservation(ReservationKind::Body, client(2)),
+            budget.reservation(ReservationKind::Body, client(3)),
         );
         // A future that is dropped while it waits leaves no claim.
         let waiting = timeout(std::time::Duration::from_millis(1), second.reserve(LARGE)).await;
@@ -203,7 +215,7 @@
         let (granted, ()) = tokio::join!(third.reserve(LARGE), ended);
         assert_eq!(granted, Ok(()));
         assert_eq!((budget.held(), budget.refused()), (LARGE, 1));
-        let fourth = budget.hold(HoldKind::Body, client(3));
+        let fourth = budget.reservation(ReservationKind::Body, client(3));
         fourth.reserve(LARGE).await.unwrap();
         assert_eq!(third.reserve(LIMIT).await, Err(Refused));
     });
@@ -213,9 +225,9 @@
 fn without_limit() {
     run(async {
         let budget = MemoryBudget::of_process(None, Clock::System);
-        let hold = budget.hold(HoldKind::Body, client(1));
-        hold.reserve(usize::MAX).await.unwrap();
-        hold.reserve(usize::MAX).await.unwrap();
+        let reservation = budget.reservation(ReservationKind::Body, client(1));
+        reservation.reserve(usize::MAX).await.unwrap();
+        reservation.reserve(usize::MAX).await.unwrap();
         assert_eq!(budget.held(), 0);
     });
 }
