Encode frames without an intermediate copy, and free the buffers of links after large frames

Cause: a frame was copied twice on its way out, and the buffers of a link stayed as large as its largest frame.

--- a/src/link/frame_codec.rs
+++ b/src/link/frame_codec.rs
@@ -1,7 +1,7 @@
 use {
     super::ReadMeter,
     crate::wire::peer::Frame,
-    bytes::{Bytes, BytesMut},
+    bytes::{BufMut, BytesMut},
     prost::Message,
     std::io,
     tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec},
@@ -12,6 +12,11 @@
 /// Maximum size of a frame of the hello.
 const HELLO_FRAME_MAX_BYTES: usize = 4096;
 
+/// Size of the length before a frame.
+const LENGTH_BYTES: usize = 4;
+/// An empty buffer of a link is kept up to this size. Frames other than those of large bodies fit into it.
+const KEPT_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Codec of the frames on a byte stream. A frame is a length of four bytes, followed by the message.
 #[derive(Debug)]
 pub struct FrameCodec {
@@ -42,6 +47,13 @@
     }
 }
 
+/// Frees an empty buffer that a large frame has made large. A daemon has thousands of links.
+fn shrink(buf: &mut BytesMut) {
+    if buf.is_empty() && buf.capacity() > KEPT_BUFFER_BYTES {
+        *buf = BytesMut::new();
+    }
+}
+
 fn length_codec(bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(bytes)
@@ -61,6 +73,7 @@
         let Some(bytes) = bytes? else {
             return Ok(None);
         };
+        shrink(buf);
         let frame = Frame::decode(bytes.freeze());
         frame
             .map(Some)
@@ -72,6 +85,16 @@
     type Error = io::Error;
 
     fn encode(&mut self, frame: Frame, buf: &mut BytesMut) -> Result<(), io::Error> {
-        self.lengths.encode(Bytes::from(frame.encode_to_vec()), buf)
+        shrink(buf);
+        let length = frame.encoded_len();
+        let max = self.lengths.max_frame_length();
+        let header = u32::try_from(length).ok().filter(|_| length <= max);
+        let header =
+            header.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidInput, "the frame is too large"))?;
+        buf.reserve(LENGTH_BYTES + length);
+        buf.put_u32(header);
+        frame
+            .encode(buf)
+            .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))
     }
 }
