Limit the calls of routes with large answers that are in progress

Guards keep copies of answers that the budget does not count. The gauges memory_held and memory_refused show the budget.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         decisions::Decisions,
+        large_answers::LargeAnswers,
         left_servers::LeftServers,
         local_server::{LocalServer, LostServer},
     },
@@ -43,6 +44,7 @@
     pub metrics: Metrics,
     /// Budget of the memory that others make this process hold.
     pub budget: MemoryBudget,
+    pub large_answers: LargeAnswers,
     /// Links for calls and guards.
     pub links: Links,
     /// Links for requests to control hosts. They are separate, so that such a request never waits behind calls to the
@@ -158,6 +160,7 @@
         let leader = control_hosts.first().cloned().unwrap_or_default();
         let budget = MemoryBudget::of_process(parts.settings.memory_bytes, parts.clock.clone());
         Self {
+            large_answers: LargeAnswers::new(budget.limit()),
             budget,
             settings: parts.settings,
             clock: parts.clock,
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -256,7 +256,12 @@
                 let sequence = tenure.guard.forget(&admitted.id);
                 Some(GuardChange::Removed(admitted.id.clone(), sequence))
             } else {
-                tenure.guard.finish(&admitted.id, result).map(GuardChange::Put)
+                let result = CallResult {
+                    // The guard has its own limit of memory, and keeps answers for too long to count them in the budget.
+                    body: self.budget.detach(&result.body),
+                    ..result.clone()
+                };
+                tenure.guard.finish(&admitted.id, &result).map(GuardChange::Put)
             }
         };
         self.guard_finished.notify_waiters();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 mod guarded_call;
 mod heartbeat;
 mod key_reload;
+mod large_answers;
 mod left_servers;
 mod local_server;
 mod node;
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -1,5 +1,5 @@
 use {
-    super::{call_path::ActiveCall, daemon_cx::DaemonCx, dispatch::Dispatch},
+    super::{call_path::ActiveCall, daemon_cx::DaemonCx, dispatch::Dispatch, large_answers::CallOrigin},
     crate::{
         call::{
             after_try, normalize_unknown_service, reached_server, AttemptHistory, Call, CallResult, EndCause,
@@ -122,7 +122,13 @@
         );
         drop(state);
         let call = self.routed_call(request, &terms);
-        let result = self.run_attempts(call.clone(), &terms).await;
+        let admitted = self
+            .admit_large(Some(route), CallOrigin::Caller, terms.deadline)
+            .await;
+        let result = match &admitted {
+            Ok(_) => self.run_attempts(call.clone(), &terms).await,
+            Err(reason) => CallResult::failed(*reason),
+        };
         self.finish_routed(&call.request_id, Some(&terms), entry, result)
     }
 
@@ -319,6 +325,12 @@
         let Some(service) = schema.service(&call.service) else {
             return CallResult::failed(Reason::UnknownService);
         };
+        let path = call.path.split('?').next().unwrap_or_default();
+        let route = schema.routes.find(&terms.host, path);
+        let _admitted = match self.admit_large(route, CallOrigin::Peer, deadline).await {
+            Ok(permit) => permit,
+            Err(reason) => return CallResult::failed(reason),
+        };
         let kind = CallKind {
             name: call.kind.clone(),
             idempotent: terms.idempotent,
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -11,6 +11,7 @@
         event::Event,
         grant::{ChangedSpans, GrantTable},
         log_event,
+        metrics::Metric,
     },
     http::StatusCode,
     std::{
@@ -167,6 +168,15 @@
         Ok(GrantDelivery::Ordered(Rc::new(orders)))
     }
 
+    fn record_memory(&self) {
+        if self.budget.is_limited() {
+            let held = self.budget.held() as u64;
+            self.metrics.gauge(Metric::MemoryHeld, &[], held);
+            self.metrics
+                .gauge(Metric::MemoryRefused, &[], self.budget.refused());
+        }
+    }
+
     pub(super) fn server_client(&self, address: &str, limits: ServerLimits) -> ServerClient {
         let (clock, lease) = (self.clock.clone(), self.lease.clone());
         ServerClient::new(address, limits, self.dialect.clone(), clock, lease)
@@ -234,6 +244,7 @@
     pub async fn expire_announcements(self: Rc<Self>) {
         loop {
             sleep(AGE_CHECK_INTERVAL).await;
+            self.record_memory();
             let now = self.clock.now();
             let servers = self.servers.borrow().clone();
             for server in servers {
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -67,4 +67,8 @@
     Lease = "lease", "gauge", [];
     /// Ranges granted to local servers.
     Ranges = "ranges", "gauge", [];
+    /// Bytes of the budget of memory that requests and responses hold.
+    MemoryHeld = "memory_held", "gauge", [];
+    /// Requests and responses that were ended since the start of the process because the budget had no room.
+    MemoryRefused = "memory_refused", "gauge", [];
 }
