--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         decisions::Decisions,
+        large_answers::LargeAnswers,
         left_servers::LeftServers,
         local_server::{LocalServer, LostServer},
     },
@@ -15,6 +16,7 @@
         lease::{ConfigAge, ConfigFreshness, DaemonLease, EvacuationGate},
         link::{KeyRing, Links},
         log_event,
+        memory::MemoryBudget,
         metrics::{Metric, Metrics},
         placement::LoadMeter,
         route::{Balancer, Candidate, EntryThrottle, FirstArrivals, WeightedRoundRobin},
@@ -40,6 +42,9 @@
     pub clock: Clock,
     pub log: Logger,
     pub metrics: Metrics,
+    /// Budget of the memory that others make this process hold.
+    pub budget: MemoryBudget,
+    pub large_answers: LargeAnswers,
     /// Links for calls and guards.
     pub links: Links,
     /// Links for requests to control hosts. They are separate, so that such a request never waits behind calls to the
@@ -160,7 +165,10 @@
         }
         let leader = control_hosts.first().cloned().unwrap_or_default();
         let balance = parts.settings.balance;
+        let budget = MemoryBudget::of_process(parts.settings.memory_bytes, parts.clock.clone());
         Self {
+            large_answers: LargeAnswers::new(budget.limit()),
+            budget,
             settings: parts.settings,
             clock: parts.clock,
             log: parts.log,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -18,6 +18,7 @@
 mod heartbeat;
 mod hedged_attempt;
 mod key_reload;
+mod large_answers;
 mod left_servers;
 mod local_server;
 mod node;
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -12,6 +12,7 @@
         event::Event,
         grant::{ChangedSpans, GrantTable},
         log_event,
+        metrics::Metric,
     },
     http::StatusCode,
     std::{
@@ -35,11 +36,9 @@
 impl DaemonCx {
     /// Serves a request of a local backend server.
     pub async fn serve_server(self: Rc<Self>, request: Result<HttpRequest, BodyError>) -> HttpResponse {
-        let Ok(request) = request else {
-            return edge::plain_response(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large or incomplete",
-            );
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => return edge::body_error_response(error),
         };
         let handled = match (request.method.as_str(), request.uri.path()) {
             ("POST", "/announce") => {
@@ -175,9 +174,19 @@
         Ok(GrantDelivery::Ordered(Rc::new(orders)))
     }
 
+    fn record_memory(&self) {
+        if self.budget.is_limited() {
+            let held = self.budget.held() as u64;
+            self.metrics.gauge(Metric::MemoryHeld, &[], held);
+            self.metrics
+                .gauge(Metric::MemoryRefused, &[], self.budget.refused());
+        }
+    }
+
     pub(super) fn server_client(&self, address: &str, limits: ServerLimits) -> ServerClient {
         let (clock, lease) = (self.clock.clone(), self.lease.clone());
         ServerClient::new(address, limits, self.dialect.clone(), clock, lease)
+            .with_budget(self.budget.clone())
     }
 
     /// Marks a server as leaving. It keeps its ranges until they have moved, but gets no new ones.
@@ -241,6 +250,7 @@
     pub async fn expire_announcements(self: Rc<Self>) {
         loop {
             sleep(AGE_CHECK_INTERVAL).await;
+            self.record_memory();
             let now = self.clock.now();
             let servers = self.servers.borrow().clone();
             for server in servers {
