--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -346,26 +346,6 @@
         }
     }
 
-    /// Returns the servers that can take calls of an undivided service. The list is cached until the state changes.
-    pub(super) fn candidates(&self, service: &str) -> Rc<Vec<Candidate>> {
-        let mut cache = self.candidates.borrow_mut();
-        if let Ok(i) = cache.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
-            return cache[i].1.clone();
-        }
-        let candidates = Rc::new(route::candidates(
-            &self.state(),
-            service,
-            &self.settings.failure_domain,
-        ));
-        let now = self.clock.now();
-        let mut balancer = self.balancer.borrow_mut();
-        balancer.learn(&candidates, now);
-        balancer.forget_unused(now);
-        cache.push((service.to_owned(), candidates.clone()));
-        cache.sort_by(|a, b| a.0.cmp(&b.0));
-        candidates
-    }
-
     fn log_result(&self, call: &Call, result: &CallResult) {
         let event = match result.outcome {
             Outcome::Answered => Event::CallAnswered,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -27,6 +27,7 @@
 mod route_limits;
 mod routed_path;
 mod run;
+mod server_candidates;
 mod server_handler;
 mod server_limits;
 mod server_notice;
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -431,18 +431,6 @@
             .unwrap_or_else(|_| CallResult::failed(Reason::ServerLost))
     }
 
-    fn untried_candidates(&self, service: &str, tried: &[Target]) -> Vec<Candidate> {
-        let all = self.candidates(service);
-        let left = all.iter().filter(|c| !tried.contains(&c.target));
-        left.cloned().collect()
-    }
-
-    fn has_untried_candidate(&self, service: &str, tried: &[Target]) -> bool {
-        self.candidates(service)
-            .iter()
-            .any(|c| !tried.contains(&c.target))
-    }
-
     /// Records the metrics of a call by a route and logs its end. Sets the default retry delay if the call did not run
     /// and has none.
     fn finish_routed(
