Charge early calls to a cold server before its limit starts waiting calls

Calls that waited could start between the new limit and the charge for the calls that the server got since it became cold, if a limit that the server names had left some saved. Both are now set in one step. The gauge servers_cold is sent when it changes instead of with each change of the state.

--- a/src/daemon/server_limits.rs
+++ b/src/daemon/server_limits.rs
@@ -17,33 +17,37 @@
     /// It is called whenever one of these may have changed, before further calls are sent.
     pub(super) fn update_limits(&self) {
         let servers = self.servers.borrow();
-        for server in servers.iter() {
-            self.update_limit(server);
+        let changed = servers.iter().filter(|server| self.update_limit(server)).count();
+        if changed == 0 {
+            return;
         }
         let cold = servers.iter().filter(|s| s.is_cold.get()).count();
         self.metrics.gauge(Metric::ServersCold, &[], cold as u64);
     }
 
-    fn update_limit(&self, server: &LocalServer) {
+    /// Applies the limit of a server. Returns whether it has become cold or warm.
+    fn update_limit(&self, server: &LocalServer) -> bool {
         let now = self.clock.now();
         let declared = self.declared_warmup(server);
         let warmup = declared.filter(|_| server.warmup.get().is_cold(declared, now));
         let was_cold = server.is_cold.replace(warmup.is_some());
         let limits = [server.notice.get().limit_per_s, warmup.map(|w| w.per_s)];
         let limit = limits.into_iter().flatten().reduce(f64::min);
-        if server.limit_per_s.replace(limit) != limit {
-            server.gate.set_rate(limit);
+        let early = match warmup {
+            Some(warmup) if !was_cold => server.gate.started_since(server.warmup.get().cold_since(warmup)),
+            Some(_) | None => 0,
+        };
+        let charged = early.saturating_sub(EARLY_CALLS_MAX);
+        if server.limit_per_s.replace(limit) != limit || charged > 0 {
+            server.gate.set_rate(limit, charged);
         }
         if was_cold == warmup.is_some() {
-            return;
-        }
-        if let Some(warmup) = warmup {
-            let since = server.warmup.get().cold_since(warmup);
-            server.gate.charge_early_calls(since, EARLY_CALLS_MAX);
+            return false;
         }
         self.log_warmup(server, warmup, now);
         self.servers_changed.notify_one();
         self.warmups_changed.notify_one();
+        true
     }
 
     fn declared_warmup(&self, server: &LocalServer) -> Option<Warmup> {
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -104,23 +104,22 @@
         })
     }
 
-    /// Limits the calls to `per_s` a second from now on, or ends the limit.
-    pub fn set_rate(self: &Rc<Self>, per_s: Option<f64>) {
-        self.queue.borrow_mut().set_rate(per_s, self.clock.now());
+    /// Limits the calls to `per_s` a second from now on, or ends the limit. `charged` calls that started before count
+    /// against it.
+    pub fn set_rate(self: &Rc<Self>, per_s: Option<f64>, charged: usize) {
+        let now = self.clock.now();
+        self.queue.borrow_mut().set_rate(per_s, now);
+        self.queue.borrow_mut().charge_rate(charged as f64, now);
         if let Some(timer) = self.timer.take() {
             timer.abort();
         }
         self.clone().assign_free_slots();
     }
 
-    /// Counts the calls that started at `since` or later against the limit, as far as they are more than `free`. Only
-    /// calls of the last [`STARTS_KEPT`] are known.
-    pub fn charge_early_calls(&self, since: Ms, free: usize) {
-        let now = self.clock.now();
-        let since = since.max(now - STARTS_KEPT);
-        let early = self.starts.borrow().iter().filter(|at| **at >= since).count();
-        let charged = early.saturating_sub(free) as f64;
-        self.queue.borrow_mut().charge_rate(charged, now);
+    /// Returns the number of calls that started at `since` or later, within the last [`STARTS_KEPT`].
+    pub fn started_since(&self, since: Ms) -> usize {
+        let since = since.max(self.clock.now() - STARTS_KEPT);
+        self.starts.borrow().iter().filter(|at| **at >= since).count()
     }
 
     /// Waits for a slot.
