--- a/benches/placement/strategy.rs
+++ b/benches/placement/strategy.rs
@@ -6,8 +6,8 @@
         clock::Ms,
         key::{Key, KeyRange},
         placement::{
-            plan, Action, KeyLoad, LostOwner, PlannerState, RangeView, ServerView, ServiceView, Side,
-            Snapshot,
+            plan, Action, DomainUse, KeyLoad, LostOwner, PlannerState, RangeView, ServerView, ServiceView,
+            Side, Snapshot,
         },
         schema::{LossPolicy, Weights},
     },
@@ -241,6 +241,7 @@
             failure_domain: format!("d{}", world.servers[*i].domain),
             slots: SLOTS as u32,
             is_draining: world.servers[*i].is_draining,
+            domain_use: DomainUse::default(),
             side: Some(side(world.servers[*i].is_second_half)),
         });
         let ranges = (0..world.ranges.len()).map(|r| {
