--- a/benches/placement/strategy.rs
+++ b/benches/placement/strategy.rs
@@ -6,8 +6,8 @@
         clock::Ms,
         key::{Key, KeyRange},
         placement::{
-            plan, Action, KeyLoad, LostOwner, PlannerState, RangeView, ServerView, ServiceView, Side,
-            Snapshot,
+            plan, Action, DomainUse, KeyLoad, LostOwner, PlannerState, RangeView, ServerView, ServiceView,
+            Side, Snapshot,
         },
         schema::{LossPolicy, Weights},
     },
@@ -242,6 +242,7 @@
             slots: SLOTS as u32,
             cold_slots: None,
             is_draining: world.servers[*i].is_draining,
+            domain_use: DomainUse::default(),
             side: Some(side(world.servers[*i].is_second_half)),
             ..ServerView::default()
         });
