--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -95,8 +95,10 @@
     pub notice_log_limit: RefCell<RateLimit>,
     /// Number of slots that the server reported last, if it did.
     pub reported_slots: Cell<Option<u32>>,
-    /// Limits the log lines about the load that the server reports.
-    pub load_log_limit: RefCell<RateLimit>,
+    /// Limits the log lines about changes of `reported_slots`.
+    pub slots_log_limit: RefCell<RateLimit>,
+    /// Limits the log lines about a reported load that makes no sense.
+    pub bad_load_log_limit: RefCell<RateLimit>,
     pub is_leaving: Cell<bool>,
     /// Time from which no call is sent, because the server leaves.
     pub closes_at: Cell<Ms>,
--- a/src/daemon/server_notice.rs
+++ b/src/daemon/server_notice.rs
@@ -51,7 +51,7 @@
         if server.reported_slots.replace(Some(slots)).unwrap_or(announced) == slots {
             return;
         }
-        let passed = server.load_log_limit.borrow_mut().pass(self.clock.now());
+        let passed = server.slots_log_limit.borrow_mut().pass(self.clock.now());
         if let Some(suppressed) = passed {
             log_event!(
                 self.log, Event::ServerSlotsReported;
@@ -63,7 +63,7 @@
 
     fn log_bad_load(&self, server: &LocalServer, error: LoadError) {
         self.metrics.count(Metric::BadLoads, &[&server.announced.service]);
-        let passed = server.load_log_limit.borrow_mut().pass(self.clock.now());
+        let passed = server.bad_load_log_limit.borrow_mut().pass(self.clock.now());
         if let Some(suppressed) = passed {
             log_event!(
                 self.log, Event::ServerLoadIgnored;
