Count only cancelled first attempts against their servers

A hedged request that lost raised the expected time of its server, although it had had less time than the first attempt. With two servers, calls that are long by themselves made the other server seem slow, until it got no hedged requests any more: three of the tests in platform/tests/hedged_calls.rs timed out.

--- a/src/daemon/hedged_attempt.rs
+++ b/src/daemon/hedged_attempt.rs
@@ -109,7 +109,6 @@
                 return Attempts::at(&first.target, result);
             }
         };
-        let hedged_at = self.clock.now();
         // Allocated only when needed, so that calls without a hedged request take no more memory.
         let mut hedging = Box::pin(self.send_to(&hedge.call, &hedge.terms, &hedge.chosen));
         let (is_first, earlier) = select! {
@@ -122,12 +121,7 @@
             self.learn(call, terms, &earlier, sent_at);
         }
         if ends_call(&earlier) {
-            self.record_loser(
-                call,
-                terms,
-                is_first,
-                [(first, sent_at), (&hedge.chosen, hedged_at)],
-            );
+            self.record_loser(call, terms, is_first, &first.target, sent_at);
             self.log_hedge_end(call, Some(is_first), sent_at);
             return Attempts {
                 earlier: None,
@@ -251,26 +245,25 @@
         self.with_hedge_policy(service, |policy| policy.record_attempt(refused));
     }
 
-    /// Records that an attempt is cancelled because the other one was answered first. `attempts` are the servers of the
-    /// first attempt and of the hedged request, and when they were sent. To the throttle, the cancelled one counts as
-    /// accepted, since its server had not refused it.
+    /// Records that an attempt is cancelled because the other one was answered first: the first attempt, which was sent to
+    /// `first` at `sent_at`, unless it won. A hedged request that loses reveals nothing about its server, since it had less
+    /// time. To the throttle, the cancelled attempt counts as accepted, since its server had not refused it.
     fn record_loser(
         &self,
         call: &Call,
         terms: &CallTerms<'_>,
         has_first_won: bool,
-        attempts: [(&Candidate, Ms); 2],
+        first: &Target,
+        sent_at: Ms,
     ) {
         let now = self.clock.now();
-        let (loser, sent_at) = attempts[usize::from(has_first_won)];
-        let took = now - sent_at;
         if !has_first_won {
+            let took = now - sent_at;
             self.with_hedge_policy(&call.service, |policy| {
                 policy.record_cancelled(&terms.route.name, took, now);
             });
+            self.balancer.borrow_mut().record_cancelled(first, took, now);
         }
-        let mut balancer = self.balancer.borrow_mut();
-        balancer.record_cancelled(&loser.target, took, now);
         let mut throttle = self.service_throttle.borrow_mut();
         throttle.record_accepted(&call.service, &call.kind, now);
     }
--- a/tests/hedge_world/mod.rs
+++ b/tests/hedge_world/mod.rs
@@ -433,8 +433,8 @@
         let target = self.candidates[self.attempts[loser].server].target.clone();
         let entry = &mut self.entries[self.calls[call].entry];
         entry.balancer.record_end(&target, Signal::None, self.now);
-        entry.balancer.record_cancelled(&target, took, self.now);
         if is_hedge {
+            entry.balancer.record_cancelled(&target, took, self.now);
             entry.policy.record_cancelled(ROUTE, took, self.now);
         }
         entry.throttle.record_accepted(SERVICE, ROUTE, self.now);
