--- a/src/daemon/evacuation.rs
+++ b/src/daemon/evacuation.rs
@@ -189,5 +189,6 @@
             server.warmup.set(warmup);
         }
         self.update_limits();
+        self.warmups_changed.notify_one();
     }
 }
