--- a/benches/placement/strategy.rs
+++ b/benches/placement/strategy.rs
@@ -244,7 +244,6 @@
             is_draining: world.servers[*i].is_draining,
             domain_use: DomainUse::default(),
             side: Some(side(world.servers[*i].is_second_half)),
-            ..ServerView::default()
         });
         let ranges = (0..world.ranges.len()).map(|r| {
             let range = &world.ranges[r];
