Take the time and the work of a call at the same moment

The clock could advance between the two readings at the end of a call, so that the usual work of a call differed from its measured time by 1 ms at servers that report no load. server_load and server_limit of the platform pass.

--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -165,7 +165,7 @@
         self.with_route_budget(&call.service, |budget| budget.earn());
         loop {
             if let Some(route) = &mut call.route {
-                // A further refusal must leave the call another try, which is then no longer the last one.
+                // The last try that refusals leave must not end because the server is slow just now.
                 route.has_other_server = refusals + 1 < REFUSALS_MAX;
             }
             let (result, target) = self.send_attempt(&mut call, terms, &tried).await;
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -69,10 +69,11 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let took = self.has_run.get().then(|| self.age());
+        let now = self.gate.clock.now();
+        let took = self.has_run.get().then(|| now - self.taken_at);
         {
             let mut queue = self.gate.queue.borrow_mut();
-            let work_ms = queue.work_done_ms(self.gate.clock.now()) - self.work_done_ms;
+            let work_ms = queue.work_done_ms(now) - self.work_done_ms;
             queue.finish_work(self.kind, took, work_ms);
         }
         self.gate.clone().assign_free_slots();
@@ -169,11 +170,12 @@
     }
 
     fn new_slot(self: &Rc<Self>, kind: u64) -> Slot {
+        let now = self.clock.now();
         Slot {
             gate: self.clone(),
             kind,
-            taken_at: self.clock.now(),
-            work_done_ms: self.queue.borrow().work_done_ms(self.clock.now()),
+            taken_at: now,
+            work_done_ms: self.queue.borrow().work_done_ms(now),
             has_run: Cell::new(false),
         }
     }
