--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -176,7 +176,7 @@
         self.earn_hedge(&call.service);
         loop {
             if let Some(route) = &mut call.route {
-                // A further refusal must leave the call another try, which is then no longer the last one.
+                // The last try that refusals leave must not end because the server is slow just now.
                 route.has_other_server = refusals + 1 < REFUSALS_MAX;
             }
             let Attempts {
--- a/src/daemon/slot_gate.rs
+++ b/src/daemon/slot_gate.rs
@@ -75,10 +75,11 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let took = self.has_run.get().then(|| self.age());
+        let now = self.gate.clock.now();
+        let took = self.has_run.get().then(|| now - self.taken_at);
         {
             let mut queue = self.gate.queue.borrow_mut();
-            let work_ms = queue.work_done_ms(self.gate.clock.now()) - self.work_done_ms;
+            let work_ms = queue.work_done_ms(now) - self.work_done_ms;
             queue.finish_work(self.kind, took, work_ms);
         }
         self.gate.clone().assign_free_slots();
