--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -48,9 +48,7 @@
         let _active_call = ActiveCall::new(&self);
         let (result, request_id) = match request {
             Ok(request) => self.parse_and_run(request).await,
-            Err(BodyError::TooLarge) => (CallResult::failed(Reason::TooLarge), String::new()),
-            Err(BodyError::Incomplete) => (CallResult::failed(Reason::IncompleteRequest), String::new()),
-            Err(BodyError::NoMemory) => (CallResult::failed(Reason::NoMemory), String::new()),
+            Err(error) => (error.call_result(), String::new()),
         };
         self.metrics
             .call(result.outcome.word(), self.clock.now() - started);
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,6 +1,13 @@
 use {
     super::connection::{Connection, ConnectionLog, STOP_GRACE},
-    crate::{event::Event, log_event, memory::MemoryBudget, settings::CallerLimits},
+    crate::{
+        call::{CallResult, Reason},
+        clock::Ms,
+        event::Event,
+        log_event,
+        memory::MemoryBudget,
+        settings::CallerLimits,
+    },
     bytes::Bytes,
     http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri},
     serde::Serialize,
@@ -17,6 +24,10 @@
 /// Pause after a failed accept, e.g. when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time after which a sender may repeat a request for which the daemon had no memory. It is longer than the time after
+/// which stalled bodies are refused.
+const NO_MEMORY_RETRY_AFTER: Ms = Ms(2000);
+
 /// A request with its whole body.
 #[derive(Debug)]
 pub struct HttpRequest {
@@ -43,6 +54,20 @@
     NoMemory,
 }
 
+impl BodyError {
+    /// Returns the result of a call whose body could not be received. The call has not been run.
+    pub fn call_result(self) -> CallResult {
+        match self {
+            Self::TooLarge => CallResult::failed(Reason::TooLarge),
+            Self::Incomplete => CallResult::failed(Reason::IncompleteRequest),
+            Self::NoMemory => CallResult {
+                retry_after: NO_MEMORY_RETRY_AFTER,
+                ..CallResult::failed(Reason::NoMemory)
+            },
+        }
+    }
+}
+
 /// A response with its whole body.
 pub type HttpResponse = Response<Bytes>;
 
@@ -172,7 +197,8 @@
         BodyError::NoMemory => {
             let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now");
             let headers = response.headers_mut();
-            headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+            let seconds = HeaderValue::from(NO_MEMORY_RETRY_AFTER.as_secs_ceil());
+            headers.insert(header::RETRY_AFTER, seconds);
             response
         }
     }
