--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -24,7 +24,7 @@
 /// Pause after a failed accept, e.g. when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time after which a sender may repeat a request for which the daemon had no memory. It is longer than the time after
+/// Time after which a caller may repeat a request for which the daemon had no memory. It is longer than the time after
 /// which stalled bodies are refused.
 const NO_MEMORY_RETRY_AFTER: Ms = Ms(2000);
 
@@ -197,8 +197,7 @@
         BodyError::NoMemory => {
             let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now");
             let headers = response.headers_mut();
-            let seconds = HeaderValue::from(NO_MEMORY_RETRY_AFTER.as_secs_ceil());
-            headers.insert(header::RETRY_AFTER, seconds);
+            headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
             response
         }
     }
