Log connections that are closed before their callers have received everything

CF1007 named a connection only while the HTTP library still had a part of the answer. The stage `delivering` and the number of unacknowledged bytes now do. When connections end is not changed.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -4,6 +4,7 @@
         head_timer::HeadTimer,
         linger::Linger,
         request_scanner::RequestScanner,
+        send_queues::SendQueues,
     },
     crate::clock::Ms,
     hyper::rt::{Read, ReadBufCursor, Write},
@@ -36,6 +37,7 @@
 pub(super) struct CallerStream {
     stream: TokioIo<TcpStream>,
     state: Rc<ConnectionState>,
+    send_queues: Rc<SendQueues>,
     head_timer: HeadTimer,
     scanner: RequestScanner,
     /// Bytes that were received and not yet given to the HTTP library.
@@ -53,12 +55,18 @@
 
 impl CallerStream {
     /// Returns the stream of a connection. It fails once a head takes longer than `head_timeout`.
-    pub fn new(stream: TcpStream, state: Rc<ConnectionState>, head_timeout: Ms) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        state: Rc<ConnectionState>,
+        send_queues: Rc<SendQueues>,
+        head_timeout: Ms,
+    ) -> Self {
         Self {
             stream: TokioIo::new(stream),
             writes_vectored: state.writing().is_limited(),
             head_timer: HeadTimer::new(state.clone(), head_timeout),
             state,
+            send_queues,
             scanner: RequestScanner::default(),
             received: Vec::new(),
             reader: None,
@@ -208,15 +216,17 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            ready!(self.poll_write_pending(cx))?;
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
         let Self { stream, linger, .. } = &mut *self;
-        if let Some(linger) = linger {
-            return linger.poll(stream.inner_mut(), cx).map(Ok);
+        ready!(linger
+            .get_or_insert_with(Linger::new)
+            .poll(stream.inner_mut(), cx));
+        if let Some(undelivered) = self.send_queues.undelivered(self.stream.inner()) {
+            self.state.record_undelivered(undelivered);
         }
-        ready!(self.poll_write_pending(cx))?;
-        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-        let mut linger = Linger::new();
-        let ended = linger.poll(self.stream.inner_mut(), cx);
-        self.linger = Some(linger);
-        ended.map(Ok)
+        Poll::Ready(Ok(()))
     }
 }
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -1,9 +1,10 @@
 use {
     super::{
         caller_stream::CallerStream,
-        connection_state::{ConnectionState, Stage},
+        connection_state::ConnectionState,
         http_server::{BodyError, HttpRequest, HttpResponse},
         request_scanner::BodyLength,
+        send_queues::SendQueues,
     },
     crate::{
         clock::Clock,
@@ -63,12 +64,12 @@
         }
     }
 
-    fn record_cut(&self, from: SocketAddr, stage: Stage, is_stopping: bool, error: &str) {
+    fn record_cut(&self, from: SocketAddr, state: &ConnectionState, error: &str) {
         if let Some(suppressed) = self.limit.borrow_mut().pass(Clock::System.now()) {
             log_event!(
                 self.log, Event::AnswerCutOff;
-                "from" => from.to_string(), "stage" => stage.word(), "stopping" => is_stopping, "error" => error,
-                "suppressed" => suppressed
+                "from" => from.to_string(), "stage" => state.stage().word(), "stopping" => state.is_stopping(),
+                "undelivered" => state.undelivered(), "error" => error, "suppressed" => suppressed
             );
         }
     }
@@ -84,10 +85,8 @@
 
 impl Drop for CutGuard {
     fn drop(&mut self) {
-        let stage = self.state.stage();
-        if stage.owes_answer() {
-            self.log
-                .record_cut(self.from, stage, self.state.is_stopping(), &self.error);
+        if self.state.stage().owes_answer() {
+            self.log.record_cut(self.from, &self.state, &self.error);
         }
     }
 }
@@ -101,6 +100,7 @@
     pub limits: L,
     pub stop: watch::Receiver<bool>,
     pub log: Rc<ConnectionLog>,
+    pub send_queues: Rc<SendQueues>,
     /// Budget from which the bodies of requests get their memory.
     pub budget: MemoryBudget,
     pub handler: H,
@@ -120,6 +120,7 @@
             limits,
             mut stop,
             log,
+            send_queues,
             budget,
             handler,
         } = self;
@@ -135,7 +136,7 @@
             from,
             error: "the process ends".into(),
         };
-        let stream = CallerStream::new(stream, state.clone(), initial_limits.head_timeout);
+        let stream = CallerStream::new(stream, state.clone(), send_queues, initial_limits.head_timeout);
         let service_state = state.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let (limits, handler, state) = (limits(), handler.clone(), service_state.clone());
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -20,6 +20,8 @@
     Serving,
     /// The answer to a request is being written.
     Answering,
+    /// The connection is shut down, and its caller has not received all that was written.
+    Delivering,
 }
 
 impl Stage {
@@ -31,12 +33,13 @@
             Self::Body => "body",
             Self::Serving => "serving",
             Self::Answering => "answering",
+            Self::Delivering => "delivering",
         }
     }
 
-    /// Returns whether a whole request has been received that is not completely answered.
+    /// Returns whether a whole request has been received whose caller does not have the complete answer.
     pub fn owes_answer(self) -> bool {
-        matches!(self, Self::Serving | Self::Answering)
+        matches!(self, Self::Serving | Self::Answering | Self::Delivering)
     }
 }
 
@@ -50,6 +53,8 @@
     has_ahead: Cell<bool>,
     /// Whether the answer that is being written announces the end of the connection.
     announces_close: Cell<bool>,
+    /// Number of written bytes that the caller has not received, as far as known.
+    undelivered: Cell<u32>,
     stop: watch::Receiver<bool>,
     became_idle: Notify,
     /// The response that is being written.
@@ -65,6 +70,7 @@
             body_length: Cell::default(),
             has_ahead: Cell::default(),
             announces_close: Cell::default(),
+            undelivered: Cell::default(),
             stop,
             became_idle: Notify::new(),
             writing,
@@ -136,6 +142,20 @@
         ends_answer
     }
 
+    pub fn undelivered(&self) -> u32 {
+        self.undelivered.get()
+    }
+
+    /// Records how many of the written bytes the caller has not received. The connection is shut down.
+    pub fn record_undelivered(&self, bytes: u32) {
+        self.undelivered.set(bytes);
+        match (self.stage.get(), bytes) {
+            (Stage::Delivering, 0) => self.stage.set(Stage::Idle),
+            (Stage::Idle, 1..) => self.stage.set(Stage::Delivering),
+            _ => {}
+        }
+    }
+
     /// Waits until no request is in progress or has been read in part.
     pub async fn wait_until_idle(&self) {
         while self.stage.get() != Stage::Idle || self.has_ahead.get() {
