Keep connections open until their callers have received the answer

A caller that reads slowly lost the rest of an answer of status 200: after 2 s without a byte from it, its connection was closed, and the next byte that it sent made the kernel drop what was left in the send buffer. A process that stopped ended at that moment.

Cause: what was written to a socket counted as delivered. A connection that is shut down now stays open until its caller has acknowledged everything, and has then had 2 s to close it, or takes no more bytes for the idle time-out.

The other tests of connections pass as before.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -2,9 +2,7 @@
     super::{
         connection_state::{ConnectionState, Stage},
         head_timer::HeadTimer,
-        linger::Linger,
         request_scanner::RequestScanner,
-        send_queues::SendQueues,
     },
     crate::clock::Ms,
     hyper::rt::{Read, ReadBufCursor, Write},
@@ -31,13 +29,11 @@
 const BUF_BYTES: usize = 8192;
 
 /// A caller's connection. It gives the HTTP library the bytes of one request at a time. It adds the outcome to error
-/// responses that the library generates, e.g. for a malformed head, and fails once a head takes too long. Its shutdown
-/// lasts until the caller has closed it as well.
+/// responses that the library generates, e.g. for a malformed head, and fails once a head takes too long.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TokioIo<TcpStream>,
     state: Rc<ConnectionState>,
-    send_queues: Rc<SendQueues>,
     head_timer: HeadTimer,
     scanner: RequestScanner,
     /// Bytes that were received and not yet given to the HTTP library.
@@ -46,8 +42,6 @@
     reader: Option<Waker>,
     /// The part of an error response that is still to be written.
     pending: Vec<u8>,
-    /// Set once the connection is shut down for writing.
-    linger: Option<Linger>,
     /// Whether the library passes on a response in parts instead of copying it into one buffer. The copy would not be
     /// accounted for in the budget of memory.
     writes_vectored: bool,
@@ -55,26 +49,24 @@
 
 impl CallerStream {
     /// Returns the stream of a connection. It fails once a head takes longer than `head_timeout`.
-    pub fn new(
-        stream: TcpStream,
-        state: Rc<ConnectionState>,
-        send_queues: Rc<SendQueues>,
-        head_timeout: Ms,
-    ) -> Self {
+    pub fn new(stream: TcpStream, state: Rc<ConnectionState>, head_timeout: Ms) -> Self {
         Self {
             stream: TokioIo::new(stream),
             writes_vectored: state.writing().is_limited(),
             head_timer: HeadTimer::new(state.clone(), head_timeout),
             state,
-            send_queues,
             scanner: RequestScanner::default(),
             received: Vec::new(),
             reader: None,
             pending: Vec::new(),
-            linger: None,
         }
     }
 
+    /// Returns the socket.
+    pub fn into_inner(self) -> TcpStream {
+        self.stream.into_inner()
+    }
+
     /// Reads from the socket. Returns the number of bytes, which is 0 at the end of the stream.
     fn poll_receive(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut bytes = [0; BUF_BYTES];
@@ -216,17 +208,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
-            ready!(self.poll_write_pending(cx))?;
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-        }
-        let Self { stream, linger, .. } = &mut *self;
-        ready!(linger
-            .get_or_insert_with(Linger::new)
-            .poll(stream.inner_mut(), cx));
-        if let Some(undelivered) = self.send_queues.undelivered(self.stream.inner()) {
-            self.state.record_undelivered(undelivered);
-        }
-        Poll::Ready(Ok(()))
+        ready!(self.poll_write_pending(cx))?;
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -3,6 +3,7 @@
         caller_stream::CallerStream,
         connection_state::ConnectionState,
         http_server::{BodyError, HttpRequest, HttpResponse},
+        linger::Linger,
         request_scanner::BodyLength,
         send_queues::SendQueues,
     },
@@ -22,7 +23,9 @@
     },
     hyper_util::rt::TokioTimer,
     slog::Logger,
-    std::{cell::RefCell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::RefCell, convert::Infallible, future::Future, net::SocketAddr, pin::Pin, rc::Rc, time::Duration,
+    },
     tokio::{
         net::TcpStream,
         sync::watch,
@@ -136,7 +139,7 @@
             from,
             error: "the process ends".into(),
         };
-        let stream = CallerStream::new(stream, state.clone(), send_queues, initial_limits.head_timeout);
+        let stream = CallerStream::new(stream, state.clone(), initial_limits.head_timeout);
         let service_state = state.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let (limits, handler, state) = (limits(), handler.clone(), service_state.clone());
@@ -158,35 +161,53 @@
                 Ok::<_, Infallible>(response.map(Full::new))
             }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(initial_limits.idle_timeout.as_duration())
             .max_buf_size(initial_limits.head_bytes.max(HEAD_BYTES_MIN))
             .serve_connection(stream, service);
-        let mut connection = std::pin::pin!(connection);
         let stopped = async {
             let _ = stop.wait_for(|stop| *stop).await;
             sleep(STOP_GRACE).await;
             state.wait_until_idle().await;
         };
+        let mut pinned = Pin::new(&mut connection);
         let serving = async {
             tokio::select! {
             // A request that has arrived is read before the connection is shut down.
             biased;
-            served = connection.as_mut() => served,
+            served = pinned.as_mut() => served,
             () = stopped => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                pinned.as_mut().graceful_shutdown();
+                pinned.await
             }
             }
         };
-        cut_guard.error = tokio::select! {
-            served = serving => served.err().map_or_else(String::new, |e| e.to_string()),
-            () = state.writing().refused() => "it is not read while memory is short".into(),
+        let served = tokio::select! {
+            served = serving => served,
+            () = state.writing().refused() => {
+                cut_guard.error = "it is not read while memory is short".into();
+                return;
+            }
         };
+        if is_closed_in_order(&served) {
+            let linger = Linger {
+                stream: connection.into_parts().io.into_inner(),
+                state,
+                send_queues,
+                stall_timeout: initial_limits.idle_timeout,
+            };
+            linger.run().await;
+        }
+        cut_guard.error = served.err().map_or_else(String::new, |e| e.to_string());
     }
 }
 
+/// Returns whether the HTTP library has written all that it had to write. It answers malformed requests itself.
+fn is_closed_in_order(served: &hyper::Result<()>) -> bool {
+    served.as_ref().err().is_none_or(hyper::Error::is_parse)
+}
+
 fn body_length(request: &Request<Incoming>) -> BodyLength {
     let exact = request.body().size_hint().exact();
     exact.map_or(BodyLength::Chunked, BodyLength::Exact)
--- a/src/edge/linger.rs
+++ b/src/edge/linger.rs
@@ -1,54 +1,111 @@
 use {
-    std::{
-        future::Future,
-        pin::Pin,
-        task::{Context, Poll},
-        time::Duration,
-    },
+    super::{connection_state::ConnectionState, send_queues::SendQueues},
+    crate::clock::{Clock, Ms},
+    std::rc::Rc,
     tokio::{
-        io::{AsyncRead, ReadBuf},
+        io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        time::{sleep, Instant, Sleep},
+        time::sleep,
     },
 };
 
-/// Time without bytes from the caller after which its connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest time for which bytes are discarded.
-const TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a caller that has received everything may go on without sending a byte or closing its connection.
+const SILENCE_TIMEOUT: Ms = Ms(2000);
+/// Longest time for which the bytes of a caller that has received everything are discarded.
+const DISCARD_TIMEOUT: Ms = Ms(10_000);
+/// Interval at which it is checked what the caller has received.
+const CHECK_INTERVAL: Ms = Ms(250);
 /// Number of bytes that are discarded at a time.
 const BUF_BYTES: usize = 4096;
 
-/// Discards what a caller still sends on a connection that is shut down for writing. Closing a socket with unread bytes
-/// resets the connection, and the caller loses the part of the answer that it has not received yet.
+/// Decides how long a connection that is shut down for writing stays open.
+///
+/// Closing a socket with unread bytes, or bytes that arrive after its close, reset the connection, and the caller loses
+/// what it has not received yet. So the connection stays open until the caller closes it as well, has received everything
+/// and had time to close it, or takes no more bytes.
 #[derive(Debug)]
-pub(super) struct Linger {
-    idle: Pin<Box<Sleep>>,
-    end: Pin<Box<Sleep>>,
+struct LingerTimer {
+    began: Ms,
+    /// When the caller last sent or took bytes.
+    progress_at: Ms,
+    /// Number of bytes that the caller had not received at the last check.
+    undelivered: u32,
+    /// Time without progress after which a caller that has not received everything is given up.
+    stall_timeout: Ms,
 }
 
-impl Linger {
-    pub fn new() -> Self {
+impl LingerTimer {
+    fn new(stall_timeout: Ms, now: Ms) -> Self {
         Self {
-            idle: Box::pin(sleep(IDLE_TIMEOUT)),
-            end: Box::pin(sleep(TIMEOUT)),
+            began: now,
+            progress_at: now,
+            undelivered: 0,
+            stall_timeout,
+        }
+    }
+
+    fn record_received(&mut self, now: Ms) {
+        // A caller that sends and does not read makes no progress.
+        if self.undelivered == 0 {
+            self.progress_at = now;
+        }
+    }
+
+    /// Returns whether the connection may be closed. `undelivered` is the number of bytes that the caller has not received.
+    fn is_over(&mut self, undelivered: u32, now: Ms) -> bool {
+        if self.undelivered != undelivered {
+            self.undelivered = undelivered;
+            self.progress_at = now;
+        }
+        match undelivered {
+            0 => now - self.progress_at >= SILENCE_TIMEOUT || now - self.began >= DISCARD_TIMEOUT,
+            _ => now - self.progress_at >= self.stall_timeout,
         }
     }
+}
+
+/// A connection that ends, and what is known about it.
+pub(super) struct Linger {
+    pub stream: TcpStream,
+    pub state: Rc<ConnectionState>,
+    pub send_queues: Rc<SendQueues>,
+    /// Time without progress after which a caller that has not received everything is given up.
+    pub stall_timeout: Ms,
+}
 
-    /// Returns ready once the caller has closed the connection as well, or has had the time to do so.
-    pub fn poll(&mut self, stream: &mut TcpStream, cx: &mut Context<'_>) -> Poll<()> {
-        let mut discarded = [0; BUF_BYTES];
+impl Linger {
+    /// Shuts the connection down for writing and discards what its caller still sends, until it may be closed.
+    pub async fn run(mut self) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let clock = Clock::System;
+        let mut timer = LingerTimer::new(self.stall_timeout, clock.now());
+        let mut discarded = vec![0; BUF_BYTES];
+        let mut is_ended = false;
         loop {
-            if self.end.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(());
-            }
-            let mut buf = ReadBuf::new(&mut discarded);
-            match Pin::new(&mut *stream).poll_read(cx, &mut buf) {
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
-                    self.idle.as_mut().reset(Instant::now() + IDLE_TIMEOUT);
+            let received = tokio::select! {
+                received = self.stream.read(&mut discarded), if !is_ended => Some(received),
+                () = sleep(CHECK_INTERVAL.as_duration()) => None,
+            };
+            match received {
+                Some(Ok(1..)) => {
+                    timer.record_received(clock.now());
+                    if clock.now() - timer.began < DISCARD_TIMEOUT {
+                        continue;
+                    }
                 }
-                Poll::Ready(_) => return Poll::Ready(()),
-                Poll::Pending => return self.idle.as_mut().poll(cx),
+                // A caller that has ended its side sends nothing that could reset the connection, so that the kernel delivers the
+                // rest after the close, unless the process ends.
+                Some(Ok(0)) if !self.state.is_stopping() => return,
+                Some(Ok(0)) => is_ended = true,
+                Some(Err(_)) => return,
+                None => {}
+            }
+            let undelivered = self.send_queues.undelivered(&self.stream).unwrap_or(0);
+            self.state.record_undelivered(undelivered);
+            if is_ended && undelivered == 0 || timer.is_over(undelivered, clock.now()) {
+                return;
             }
         }
     }
