Deliver answers that are in send buffers when a connection is idle for too long

The idle time-out runs from the moment at which an answer was written to the socket. A caller that read for longer lost the rest with the next byte that it sent, since the connection was dropped without waiting for it.

A connection that ends for a time-out is now handled like one that is closed in order if its caller has not received everything. The time after which a caller that takes no bytes is given up is a constant: a window opens again only once half of the receive buffer was read, and idle time-outs may be shorter than that (500 ms in the test, which failed with the idle time-out in this place).

--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -24,7 +24,8 @@
     hyper_util::rt::TokioTimer,
     slog::Logger,
     std::{
-        cell::RefCell, convert::Infallible, future::Future, net::SocketAddr, pin::Pin, rc::Rc, time::Duration,
+        cell::RefCell, convert::Infallible, error::Error, future::Future, io, net::SocketAddr, pin::Pin,
+        rc::Rc, time::Duration,
     },
     tokio::{
         net::TcpStream,
@@ -190,22 +191,46 @@
                 return;
             }
         };
-        if is_closed_in_order(&served) {
-            let linger = Linger {
-                stream: connection.into_parts().io.into_inner(),
-                state,
-                send_queues,
-                stall_timeout: initial_limits.idle_timeout,
-            };
-            linger.run().await;
+        let linger = Linger {
+            stream: connection.into_parts().io.into_inner(),
+            state,
+            send_queues,
+        };
+        match ConnectionEnd::of(&served) {
+            ConnectionEnd::InOrder => linger.run().await,
+            ConnectionEnd::TimedOut => linger.run_if_undelivered().await,
+            ConnectionEnd::Failed => {}
         }
         cut_guard.error = served.err().map_or_else(String::new, |e| e.to_string());
     }
 }
 
-/// Returns whether the HTTP library has written all that it had to write. It answers malformed requests itself.
-fn is_closed_in_order(served: &hyper::Result<()>) -> bool {
-    served.as_ref().err().is_none_or(hyper::Error::is_parse)
+/// How the HTTP library ended a connection.
+enum ConnectionEnd {
+    /// Everything was written that had to be written.
+    InOrder,
+    /// The connection was idle, or a head was not completed in time.
+    TimedOut,
+    /// The connection was lost.
+    Failed,
+}
+
+impl ConnectionEnd {
+    fn of(served: &hyper::Result<()>) -> Self {
+        match served {
+            Ok(()) => Self::InOrder,
+            Err(e) if e.is_timeout() || is_timed_out(e) => Self::TimedOut,
+            // The library answers malformed requests itself.
+            Err(e) if e.is_parse() => Self::InOrder,
+            Err(_) => Self::Failed,
+        }
+    }
+}
+
+/// Returns whether the stream of the connection failed because a head was not completed in time.
+fn is_timed_out(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|e| e.downcast_ref::<io::Error>());
+    source.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut)
 }
 
 fn body_length(request: &Request<Incoming>) -> BodyLength {
--- a/src/edge/linger.rs
+++ b/src/edge/linger.rs
@@ -13,6 +13,9 @@
 const SILENCE_TIMEOUT: Ms = Ms(2000);
 /// Longest time for which the bytes of a caller that has received everything are discarded.
 const DISCARD_TIMEOUT: Ms = Ms(10_000);
+/// Time without progress after which a caller that has not received everything is given up. A receive buffer of 128 KB
+/// that is read at 10 KB/s takes more bytes after over 6 s.
+const STALL_TIMEOUT: Ms = Ms(15_000);
 /// Interval at which it is checked what the caller has received.
 const CHECK_INTERVAL: Ms = Ms(250);
 /// Number of bytes that are discarded at a time.
@@ -30,17 +33,14 @@
     progress_at: Ms,
     /// Number of bytes that the caller had not received at the last check.
     undelivered: u32,
-    /// Time without progress after which a caller that has not received everything is given up.
-    stall_timeout: Ms,
 }
 
 impl LingerTimer {
-    fn new(stall_timeout: Ms, now: Ms) -> Self {
+    fn new(now: Ms) -> Self {
         Self {
             began: now,
             progress_at: now,
             undelivered: 0,
-            stall_timeout,
         }
     }
 
@@ -59,7 +59,7 @@
         }
         match undelivered {
             0 => now - self.progress_at >= SILENCE_TIMEOUT || now - self.began >= DISCARD_TIMEOUT,
-            _ => now - self.progress_at >= self.stall_timeout,
+            _ => now - self.progress_at >= STALL_TIMEOUT,
         }
     }
 }
@@ -69,18 +69,29 @@
     pub stream: TcpStream,
     pub state: Rc<ConnectionState>,
     pub send_queues: Rc<SendQueues>,
-    /// Time without progress after which a caller that has not received everything is given up.
-    pub stall_timeout: Ms,
 }
 
 impl Linger {
+    /// Shuts the connection down for writing, and goes on as [`Self::run`] does if its caller has not received everything.
+    pub async fn run_if_undelivered(mut self) {
+        if self.stream.shutdown().await.is_ok() && self.check_undelivered() > 0 {
+            self.run().await;
+        }
+    }
+
+    fn check_undelivered(&self) -> u32 {
+        let undelivered = self.send_queues.undelivered(&self.stream).unwrap_or(0);
+        self.state.record_undelivered(undelivered);
+        undelivered
+    }
+
     /// Shuts the connection down for writing and discards what its caller still sends, until it may be closed.
     pub async fn run(mut self) {
         if self.stream.shutdown().await.is_err() {
             return;
         }
         let clock = Clock::System;
-        let mut timer = LingerTimer::new(self.stall_timeout, clock.now());
+        let mut timer = LingerTimer::new(clock.now());
         let mut discarded = vec![0; BUF_BYTES];
         let mut is_ended = false;
         loop {
@@ -102,8 +113,7 @@
                 Some(Err(_)) => return,
                 None => {}
             }
-            let undelivered = self.send_queues.undelivered(&self.stream).unwrap_or(0);
-            self.state.record_undelivered(undelivered);
+            let undelivered = self.check_undelivered();
             if is_ended && undelivered == 0 || timer.is_over(undelivered, clock.now()) {
                 return;
             }
