Write answers to callers that have ended their sending side

A caller that ended its sending side while its answer was written lost the rest of it: the stream reported the end to the HTTP library, which took the connection for lost. Once the answer is ready, nothing is saved by that, and the caller may still read. The end is now reported after the answer. A caller that is gone resets the connection with the next bytes that are written to it.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -38,6 +38,8 @@
     scanner: RequestScanner,
     /// Bytes that were received and not yet given to the HTTP library.
     received: Vec<u8>,
+    /// Whether the caller has ended its sending side.
+    is_ended: bool,
     /// Wakes the library, which waits for the next request, once the one before it is answered.
     reader: Option<Waker>,
     /// The part of an error response that is still to be written.
@@ -57,6 +59,7 @@
             state,
             scanner: RequestScanner::default(),
             received: Vec::new(),
+            is_ended: false,
             reader: None,
             pending: Vec::new(),
         }
@@ -76,15 +79,17 @@
         Poll::Ready(Ok(buf.filled().len()))
     }
 
-    /// Polls a connection whose request is complete and not answered. Returns ready if the caller has closed it. The next
-    /// request is read at most once, and not at all when the connection is going to end.
+    /// Polls a connection whose request is complete and not answered. Returns ready if the caller has closed it before its
+    /// answer was ready: once it is, a caller that has ended its sending side may still read. The next request is read at
+    /// most once, and not at all when the connection is going to end.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.received.is_empty() && !self.state.ends_after_answer() {
+        if self.received.is_empty() && !self.state.ends_after_answer() && !self.is_ended {
             let count = ready!(self.poll_receive(cx))?;
-            if count == 0 {
+            self.is_ended = count == 0;
+            if self.is_ended && self.state.stage() != Stage::Answering {
                 return Poll::Ready(Ok(()));
             }
-            self.state.set_ahead(true);
+            self.state.set_ahead(!self.is_ended);
         }
         self.reader = Some(cx.waker().clone());
         Poll::Pending
