--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -15,7 +15,7 @@
     std::{cell::RefCell, collections::HashMap, future::Future, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::mpsc,
+        sync::{mpsc, watch},
         task::{spawn_local, AbortHandle},
         time::sleep,
     },
@@ -32,6 +32,32 @@
 /// Accepts links from other daemons and answers their requests with `handler`. If the handler returns `None`, no
 /// answer is sent.
 pub async fn serve_links<H, F>(listener: TcpListener, identity: LinkIdentity, log: Logger, handler: H)
+where
+    H: Fn(Body) -> F + Clone + 'static,
+    F: Future<Output = Option<Body>> + 'static,
+{
+    let (_never_tx, never_stop) = watch::channel(false);
+    serve_links_until(listener, identity, log, never_stop, handler).await;
+}
+
+/// Does the same until `stop` is true.
+pub async fn serve_links_until<H, F>(
+    listener: TcpListener,
+    identity: LinkIdentity,
+    log: Logger,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Body) -> F + Clone + 'static,
+    F: Future<Output = Option<Body>> + 'static,
+{
+    tokio::select! {
+        () = accept_links(listener, identity, log, handler) => {}
+        Ok(_) = stop.wait_for(|stop| *stop) => {}
+    }
+}
+
+async fn accept_links<H, F>(listener: TcpListener, identity: LinkIdentity, log: Logger, handler: H)
 where
     H: Fn(Body) -> F + Clone + 'static,
     F: Future<Output = Option<Body>> + 'static,
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -20,6 +20,6 @@
     key_ring::KeyRing,
     link_client::Links,
     link_error::LinkError,
-    link_server::serve_links,
+    link_server::{serve_links, serve_links_until},
     silence_detector::{LinkCheck, SilenceDetector},
 };
