Links end in order at a stop: peers learn what has not been run

Cause: a daemon ended its links with its process. Answers in the queue of a link, or unread at the peer while bytes lay in the socket of the daemon, were lost, and a call that arrived unread ended as peer-lost (502, may have run).

Change: GoAway names the highest correlation id that the stopping daemon has handed to a handler. The peer ends all later requests as not sent and keeps waiting for the answers to the others; the daemon writes these, shuts the connection down for writing and reads on until the peer closes it, for at most 2 s (CF3006). CF3002 tells whether the end was announced. The control role of a stopping daemon ends before its links. The last 300 ms of a stop that takes its whole time are left for the links. A session that the daemon has ended itself is not followed by another one, since the process now lives on.

An older daemon ignores GoAway, and gets its answers and the end of the connection (link_end::older_peer_answered).

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -5,11 +5,11 @@
         Node,
     },
     crate::{
-        clock::Clock,
+        clock::{Clock, Ms},
         control::{start_control, ControlConfig, ControlHandle, ControlInput},
         edge,
         event::Event,
-        link::{serve_links, KeyRing, LinkIdentity, Links},
+        link::{serve_links_until, KeyRing, LinkIdentity, Links},
         log_event,
         metrics::Metrics,
         settings::Settings,
@@ -22,7 +22,7 @@
         iterator::Signals,
     },
     slog::Logger,
-    std::{net::SocketAddr, rc::Rc, thread, time::Duration},
+    std::{future::Future, net::SocketAddr, pin::pin, rc::Rc, thread, time::Duration},
     tokio::{
         net::TcpListener,
         runtime::Builder,
@@ -45,6 +45,9 @@
 /// Longest time for the ranges to move away while the daemon stops, before it refuses new calls.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time before the end of a stop at which the links end even if calls still run. Peers need a round trip and their answers.
+const LINKS_END_RESERVE: Ms = Ms(300);
+
 /// Longest wait for the requests of servers and operators that are in progress when the calls have ended.
 const REQUEST_STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -217,9 +220,14 @@
 
     spawn_local(cx.clone().reload_keys(identity.keys.clone(), reload));
     let peer_cx = cx.clone();
-    spawn_local(serve_links(peer_listener, identity, log.clone(), move |body| {
-        peer_cx.clone().serve_peer(body)
-    }));
+    let (links_stop_tx, links_stop) = watch::channel(false);
+    let links_task = spawn_local(serve_links_until(
+        peer_listener,
+        identity,
+        log.clone(),
+        links_stop,
+        move |body| peer_cx.clone().serve_peer(body),
+    ));
     spawn_local(cx.clone().send_control_messages(messages));
     spawn_local(cx.clone().maintain_session());
     spawn_local(cx.clone().watch_clock());
@@ -235,12 +243,17 @@
 
     wait_for_stop(stop).await;
     log_event!(log, Event::StopRequested; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
+    let links_ended = async {
+        if let Some(control) = &cx.control {
+            // A leader whose links have ended would still send to its followers and delay their election.
+            control.send(ControlInput::Stop);
+        }
+        let _ = links_stop_tx.send(true);
+        let _ = links_task.await;
+    };
     // The rest of the answers is cut off if their callers do not read them in time.
-    let _ = timeout(
-        cx.settings.stop_timeout.as_duration(),
-        stop_daemon(&cx, caller_task),
-    )
-    .await;
+    let stopped = stop_daemon(cx.settings.stop_timeout, end_calls(&cx, caller_task), links_ended);
+    let _ = timeout(cx.settings.stop_timeout.as_duration(), stopped).await;
     log_event!(log, Event::DaemonStopped; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
     Ok(())
 }
@@ -257,9 +270,24 @@
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
+/// Waits until the calls and the session have ended, and then until the links have. The last [`LINKS_END_RESERVE`] of the
+/// stop are left for the links, while callers may still read their answers.
+async fn stop_daemon(
+    stop_timeout: Ms,
+    calls_ended: impl Future<Output = ()>,
+    links_ended: impl Future<Output = ()>,
+) {
+    let reserve = LINKS_END_RESERVE.min(Ms(stop_timeout.0 / 4));
+    let mut calls_ended = pin!(calls_ended);
+    match timeout((stop_timeout - reserve).as_duration(), &mut calls_ended).await {
+        Ok(()) => links_ended.await,
+        Err(_) => drop(tokio::join!(calls_ended, links_ended)),
+    }
+}
+
 /// Waits until the running calls have ended, then ends the session unless servers still hold keys under it. If servers
 /// take orders, their ranges are moved away first.
-async fn stop_daemon(cx: &Rc<DaemonCx>, caller_task: Option<JoinHandle<()>>) {
+async fn end_calls(cx: &Rc<DaemonCx>, caller_task: Option<JoinHandle<()>>) {
     cx.is_stopping.set(true);
     if !cx.fetches_grants {
         move_ranges_away(cx).await;
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -101,7 +101,9 @@
                     let applied = self.state().applied();
                     log_event!(self.log, Event::ConfigurationLags; "session" => session, "applied" => applied);
                 }
-                Some((_, Renewal::Ended)) => return,
+                // A session that this daemon ended itself is not followed by another one.
+                Some((_, Renewal::Ended)) if self.session.get() == Some(session) => return,
+                Some((_, Renewal::Ended)) => {}
                 None => {}
             }
             let is_valid = self.lease.is_valid(self.clock.now());
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -120,6 +120,8 @@
     LinkFailed = "CF3004", Warning, "link could not be opened";
     /// A link carried nothing although its connection was open, and was replaced by a new one.
     LinkReplaced = "CF3005", Warning, "silent link replaced";
+    /// The process stops and closes links that their peers have not closed in time.
+    LinksCut = "CF3006", Warning, "links cut off at the stop";
     /// An operator's request was refused.
     OperatorRefused = "CF3101", Warning, "operator refused";
     /// An announcement of a backend server was refused.
--- a/src/link/link_client.rs
+++ b/src/link/link_client.rs
@@ -55,8 +55,8 @@
     /// silent and has been replaced.
     ///
     /// # Errors
-    /// Returns `NotSent` if no link could be opened or the link was lost before the request was written, and `Lost` if
-    /// it was lost before the answer arrived.
+    /// Returns `NotSent` if no link could be opened, the link was lost before the request was written, or the peer stops and
+    /// has not taken it, and `Lost` if the link was lost before the answer arrived.
     pub async fn request(&self, address: &str, body: Body) -> Result<Body, LinkError> {
         while may_repeat(&body) {
             match self.get_or_open(address).await?.request(body.clone()).await {
@@ -164,7 +164,8 @@
             };
             log_event!(
                 self.log, Event::LinkClosed;
-                "peer" => address, "silent_ms" => end.silence.0, "pending" => end.pending
+                "peer" => address, "silent_ms" => end.silence.0, "pending" => end.pending,
+                "announced" => end.is_peer_leaving, "not_taken" => end.not_taken
             );
         });
         link
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -9,6 +9,8 @@
 mod link_server;
 mod open_link;
 mod read_meter;
+mod request_intake;
+mod served_requests;
 mod silence_detector;
 mod socket;
 
@@ -21,5 +23,6 @@
     link_client::Links,
     link_error::LinkError,
     link_server::{serve_links, serve_links_until},
+    request_intake::RequestIntake,
     silence_detector::{LinkCheck, SilenceDetector},
 };
--- a/src/link/open_link.rs
+++ b/src/link/open_link.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         clock::{Clock, Ms},
-        wire::peer::{frame::Body, CallCancel, Frame, Ping},
+        wire::peer::{frame::Body, CallCancel, Frame, GoAway, Ping},
     },
     futures_util::{
         stream::{SplitSink, SplitStream},
@@ -78,6 +78,10 @@
     meter: ReadMeter,
     detector: RefCell<SilenceDetector>,
     written: Notify,
+    /// Whether the peer takes no more requests.
+    is_peer_leaving: Cell<bool>,
+    /// Number of requests that the peer did not take since it was leaving.
+    not_taken: Cell<usize>,
 }
 
 /// The part of a link that serves its socket.
@@ -98,6 +102,8 @@
             meter: stream.codec().meter(),
             detector: RefCell::default(),
             written: Notify::new(),
+            is_peer_leaving: Cell::new(false),
+            not_taken: Cell::new(0),
         });
         let socket = LinkSocket {
             stream,
@@ -109,15 +115,18 @@
 
     /// Returns whether the link takes no more frames.
     pub fn is_closed(&self) -> bool {
-        self.tx.is_closed()
+        self.tx.is_closed() || self.state.is_peer_leaving.get()
     }
 
     /// Sends a request and waits for its answer. A request that is dropped while it is queued is not sent any more.
     ///
     /// # Errors
-    /// Returns `NotSent` if the link was lost before the request was written, `Lost` if it was lost before the answer
-    /// arrived, and `Replaced` if the link is no longer used.
+    /// Returns `NotSent` if the link was lost before the request was written or the peer has not taken it, `Lost` if the
+    /// link was lost before the answer arrived, and `Replaced` if the link is no longer used.
     pub async fn request(&self, body: Body) -> Result<Body, RequestFailure> {
+        if self.state.is_peer_leaving.get() {
+            return Err(RequestFailure::Failed(peer_leaving()));
+        }
         let correlation = self.state.next_correlation.get();
         self.state.next_correlation.set(correlation + 1);
         let (tx, rx) = oneshot::channel();
@@ -147,8 +156,11 @@
     /// Queues a message that has no answer. The message may still be lost after this returns.
     ///
     /// # Errors
-    /// Returns `NotSent` if the link was closed.
+    /// Returns `NotSent` if the link was closed or the peer takes no more messages.
     pub async fn send(&self, body: Body) -> Result<(), LinkError> {
+        if self.state.is_peer_leaving.get() {
+            return Err(peer_leaving());
+        }
         let frame = Frame {
             correlation: 0,
             body: Some(body),
@@ -167,12 +179,21 @@
     }
 }
 
+/// Returns the error of a request that the peer has not taken since it is leaving.
+fn peer_leaving() -> LinkError {
+    LinkError::NotSent("the peer takes no more requests".to_owned())
+}
+
 /// What is known about a link at its end.
 pub(super) struct LinkEnd {
     /// Time since bytes were last received.
     pub silence: Ms,
     /// Number of requests that were waiting for their answers.
     pub pending: usize,
+    /// Whether the peer had stated that it takes no more requests.
+    pub is_peer_leaving: bool,
+    /// Number of requests that it did not take.
+    pub not_taken: usize,
 }
 
 /// Handle to a link for the task that replaces it once it is silent.
@@ -237,7 +258,7 @@
     /// Ends the requests of a link that was replaced, except calls that the peer may have received.
     pub fn abandon_requests(&self) {
         self.state.end_requests(
-            |request| !request.is_call || !request.is_written,
+            |_, request| !request.is_call || !request.is_written,
             |is_written| RequestFailure::Replaced { is_written },
         );
     }
@@ -255,25 +276,45 @@
         let end = LinkEnd {
             silence: Clock::System.now() - state.meter.received_at(),
             pending: state.pending.borrow().len(),
+            is_peer_leaving: state.is_peer_leaving.get(),
+            not_taken: state.not_taken.get(),
         };
-        state.end_requests(|_| true, |is_written| RequestFailure::Failed(closed(is_written)));
+        state.end_requests(
+            |_, _| true,
+            |is_written| RequestFailure::Failed(closed(is_written)),
+        );
         end
     }
 }
 
 impl LinkState {
-    /// Ends those pending requests that `is_ended` selects, with a failure that depends on whether they are written.
+    /// Ends those pending requests that `is_ended` selects by correlation id and state, with a failure that depends on
+    /// whether they are written. Returns their number.
     fn end_requests(
         &self,
-        is_ended: impl Fn(&PendingRequest) -> bool,
+        is_ended: impl Fn(u64, &PendingRequest) -> bool,
         failure: impl Fn(bool) -> RequestFailure,
-    ) {
+    ) -> usize {
         let mut pending = self.pending.borrow_mut();
-        let ended = pending.iter().filter(|(_, request)| is_ended(request));
+        let ended = pending
+            .iter()
+            .filter(|(correlation, request)| is_ended(**correlation, request));
         let ended: Vec<u64> = ended.map(|(correlation, _)| *correlation).collect();
         for request in ended.iter().filter_map(|correlation| pending.remove(correlation)) {
             let _ = request.tx.send(Err(failure(request.is_written)));
         }
+        ended.len()
+    }
+
+    /// Sends no more requests, since the peer takes none. Those that it has not taken end as not run; answers to the others
+    /// are still received.
+    fn record_leaving_peer(&self, go_away: GoAway) {
+        self.is_peer_leaving.set(true);
+        let not_taken = self.end_requests(
+            |correlation, request| !request.is_written || correlation > go_away.last_taken,
+            |_| RequestFailure::Failed(peer_leaving()),
+        );
+        self.not_taken.set(self.not_taken.get() + not_taken);
     }
 
     /// Marks the request of a frame as written. Returns false if nobody waits for its answer any more, so that it must
@@ -334,6 +375,10 @@
 
     async fn read_answers(&self, mut source: SplitStream<FrameStream>) {
         while let Some(Ok(frame)) = source.next().await {
+            if let Some(Body::GoAway(go_away)) = frame.body {
+                self.record_leaving_peer(go_away);
+                continue;
+            }
             let waiting = self.pending.borrow_mut().remove(&frame.correlation);
             if let (Some(request), Some(body)) = (waiting, frame.body) {
                 let _ = request.tx.send(Ok(body));
--- a/tests/link_end.rs
+++ b/tests/link_end.rs
@@ -4,9 +4,11 @@
 use {
     clementinefold::{
         call::Call,
-        link::{serve_links_until, KeyRing, LinkError, LinkIdentity, Links},
-        wire::peer::{frame::Body, CallAnswer},
+        link::{serve_links_until, FrameCodec, KeyRing, LinkError, LinkIdentity, Links, RequestIntake},
+        wire::peer::{frame::Body, CallAnswer, Frame},
     },
+    futures_util::{stream::SplitSink, SinkExt, StreamExt},
+    prost::Message,
     std::{
         net::SocketAddr,
         rc::Rc,
@@ -25,6 +27,7 @@
         task::{spawn_local, JoinHandle, LocalSet},
         time::{sleep, timeout},
     },
+    tokio_util::codec::Framed,
 };
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -192,6 +195,37 @@
     }
 }
 
+/// Passes the frames of one link on to the process. Those that it sends pass through `edit`. Returns the address of the
+/// relay.
+async fn relay_frames(process: &Process, edit: fn(Frame) -> Vec<Frame>) -> String {
+    type Stream = Framed<TcpStream, FrameCodec>;
+    async fn pass(
+        mut from: futures_util::stream::SplitStream<Stream>,
+        mut to: SplitSink<Stream, Frame>,
+        edit: fn(Frame) -> Vec<Frame>,
+    ) {
+        while let Some(Ok(frame)) = from.next().await {
+            for frame in edit(frame) {
+                let _ = to.send(frame).await;
+            }
+        }
+        let _ = to.close().await;
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let process_address = process.address;
+    spawn_local(async move {
+        let (near, _) = listener.accept().await.unwrap();
+        drop(listener);
+        let far = TcpStream::connect(process_address).await.unwrap();
+        let (near_tx, near_rx) = Framed::new(near, FrameCodec::for_hello()).split();
+        let (far_tx, far_rx) = Framed::new(far, FrameCodec::for_hello()).split();
+        spawn_local(pass(near_rx, far_tx, |frame| vec![frame]));
+        spawn_local(pass(far_rx, near_tx, edit));
+    });
+    address
+}
+
 fn run_test<F: std::future::Future<Output = ()>>(test: F) {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async { timeout(WAIT_TIMEOUT, test).await.unwrap() });
@@ -291,3 +325,71 @@
         process.wait_for_end().await;
     });
 }
+
+/// Guards against a stop that loses answers of a peer of an older version, which does not know the message that ends a
+/// link and goes on sending calls.
+#[test]
+fn older_peer_answered() {
+    run_test(async {
+        let process = Process::start();
+        let without_go_away = |frame: Frame| match frame.body {
+            Some(Body::GoAway(_)) => Vec::new(),
+            _ => vec![frame],
+        };
+        let address = relay_frames(&process, without_go_away).await;
+        let links = Rc::new(Links::new(identity(), CONNECT_TIMEOUT, no_log()));
+        let send = |id: &str| {
+            let (links, address, body) = (links.clone(), address.clone(), call(id));
+            spawn_local(async move { links.request(&address, body).await })
+        };
+        let slow = send("slow");
+        process.wait_until_taken("slow").await;
+        process.stop().await;
+        let late = send("late");
+        assert_eq!(body_bytes(slow.await.unwrap()), 0);
+        let late = late.await.unwrap();
+        assert!(matches!(late, Err(LinkError::Lost(_))), "{late:?}");
+        assert!(!process.has_taken("late"));
+        process.wait_for_end().await;
+    });
+}
+
+/// Guards against a link that fails on a message of a newer version, e.g. the one that ends a link.
+#[test]
+fn unknown_message_ignored() {
+    // Field 99 with a message of one byte.
+    let unknown = Frame::decode(&[0x9a, 0x06, 0x01, 0x00][..]).unwrap();
+    assert_eq!(unknown, Frame::default());
+    run_test(async {
+        let process = Process::start();
+        let after_unknown = |frame: Frame| match frame.body {
+            Some(Body::CallAnswer(_)) => vec![Frame::default(), frame],
+            _ => vec![frame],
+        };
+        let address = relay_frames(&process, after_unknown).await;
+        let links = Links::new(identity(), CONNECT_TIMEOUT, no_log());
+        for id in ["first", "second"] {
+            assert_eq!(body_bytes(links.request(&address, call(id)).await), 0);
+        }
+    });
+}
+
+/// Guards against a request being reported as not run that was handed to its handler.
+#[test]
+fn taken_requests() {
+    let cases: [(&str, &[u64], u64); 4] = [
+        ("none", &[], 0),
+        ("messages without answers", &[0, 0], 0),
+        ("in order", &[1, 2, 0, 3], 3),
+        ("out of order", &[2, 5, 3], 5),
+    ];
+    for (name, taken, expected) in cases {
+        let mut intake = RequestIntake::default();
+        assert!(taken.iter().all(|id| intake.take(*id)), "{name}");
+        assert_eq!(intake.close().last_taken, expected, "{name}");
+        for id in [0, 1, 9] {
+            assert!(!intake.take(id), "{name}: {id} taken after the end");
+        }
+        assert_eq!(intake.close().last_taken, expected, "{name}: closed again");
+    }
+}
