--- a/tests/link_end.rs
+++ b/tests/link_end.rs
@@ -34,6 +34,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Size of an answer that does not fit into the buffers of a stalled connection.
 const LARGE_ANSWER_BYTES: usize = 12 * 1024 * 1024;
+/// Size of a request that does not fit into the buffers of a stalled connection.
+const LARGE_REQUEST_BYTES: usize = 32 * 1024 * 1024;
 /// Time for which a slow call runs.
 const SLOW_CALL_TIME: Duration = Duration::from_millis(300);
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -170,7 +172,11 @@
 
     /// Sends a call from a task of its own.
     fn send(&self, id: &str) -> JoinHandle<Result<Body, LinkError>> {
-        let (links, address, body) = (self.links.clone(), self.address.clone(), call(id));
+        self.send_body(call(id))
+    }
+
+    fn send_body(&self, body: Body) -> JoinHandle<Result<Body, LinkError>> {
+        let (links, address) = (self.links.clone(), self.address.clone());
         spawn_local(async move { links.request(&address, body).await })
     }
 }
@@ -313,6 +319,34 @@
     });
 }
 
+/// Guards against the same for a call of which a part was sent, and for one that is queued behind it.
+#[test]
+fn partial_call_not_run() {
+    run_test(async {
+        let process = Process::start();
+        let peer = Peer::connect(&process).await;
+        peer.to_process.send(false).unwrap();
+        let partial = peer.send_body(Body::CallRequest(Call {
+            request_id: "partial".into(),
+            body: vec![0; LARGE_REQUEST_BYTES].into(),
+            ..Call::default()
+        }));
+        let queued = peer.send("queued");
+        sleep(Duration::from_millis(50)).await;
+        process.stop().await;
+        for call in [partial, queued] {
+            let call = call.await.unwrap();
+            assert!(matches!(call, Err(LinkError::NotSent(_))), "{call:?}");
+        }
+        peer.to_process.send(true).unwrap();
+        while !process.thread.is_finished() {
+            sleep(CHECK_INTERVAL).await;
+        }
+        assert!(!process.has_taken("partial") && !process.has_taken("queued"));
+        process.wait_for_end().await;
+    });
+}
+
 /// Guards against a stop that waits forever for a peer that does not close its link.
 #[test]
 fn stalled_peer_left() {
