Read at most 16 KiB at a time from servers when memory is limited

The HTTP library sizes the read buffer of a connection by what its reads return, up to 417 KB, and holds up to three such buffers for a connection whose response waits for the budget. None of them is counted: with 80 connections, 32 MB were held and 100 MB resident. With reads of 16 KiB the buffers stay at 32 KiB.

--- a/src/edge/counted_stream.rs
+++ b/src/edge/counted_stream.rs
@@ -1,17 +1,21 @@
 use {
     crate::{clock::Clock, lease::DaemonLease},
-    hyper::rt::{Read, ReadBufCursor, Write},
+    hyper::rt::{Read, ReadBuf, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
     std::{
         cell::Cell,
         io::{self, IoSlice},
         pin::Pin,
         rc::Rc,
-        task::{Context, Poll},
+        task::{ready, Context, Poll},
     },
     tokio::net::TcpStream,
 };
 
+/// Number of bytes that are read at a time if reads are limited. The HTTP library sizes its buffers by what its reads
+/// return, and holds up to three of them for a connection whose response waits for memory: 1.2 MB without the limit.
+const READ_BYTES: usize = 16 * 1024;
+
 /// Counts the bytes of the current request that were sent on one connection, and decides whether more may be sent.
 #[derive(Debug)]
 pub(super) struct SendMeter {
@@ -73,13 +77,16 @@
 pub(super) struct CountedStream {
     stream: TokioIo<TcpStream>,
     meter: Rc<SendMeter>,
+    /// Whether at most [`READ_BYTES`] are read at a time.
+    limits_reads: bool,
 }
 
 impl CountedStream {
-    pub fn new(stream: TcpStream, meter: Rc<SendMeter>) -> Self {
+    pub fn new(stream: TcpStream, meter: Rc<SendMeter>, limits_reads: bool) -> Self {
         Self {
             stream: TokioIo::new(stream),
             meter,
+            limits_reads,
         }
     }
 }
@@ -88,9 +95,16 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if !self.limits_reads || buf.remaining() <= READ_BYTES {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let mut bytes = [0; READ_BYTES];
+        let mut read = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, read.unfilled()))?;
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -227,7 +227,7 @@
             self.lease.clone(),
             self.stopped.clone(),
         ));
-        let stream = CountedStream::new(stream, meter.clone());
+        let stream = CountedStream::new(stream, meter.clone(), self.budget.is_limited());
         let Ok((sender, connection)) = http1::handshake(stream).await else {
             return Err(failed(Reason::ServerUnreachable));
         };
