Fetch large answers of other daemons only when the budget has room

The body of an answer to a forwarded call was counted when it had arrived and always granted, so that an entry daemon held whatever other daemons sent: 336 MB at a budget of 32 MB in a trial with a print-out of the ledger. A larger body stays at the daemon of the server, counted there, until the entry daemon has reserved its memory and fetches it. Bodies for other daemons use up to a half of the budget, so that daemons that hold bodies for each other can still fetch some.

--- a/src/call/call_result.rs
+++ b/src/call/call_result.rs
@@ -96,6 +96,8 @@
             revision,
             load: self.load,
             held_ms: u32::try_from(self.held.0).unwrap_or(u32::MAX),
+            kept_id: 0,
+            kept_bytes: 0,
         }
     }
 }
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -257,32 +257,40 @@
     }
 
     /// Forwards a call to another daemon and waits for its answer.
-    pub(super) async fn forward(&self, call: &Call, peer_address: &str, deadline: Ms) -> CallResult {
+    pub(super) async fn forward(
+        self: &Rc<Self>,
+        call: &Call,
+        peer_address: &str,
+        deadline: Ms,
+    ) -> CallResult {
         let sent_at = self.clock.now();
         let time_left = deadline - sent_at;
         if time_left == Ms::ZERO {
             return CallResult::failed(Reason::DeadlineTooShort);
         }
+        let room = self.answer_room();
         let request = Call {
             deadline_ms: u32::try_from(time_left.0).unwrap_or(u32::MAX),
             revision: self.state().applied(),
+            answer_room: room.as_ref().map(|room| room.bytes() as u64),
             ..call.clone()
         };
-        let request = self.links.request(peer_address, Body::CallRequest(request));
-        match timeout((time_left + FORWARD_GRACE).as_duration(), request).await {
-            Ok(Ok(Body::CallAnswer(answer))) => {
-                let mut result = CallResult::from_wire(answer);
-                result.body = self.budget.keep(result.body);
-                let now = self.clock.now();
-                let delay = now - sent_at - result.held;
-                self.balancer.borrow_mut().record_delay(peer_address, delay, now);
-                result
+        let exchange = async {
+            match self.links.request(peer_address, Body::CallRequest(request)).await {
+                Ok(Body::CallAnswer(answer)) => {
+                    let now = self.clock.now();
+                    let delay = now - sent_at - Ms::from(answer.held_ms);
+                    self.balancer.borrow_mut().record_delay(peer_address, delay, now);
+                    self.receive_answer(peer_address, answer).await
+                }
+                Ok(_) => CallResult::failed(Reason::BadAnswer),
+                Err(LinkError::NotSent(_)) => CallResult::failed(Reason::PeerUnreachable),
+                Err(LinkError::Lost(_)) => CallResult::failed(Reason::PeerLost),
             }
-            Ok(Ok(_)) => CallResult::failed(Reason::BadAnswer),
-            Ok(Err(LinkError::NotSent(_))) => CallResult::failed(Reason::PeerUnreachable),
-            Ok(Err(LinkError::Lost(_))) => CallResult::failed(Reason::PeerLost),
-            Err(_) => CallResult::failed(Reason::ServerLate),
-        }
+        };
+        let exchange = timeout((time_left + FORWARD_GRACE).as_duration(), exchange);
+        let result = exchange.await;
+        result.unwrap_or_else(|_| CallResult::failed(Reason::ServerLate))
     }
 
     /// Runs a call that another daemon forwarded. The call is never forwarded again.
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         decisions::Decisions,
+        kept_answers::KeptAnswers,
         large_answers::LargeAnswers,
         left_servers::LeftServers,
         local_server::{LocalServer, LostServer},
@@ -45,6 +46,7 @@
     /// Budget of the memory that others make this process hold.
     pub budget: MemoryBudget,
     pub large_answers: LargeAnswers,
+    pub kept_answers: KeptAnswers,
     /// Links for calls and guards.
     pub links: Links,
     /// Links for requests to control hosts. They are separate, so that such a request never waits behind calls to the
@@ -168,6 +170,7 @@
         let budget = MemoryBudget::of_process(parts.settings.memory_bytes, parts.clock.clone());
         Self {
             large_answers: LargeAnswers::new(budget.limit()),
+            kept_answers: KeptAnswers::default(),
             budget,
             settings: parts.settings,
             clock: parts.clock,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,6 +17,7 @@
 mod guarded_call;
 mod heartbeat;
 mod hedged_attempt;
+mod kept_answers;
 mod key_reload;
 mod large_answers;
 mod left_servers;
--- a/src/daemon/peer_handler.rs
+++ b/src/daemon/peer_handler.rs
@@ -1,6 +1,7 @@
 use {
     super::daemon_cx::DaemonCx,
     crate::{
+        clock::Ms,
         control::ControlInput,
         wire::{consensus::Envelope, peer::frame::Body},
     },
@@ -15,10 +16,14 @@
         match body {
             Body::CallRequest(call) => {
                 let started = self.clock.now();
+                let (room, deadline) = (call.answer_room, started + Ms::from(call.deadline_ms));
                 let mut result = self.run_forwarded(call).await;
                 result.held = self.clock.now() - started;
-                Some(Body::CallAnswer(result.into_wire(self.state().applied())))
+                let mut answer = result.into_wire(self.state().applied());
+                self.keep_large_body(&mut answer, room, deadline);
+                Some(Body::CallAnswer(answer))
             }
+            Body::AnswerFetch(fetch) => Some(Body::AnswerBody(self.serve_answer_fetch(&fetch))),
             Body::GuardCopy(copy) => Some(Body::GuardCopyAnswer(self.store_guard_copy(copy))),
             Body::GuardFetch(fetch) => Some(Body::GuardFetchAnswer(self.serve_guard_fetch(&fetch))),
             Body::OpenSession(req) => self
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -277,7 +277,7 @@
             self.no_reuse_until.set(self.clock.now() + NO_REUSE_PERIOD);
             return Err(Reason::BadAnswer);
         }
-        let body = self.read_body(body).await?;
+        let body = self.read_body(body, attempt).await?;
         let announced_timeout = self.dialect.keep_alive_timeout(&parts.headers);
         connection
             .idle_timeout
@@ -306,7 +306,7 @@
 
     /// Reads a body to its end. Waits while the budget has no room. Fails if all bodies that are being read together
     /// exceed the limit.
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, Reason> {
+    async fn read_body(&self, mut body: Incoming, attempt: &Attempt<'_>) -> Result<Bytes, Reason> {
         let mut buffered = BufferedBytes {
             total: &self.buffered_bytes,
             bytes: 0,
@@ -315,7 +315,11 @@
         if length.is_some_and(|n| self.budget.is_limited() && n > self.limits.answer_bytes) {
             return Err(Reason::BadAnswer);
         }
-        let mut buf = ReservedBuf::new(self.budget.reservation(ReservationKind::Response, None), length);
+        let kind = match attempt.call.answer_room {
+            Some(_) => ReservationKind::ForwardedResponse,
+            None => ReservationKind::Response,
+        };
+        let mut buf = ReservedBuf::new(self.budget.reservation(kind, None), length);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Reason::BadAnswer)?;
             if let Ok(data) = frame.into_data() {
--- a/src/memory/ledger.rs
+++ b/src/memory/ledger.rs
@@ -25,6 +25,9 @@
     Kept,
     /// A response that is being read from a server. It may wait and is not refused.
     Response,
+    /// A response that is being read from a server for another daemon, which fetches it once it has room. It may wait and
+    /// is not refused.
+    ForwardedResponse,
     /// A response that is being written to a caller. Its bytes are accounted for by another reservation, and its end frees them.
     /// It may be refused: its connection is then closed.
     Writing,
@@ -59,6 +62,8 @@
     progress: usize,
     /// Whether the bytes are those of a response, also once it is complete.
     is_response: bool,
+    /// Whether the bytes are those of a response for another daemon, also once it is complete.
+    is_forwarded: bool,
 }
 
 impl Entry {
@@ -66,7 +71,10 @@
     fn freed_bytes(&self) -> usize {
         match self.kind {
             ReservationKind::Writing => self.wanted,
-            ReservationKind::Body | ReservationKind::Kept | ReservationKind::Response => self.bytes,
+            ReservationKind::Body
+            | ReservationKind::Kept
+            | ReservationKind::Response
+            | ReservationKind::ForwardedResponse => self.bytes,
         }
     }
 
@@ -79,7 +87,9 @@
         let limit = match self.kind {
             ReservationKind::Body => STALL_TIME,
             ReservationKind::Writing => WRITE_STALL_TIME,
-            ReservationKind::Kept | ReservationKind::Response => return false,
+            ReservationKind::Kept | ReservationKind::Response | ReservationKind::ForwardedResponse => {
+                return false
+            }
         };
         self.state == ReservationState::Held && now - self.progress_at >= limit
     }
@@ -102,13 +112,16 @@
 /// are none, a reservation that waits itself, since reservations may wait for each other; if there are none either, the slowest body.
 ///
 /// Large bodies use up to a half of the budget, all bodies up to three quarters, and responses the whole, since a
-/// response that is not read was computed in vain.
+/// response that is not read was computed in vain. Those for other daemons use up to a half, since they are held until
+/// these have room: daemons that hold responses for each other must have room left to fetch some.
 #[derive(Debug)]
 pub struct Ledger {
     limit: usize,
     held: usize,
     /// Bytes held by responses that are being read or are complete.
     response_bytes: usize,
+    /// The part of these that belongs to responses for other daemons.
+    forwarded_bytes: usize,
     waiting: usize,
     next_id: u64,
     /// Sorted by id.
@@ -122,6 +135,7 @@
             limit,
             held: 0,
             response_bytes: 0,
+            forwarded_bytes: 0,
             waiting: 0,
             next_id: 1,
             entries: Vec::new(),
@@ -167,7 +181,11 @@
             began: now,
             progress_at: now,
             progress: 0,
-            is_response: kind == ReservationKind::Response,
+            is_response: matches!(
+                kind,
+                ReservationKind::Response | ReservationKind::ForwardedResponse
+            ),
+            is_forwarded: kind == ReservationKind::ForwardedResponse,
         });
         id
     }
@@ -302,6 +320,9 @@
         if entry.is_response {
             self.response_bytes -= bytes;
         }
+        if entry.is_forwarded {
+            self.forwarded_bytes -= bytes;
+        }
     }
 
     /// Returns whether the bytes that a reservation wants fit. One request always fits if nothing else is held, and one response
@@ -310,7 +331,12 @@
         let others = self.held - entry.bytes;
         let (cap, is_alone) = match entry.kind {
             ReservationKind::Kept | ReservationKind::Writing => return true,
-            ReservationKind::Response => (self.limit, self.response_bytes == entry.bytes),
+            ReservationKind::ForwardedResponse if self.forwarded_bytes + entry.wanted > self.limit / 2 => {
+                return self.response_bytes == entry.bytes;
+            }
+            ReservationKind::Response | ReservationKind::ForwardedResponse => {
+                (self.limit, self.response_bytes == entry.bytes)
+            }
             ReservationKind::Body if entry.is_small() => (self.limit / 4 * 3, others == 0),
             ReservationKind::Body => (self.limit / 2, others == 0),
         };
@@ -324,6 +350,9 @@
         if entry.is_response {
             self.response_bytes += entry.wanted;
         }
+        if entry.is_forwarded {
+            self.forwarded_bytes += entry.wanted;
+        }
         entry.wanted = 0;
         // The wait was not the fault of the sender.
         entry.progress_at = now;
@@ -444,7 +473,8 @@
     match entry.kind {
         ReservationKind::Kept | ReservationKind::Writing => 0,
         ReservationKind::Response => 1,
-        ReservationKind::Body if entry.is_small() => 2,
-        ReservationKind::Body => 3,
+        ReservationKind::ForwardedResponse => 2,
+        ReservationKind::Body if entry.is_small() => 3,
+        ReservationKind::Body => 4,
     }
 }
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -158,6 +158,33 @@
     assert_eq!(ledger.settle(START + WRITE_STALL_TIME).refused, [writing]);
 }
 
+/// Guards against daemons that hold responses for each other and have no room left to fetch any.
+#[test]
+fn forwarded_share() {
+    let mut ledger = Ledger::new(LIMIT);
+    let mut request = |kind, bytes| {
+        let id = ledger.open(kind, None, START);
+        (id, ledger.request(id, bytes, START))
+    };
+    let (forwarded, state) = request(ReservationKind::ForwardedResponse, LIMIT / 2);
+    assert_eq!(state, ReservationState::Held);
+    let (next, state) = request(ReservationKind::ForwardedResponse, LARGE);
+    assert_eq!(state, ReservationState::Waiting);
+    let (own, state) = request(ReservationKind::Response, LIMIT / 2);
+    assert_eq!(
+        state,
+        ReservationState::Held,
+        "it is not behind those of other daemons"
+    );
+    // The share counts until the response has left, also once it is complete.
+    ledger.keep(forwarded);
+    assert!(ledger.close(own, START).granted.is_empty());
+    assert_eq!(ledger.close(forwarded, START).granted, [next]);
+    ledger.close(next, START);
+    let single = ledger.open(ReservationKind::ForwardedResponse, None, START);
+    assert_eq!(ledger.request(single, 3 * LIMIT, START), ReservationState::Held);
+}
+
 #[test]
 fn responses_not_refused() {
     let mut ledger = Ledger::new(LIMIT);
