Reserve the whole response of a server at once

Responses took their memory as they arrived. Responses without a declared length still take their memory as they arrive.

--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -320,6 +320,9 @@
             None => ReservationKind::Response,
         };
         let mut buf = ReservedBuf::new(self.budget.reservation(kind, None), length);
+        if self.budget.is_limited() {
+            buf.reserve_length().await.map_err(|_| Reason::BadAnswer)?;
+        }
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Reason::BadAnswer)?;
             if let Ok(data) = frame.into_data() {
--- a/src/memory/reserved_buf.rs
+++ b/src/memory/reserved_buf.rs
@@ -30,6 +30,19 @@
         &self.reservation
     }
 
+    /// Reserves the memory for the whole body if its length was announced, so that bodies that are partly received do not
+    /// wait for each other.
+    ///
+    /// # Errors
+    /// Returns an error if the reservation was refused.
+    pub async fn reserve_length(&mut self) -> Result<(), Refused> {
+        if let Some(length) = self.length {
+            self.reservation.reserve(length).await?;
+            self.buf.reserve_exact(length);
+        }
+        Ok(())
+    }
+
     /// Appends `data`. Waits while the budget has no room.
     ///
     /// # Errors
