Let small responses overtake large ones that wait for memory

Responses waited in one line, so that the response of an ordinary call waited behind a large one until that had room, also when the budget had room for the small one.

--- a/src/memory/ledger.rs
+++ b/src/memory/ledger.rs
@@ -331,7 +331,10 @@
         let others = self.held - entry.bytes;
         let (cap, is_alone) = match entry.kind {
             ReservationKind::Kept | ReservationKind::Writing => return true,
-            ReservationKind::ForwardedResponse if self.forwarded_bytes + entry.wanted > self.limit / 2 => {
+            // Small ones are sent on at once: they do not wait for the room of other daemons.
+            ReservationKind::ForwardedResponse
+                if !entry.is_small() && self.forwarded_bytes + entry.wanted > self.limit / 2 =>
+            {
                 return self.response_bytes == entry.bytes;
             }
             ReservationKind::Response | ReservationKind::ForwardedResponse => {
@@ -472,9 +475,10 @@
 fn class_of(entry: &Entry) -> u8 {
     match entry.kind {
         ReservationKind::Kept | ReservationKind::Writing => 0,
-        ReservationKind::Response => 1,
-        ReservationKind::ForwardedResponse => 2,
-        ReservationKind::Body if entry.is_small() => 3,
-        ReservationKind::Body => 4,
+        ReservationKind::Response | ReservationKind::ForwardedResponse if entry.is_small() => 1,
+        ReservationKind::Response => 2,
+        ReservationKind::ForwardedResponse => 3,
+        ReservationKind::Body if entry.is_small() => 4,
+        ReservationKind::Body => 5,
     }
 }
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -185,6 +185,23 @@
     assert_eq!(ledger.request(single, 3 * LIMIT, START), ReservationState::Held);
 }
 
+/// Guards against ordinary calls that wait behind large responses for which there is no room.
+#[test]
+fn small_responses_first() {
+    let mut ledger = Ledger::new(LIMIT);
+    let mut request = |kind, bytes| {
+        let id = ledger.open(kind, None, START);
+        ledger.request(id, bytes, START)
+    };
+    let kinds = [ReservationKind::Response, ReservationKind::ForwardedResponse];
+    assert_eq!(request(kinds[0], LIMIT / 4), ReservationState::Held);
+    assert_eq!(request(kinds[1], LIMIT / 2), ReservationState::Held);
+    for kind in kinds {
+        assert_eq!(request(kind, LIMIT / 2), ReservationState::Waiting);
+        assert_eq!(request(kind, SMALL_BYTES), ReservationState::Held);
+    }
+}
+
 #[test]
 fn responses_not_refused() {
     let mut ledger = Ledger::new(LIMIT);
