--- a/src/daemon/kept_answers.rs
+++ b/src/daemon/kept_answers.rs
@@ -34,6 +34,7 @@
 pub(super) struct KeptAnswers {
     /// Sorted by id.
     bodies: RefCell<Vec<(u64, Bytes)>>,
+    /// Room of this daemon for the answers to calls that it has forwarded, beyond [`ROOM_BYTES`] each.
     promised_bytes: Cell<usize>,
 }
 
