--- a/src/daemon/kept_answers.rs
+++ b/src/daemon/kept_answers.rs
@@ -39,6 +39,11 @@
 }
 
 impl KeptAnswers {
+    /// Returns whether any body is kept.
+    pub fn has_bodies(&self) -> bool {
+        !self.bodies.borrow().is_empty()
+    }
+
     fn insert(&self, id: u64, body: Bytes) {
         let mut bodies = self.bodies.borrow_mut();
         let i = bodies.partition_point(|(other, _)| *other < id);
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -297,7 +297,8 @@
         let _ = caller_task.await;
     }
     cx.refuses_calls.set(true);
-    while cx.running_calls.get() > 0 {
+    // Other daemons fetch the bodies that are kept for them.
+    while cx.running_calls.get() > 0 || cx.kept_answers.has_bodies() {
         sleep(STOP_CHECK_INTERVAL).await;
     }
     let requests_ended = async {
