--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -16,7 +16,7 @@
         lease::{ConfigAge, ConfigFreshness, DaemonLease, EvacuationGate},
         link::{KeyRing, Links},
         log_event,
-        memory::MemoryBudget,
+        memory::{MemoryBudget, ProcessLimit},
         metrics::{Metric, Metrics},
         placement::LoadMeter,
         route::{Balancer, Candidate, EntryThrottle, FirstArrivals, WeightedRoundRobin},
@@ -42,6 +42,8 @@
     pub clock: Clock,
     pub log: Logger,
     pub metrics: Metrics,
+    /// Memory that this process may use.
+    pub memory: ProcessLimit,
     /// Budget of the memory that others make this process hold.
     pub budget: MemoryBudget,
     pub large_answers: LargeAnswers,
@@ -142,6 +144,7 @@
 
 /// The values that a new [`DaemonCx`] is built from.
 pub(super) struct DaemonParts {
+    pub memory: ProcessLimit,
     pub settings: Settings,
     pub clock: Clock,
     pub log: Logger,
@@ -165,10 +168,11 @@
         }
         let leader = control_hosts.first().cloned().unwrap_or_default();
         let balance = parts.settings.balance;
-        let budget = MemoryBudget::of_process(parts.settings.memory_bytes, parts.clock.clone());
+        let budget = MemoryBudget::of_process(parts.memory.bytes, parts.clock.clone());
         Self {
             large_answers: LargeAnswers::new(budget.limit()),
             budget,
+            memory: parts.memory,
             settings: parts.settings,
             clock: parts.clock,
             log: parts.log,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -11,6 +11,7 @@
         event::Event,
         link::{serve_links, KeyRing, LinkIdentity, Links},
         log_event,
+        memory::{HostGrant, ProcessLimit},
         metrics::Metrics,
         settings::Settings,
         wire::control::{change, EndSession},
@@ -22,7 +23,7 @@
         iterator::Signals,
     },
     slog::Logger,
-    std::{net::SocketAddr, rc::Rc, thread, time::Duration},
+    std::{net::SocketAddr, path::Path, rc::Rc, thread, time::Duration},
     tokio::{
         net::TcpListener,
         runtime::Builder,
@@ -157,6 +158,7 @@
         )?),
     };
     let cx = Rc::new(DaemonCx::new(DaemonParts {
+        memory: ProcessLimit::choose(settings.memory_bytes, HostGrant::read(Path::new("/"))),
         clock: Clock::System,
         metrics: Metrics::new(settings.statsd_address)?,
         links: Links::new(identity.clone(), CALL_CONNECT_TIMEOUT, log.clone()),
@@ -231,7 +233,13 @@
     spawn_local(cx.clone().extend_leases());
     spawn_local(cx.clone().expire_announcements());
     spawn_local(cx.clone().end_warmups());
-    log_event!(log, Event::DaemonStarted; "host" => &cx.settings.host, "peers" => cx.settings.peer_address.to_string());
+    log_event!(
+        log, Event::DaemonStarted;
+        "host" => &cx.settings.host,
+        "peers" => cx.settings.peer_address.to_string(),
+        "memory_bytes" => cx.memory.bytes,
+        "memory_source" => cx.memory.source.as_str(),
+    );
 
     wait_for_stop(stop).await;
     log_event!(log, Event::StopRequested; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -176,12 +176,13 @@
     }
 
     fn record_memory(&self) {
-        if self.budget.is_limited() {
-            let held = self.budget.held() as u64;
-            self.metrics.gauge(Metric::MemoryHeld, &[], held);
-            self.metrics
-                .gauge(Metric::MemoryRefused, &[], self.budget.refused());
-        }
+        let source = self.memory.source.as_str();
+        self.metrics
+            .gauge(Metric::MemoryLimit, &[source], self.memory.bytes);
+        let held = self.budget.held() as u64;
+        self.metrics.gauge(Metric::MemoryHeld, &[], held);
+        self.metrics
+            .gauge(Metric::MemoryRefused, &[], self.budget.refused());
     }
 
     pub(super) fn server_client(&self, address: &str, limits: ServerLimits) -> ServerClient {
--- a/src/memory/budget.rs
+++ b/src/memory/budget.rs
@@ -21,7 +21,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refused;
 
-/// Budget of the bytes that others make a process hold. Clones share the budget.
+/// Budget of the bytes that others make a process hold. Clones share the budget. The default one has no limit; the budget
+/// of a process has one.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryBudget(Option<Arc<Shared>>);
 
@@ -48,12 +49,10 @@
 }
 
 impl MemoryBudget {
-    /// Returns the budget of a process that may use `memory_bytes`, or one without a limit.
-    pub fn of_process(memory_bytes: Option<u64>, clock: Clock) -> Self {
-        let bytes = memory_bytes.map(|bytes| bytes / 100 * BUDGET_PERCENT);
-        bytes.map_or_else(Self::default, |bytes| {
-            Self::new(usize::try_from(bytes).unwrap_or(usize::MAX), clock)
-        })
+    /// Returns the budget of a process that may use `memory_bytes`.
+    pub fn of_process(memory_bytes: u64, clock: Clock) -> Self {
+        let bytes = memory_bytes / 100 * BUDGET_PERCENT;
+        Self::new(usize::try_from(bytes).unwrap_or(usize::MAX), clock)
     }
 
     /// Returns a budget of `bytes`.
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -1,14 +1,18 @@
 //! Budget of the memory that others make a daemon hold.
 
 mod budget;
+mod host_grant;
 mod ledger;
+mod process_limit;
 mod reserved_buf;
 
 pub use {
     budget::{MemoryBudget, Refused, Reservation},
+    host_grant::HostGrant,
     ledger::{
         Ledger, ReservationKind, ReservationState, Settled, PRESSURE_TIME, SMALL_BYTES, STALL_TIME,
         WRITE_STALL_TIME,
     },
+    process_limit::{LimitSource, ProcessLimit, MEMORY_MIN_BYTES},
     reserved_buf::ReservedBuf,
 };
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -81,6 +81,8 @@
     Ranges = "ranges", "gauge", [];
     /// Failure domains whose evacuations are in force at this daemon.
     Evacuations = "evacuations", "gauge", [];
+    /// Memory that the process may use, in bytes, and where this limit comes from.
+    MemoryLimit = "memory_limit", "gauge", ["source"];
     /// Bytes of the budget of memory that requests and responses hold.
     MemoryHeld = "memory_held", "gauge", [];
     /// Requests and responses that were ended since the start of the process because the budget had no room.
--- a/src/settings/settings_checks.rs
+++ b/src/settings/settings_checks.rs
@@ -3,6 +3,7 @@
     crate::{
         clock::Ms,
         event::{level_from_word, LogFormat, LogSettings, LEVEL_WORDS},
+        memory::MEMORY_MIN_BYTES,
         wire::settings as wire,
     },
     std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf},
@@ -21,8 +22,8 @@
 /// Allowed times from a request to stop until the process is killed, in ms.
 const KILLED_AFTER_RANGE_MS: RangeInclusive<f64> = 100.0..=3_600_000.0;
 
-/// Allowed memory of a process, in bytes. With less, little would be left beside the tables of a large cluster.
-const MEMORY_RANGE_BYTES: RangeInclusive<u64> = 33_554_432..=1_099_511_627_776;
+/// Allowed memory of a process, in bytes.
+const MEMORY_RANGE_BYTES: RangeInclusive<u64> = MEMORY_MIN_BYTES..=1_099_511_627_776;
 
 /// Time by which a process ends before it would be killed, or half of the time that it has if that is less.
 const KILL_MARGIN: Ms = Ms(500);
--- a/src/settings/settings_types.rs
+++ b/src/settings/settings_types.rs
@@ -53,7 +53,7 @@
     pub stop_timeout: Ms,
     /// All failure domains of the cluster, sorted. Empty if they are not known.
     pub failure_domains: Vec<String>,
-    /// Memory that the process may use in bytes, or `None` if it is not limited.
+    /// Memory that the process may use in bytes, or `None` if it chooses a limit by what the host grants.
     pub memory_bytes: Option<u64>,
     /// How the daemon decides where calls go.
     pub balance: BalanceSettings,
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -224,7 +224,7 @@
 #[test]
 fn without_limit() {
     run(async {
-        let budget = MemoryBudget::of_process(None, Clock::System);
+        let budget = MemoryBudget::default();
         let reservation = budget.reservation(ReservationKind::Body, client(1));
         reservation.reserve(usize::MAX).await.unwrap();
         reservation.reserve(usize::MAX).await.unwrap();
