--- a/benches/load/mod.rs
+++ b/benches/load/mod.rs
@@ -1,5 +1,8 @@
 //! A small load generator that speaks HTTP/1.1 over plain TCP connections.
 
+// Each bench uses only a part of this module.
+#![allow(dead_code)]
+
 use {
     hdrhistogram::Histogram,
     std::{
@@ -29,6 +32,8 @@
     /// Whether each call carries a request id of its own.
     has_request_id: bool,
     deadline_ms: u32,
+    /// Size of the body of each call. Calls without a body are sent as GET, others as POST.
+    body_bytes: usize,
 }
 
 impl Target {
@@ -39,9 +44,15 @@
             key,
             has_request_id,
             deadline_ms: 5000,
+            body_bytes: 0,
         }
     }
 
+    /// Sets the size of the body of the calls.
+    pub fn with_body(self, body_bytes: usize) -> Self {
+        Self { body_bytes, ..self }
+    }
+
     /// Sets the deadline of the calls.
     pub fn with_deadline(self, deadline_ms: u32) -> Self {
         Self { deadline_ms, ..self }
@@ -171,8 +182,9 @@
             stream
         }
     };
+    let method = if target.body_bytes == 0 { "GET" } else { "POST" };
     let mut request = format!(
-        "GET {} HTTP/1.1\r\nhost: a\r\nfold-call: {call_id}\r\nfold-deadline-ms: {}\r\n",
+        "{method} {} HTTP/1.1\r\nhost: a\r\nfold-call: {call_id}\r\nfold-deadline-ms: {}\r\n",
         target.path, target.deadline_ms
     );
     if !target.key.is_empty() {
@@ -181,7 +193,11 @@
     if target.has_request_id {
         request += &format!("fold-request-id: {call_id}\r\n");
     }
+    if target.body_bytes > 0 {
+        request += &format!("content-length: {}\r\n", target.body_bytes);
+    }
     request += "\r\n";
+    request += &"x".repeat(target.body_bytes);
     let exchange = timeout(EXCHANGE_TIMEOUT, async {
         stream.write_all(request.as_bytes()).await.ok()?;
         read_status(&mut stream).await
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -25,6 +25,8 @@
     pub log_level: &'static str,
     /// Additional arguments of each daemon.
     pub daemon_args: Vec<String>,
+    /// Path of the daemons' program. Benches compare builds.
+    pub daemon_program: String,
 }
 
 impl Default for ClusterPlan {
@@ -36,6 +38,7 @@
             lease: json!({}),
             log_level: "info",
             daemon_args: Vec::new(),
+            daemon_program: env!("CARGO_BIN_EXE_clementined").into(),
         }
     }
 }
@@ -100,6 +103,7 @@
     pub hosts: Vec<Host>,
     pub servers: Vec<Standin>,
     daemon_args: Vec<String>,
+    daemon_program: String,
     agent: Agent,
 }
 
@@ -151,6 +155,7 @@
             hosts,
             servers: Vec::new(),
             daemon_args: plan.daemon_args.clone(),
+            daemon_program: plan.daemon_program.clone(),
             agent: config
                 .timeout_global(Some(Duration::from_secs(10)))
                 .build()
@@ -195,12 +200,7 @@
         let log = format!("{}.log", host.name);
         let mut args = vec!["--settings".into(), settings];
         args.extend(self.daemon_args.iter().cloned());
-        host.process = Some(Process::start(
-            env!("CARGO_BIN_EXE_clementined"),
-            &args,
-            self.dir.path(),
-            &log,
-        ));
+        host.process = Some(Process::start(&self.daemon_program, &args, self.dir.path(), &log));
     }
 
     /// Returns the process id of a daemon.
