--- a/src/edge/linger.rs
+++ b/src/edge/linger.rs
@@ -28,7 +28,8 @@
 /// and had time to close it, or takes no more bytes.
 #[derive(Debug)]
 struct LingerTimer {
-    began: Ms,
+    /// When the caller had received everything, or the beginning.
+    delivered_at: Ms,
     /// When the caller last sent or took bytes.
     progress_at: Ms,
     /// Number of bytes that the caller had not received at the last check.
@@ -38,7 +39,7 @@
 impl LingerTimer {
     fn new(now: Ms) -> Self {
         Self {
-            began: now,
+            delivered_at: now,
             progress_at: now,
             undelivered: 0,
         }
@@ -56,9 +57,10 @@
         if self.undelivered != undelivered {
             self.undelivered = undelivered;
             self.progress_at = now;
+            self.delivered_at = now;
         }
         match undelivered {
-            0 => now - self.progress_at >= SILENCE_TIMEOUT || now - self.began >= DISCARD_TIMEOUT,
+            0 => now - self.progress_at >= SILENCE_TIMEOUT || now - self.delivered_at >= DISCARD_TIMEOUT,
             _ => now - self.progress_at >= STALL_TIMEOUT,
         }
     }
@@ -99,12 +101,7 @@
                 () = sleep(CHECK_INTERVAL.as_duration()) => None,
             };
             match received {
-                Some(Ok(1..)) => {
-                    timer.record_received(clock.now());
-                    if clock.now() - timer.began < DISCARD_TIMEOUT {
-                        continue;
-                    }
-                }
+                Some(Ok(1..)) => timer.record_received(clock.now()),
                 // A caller that has ended its side sends nothing that could reset the connection, so that the kernel delivers the
                 // rest after the close, unless the process ends.
                 Some(Ok(0)) if !self.state.is_stopping() => return,
