Refuse calls of other daemons in time although a caller does not read its answer

A stop waited for the answers of all callers before it refused calls of other daemons and waited for those that run. Answers are now delivered beside the rest of the stop, which goes on after a half of its time at the latest. Found by review.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -18,6 +18,7 @@
     },
     anyhow::{Context, Result},
     bytes::Bytes,
+    futures_util::FutureExt,
     signal_hook::{
         consts::{SIGHUP, SIGINT, SIGTERM},
         iterator::Signals,
@@ -28,7 +29,7 @@
         net::TcpListener,
         runtime::Builder,
         sync::{mpsc, watch},
-        task::{spawn_local, JoinHandle, LocalSet},
+        task::{spawn_local, LocalSet},
         time::{sleep, timeout},
     },
 };
@@ -49,6 +50,10 @@
 /// Time before the end of a stop at which the links end even if calls still run. Peers need a round trip and their answers.
 const LINKS_END_RESERVE: Ms = Ms(300);
 
+/// Part of the stop after which calls of other daemons are refused, although callers still wait for their answers or
+/// read them. The calls that run then have the rest of the stop to end.
+const CALLER_WAIT_PERCENT: u64 = 50;
+
 /// Longest wait for the requests of servers and operators that are in progress when the calls have ended.
 const REQUEST_STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -259,8 +264,16 @@
         let _ = links_stop_tx.send(true);
         let _ = links_task.await;
     };
+    let callers_ended = async {
+        if let Some(caller_task) = caller_task {
+            let _ = caller_task.await;
+        }
+    };
+    let callers_ended = callers_ended.shared();
+    let calls_ended = end_calls(&cx, callers_ended.clone());
+    let stopped = stop_daemon(cx.settings.stop_timeout, calls_ended, links_ended);
     // The rest of the answers is cut off if their callers do not read them in time.
-    let stopped = stop_daemon(cx.settings.stop_timeout, end_calls(&cx, caller_task), links_ended);
+    let stopped = async { tokio::join!(stopped, callers_ended) };
     let _ = timeout(cx.settings.stop_timeout.as_duration(), stopped).await;
     log_event!(log, Event::DaemonStopped; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
     Ok(())
@@ -295,15 +308,13 @@
 
 /// Waits until the running calls have ended, then ends the session unless servers still hold keys under it. If servers
 /// take orders, their ranges are moved away first.
-async fn end_calls(cx: &Rc<DaemonCx>, caller_task: Option<JoinHandle<()>>) {
+async fn end_calls(cx: &Rc<DaemonCx>, callers_ended: impl Future<Output = ()>) {
     cx.is_stopping.set(true);
     if !cx.fetches_grants {
         move_ranges_away(cx).await;
     }
-    // Every caller gets its complete answer before the process ends.
-    if let Some(caller_task) = caller_task {
-        let _ = caller_task.await;
-    }
+    let caller_wait = Ms(cx.settings.stop_timeout.0 * CALLER_WAIT_PERCENT / 100);
+    let _ = timeout(caller_wait.as_duration(), callers_ended).await;
     cx.refuses_calls.set(true);
     // Other daemons fetch the bodies that are kept for them.
     while cx.running_calls.get() > 0 || cx.kept_answers.has_bodies() {
