Let one response of its own server fit although a daemon keeps bodies for others

With request bodies in one half of the budget and bodies for other daemons in the other half, two daemons could wait for each other until the deadlines of their calls: the rule that one response always fits counted the bodies for others as well. Found by review; memory_budget::own_response_fits failed before.

--- a/src/memory/ledger.rs
+++ b/src/memory/ledger.rs
@@ -325,8 +325,8 @@
         }
     }
 
-    /// Returns whether the bytes that a reservation wants fit. One request always fits if nothing else is held, and one response
-    /// if no other one is held.
+    /// Returns whether the bytes that a reservation wants fit. One request always fits if nothing else is held. So does one
+    /// response if no other one is held, apart from those for other daemons, which may wait for this one in turn.
     fn fits(&self, entry: &Entry) -> bool {
         let others = self.held - entry.bytes;
         let (cap, is_alone) = match entry.kind {
@@ -337,9 +337,11 @@
             {
                 return self.response_bytes == entry.bytes;
             }
-            ReservationKind::Response | ReservationKind::ForwardedResponse => {
-                (self.limit, self.response_bytes == entry.bytes)
-            }
+            ReservationKind::Response => (
+                self.limit,
+                self.response_bytes - self.forwarded_bytes == entry.bytes,
+            ),
+            ReservationKind::ForwardedResponse => (self.limit, self.response_bytes == entry.bytes),
             ReservationKind::Body if entry.is_small() => (self.limit / 4 * 3, others == 0),
             ReservationKind::Body => (self.limit / 2, others == 0),
         };
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -275,3 +275,17 @@
         assert_eq!(budget.held(), 0);
     });
 }
+
+/// Guards against two daemons whose own responses wait for the room of the other one.
+#[test]
+fn own_response_fits() {
+    let mut ledger = Ledger::new(LIMIT);
+    for kind in [ReservationKind::Kept, ReservationKind::ForwardedResponse] {
+        let id = ledger.open(kind, None, START);
+        assert_eq!(ledger.request(id, LIMIT / 2, START), ReservationState::Held);
+    }
+    let own = ledger.open(ReservationKind::Response, None, START);
+    assert_eq!(ledger.request(own, LARGE, START), ReservationState::Held);
+    let next = ledger.open(ReservationKind::Response, None, START);
+    assert_eq!(ledger.request(next, LARGE, START), ReservationState::Waiting);
+}
