--- a/src/daemon/kept_answers.rs
+++ b/src/daemon/kept_answers.rs
@@ -170,7 +170,7 @@
             is_discarded: false,
         };
         let fetched = self.links.request(peer_address, Body::AnswerFetch(fetch)).await;
-        kept.is_fetched = true;
+        kept.is_fetched = matches!(fetched, Ok(Body::AnswerBody(_)));
         match fetched {
             Ok(Body::AnswerBody(AnswerBody { body: Some(body) })) if body.len() as u64 == bytes => {
                 result.body = reservation.keep(body);
