Give the promised room of an answer back when the answer has arrived

A call that waited to fetch its body kept the promise, so that other calls were told of less room than there was. Found by review, read only.

--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -278,6 +278,7 @@
         let exchange = async {
             match self.links.request(peer_address, Body::CallRequest(request)).await {
                 Ok(Body::CallAnswer(answer)) => {
+                    drop(room);
                     let now = self.clock.now();
                     let delay = now - sent_at - Ms::from(answer.held_ms);
                     self.balancer.borrow_mut().record_delay(peer_address, delay, now);
