--- a/src/memory/budget.rs
+++ b/src/memory/budget.rs
@@ -51,7 +51,7 @@
 impl MemoryBudget {
     /// Returns the budget of a process that may use `memory_bytes`.
     pub fn of_process(memory_bytes: u64, clock: Clock) -> Self {
-        let bytes = memory_bytes / 100 * BUDGET_PERCENT;
+        let bytes = memory_bytes * BUDGET_PERCENT / 100;
         Self::new(usize::try_from(bytes).unwrap_or(usize::MAX), clock)
     }
 
