Close connections of callers that take no bytes of their answers for 15 s

A caller that did not read its answer had no time limit while memory was not short. With as many of them as the limit of connections, no ordinary caller was accepted.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -43,7 +43,7 @@
     received: Vec<u8>,
     /// Whether the caller has ended its sending side.
     is_ended: bool,
-    /// Set while a caller that has ended its sending side takes no bytes.
+    /// Set while the caller takes no bytes of its answer.
     stall_timer: Option<Pin<Box<Sleep>>>,
     /// Wakes the library, which waits for the next request, once the one before it is answered.
     reader: Option<Waker>,
@@ -101,14 +101,14 @@
         Poll::Pending
     }
 
-    /// Records a write of the HTTP library. Fails if a caller that has ended its sending side takes no bytes: it has probably
-    /// left, and no other time limit applies to it.
+    /// Records a write of the HTTP library. Fails if the caller takes no bytes for long, since no other time limit applies while
+    /// an answer is written, and connections are limited.
     fn poll_written(
         &mut self,
         cx: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if written.is_ready() || !self.is_ended {
+        if written.is_ready() {
             self.stall_timer = None;
             if let Poll::Ready(Ok(count)) = &written {
                 self.state.writing().record_progress(*count);
--- a/tests/undelivered_answers.rs
+++ b/tests/undelivered_answers.rs
@@ -149,14 +149,16 @@
     assert!(begun + read_rest(&caller) > LARGE_BYTES);
 }
 
-/// Guards against a connection that is kept without a limit for a caller that has ended its sending side and reads nothing.
-#[test]
-fn ended_caller_left() {
+/// Guards against a connection that is kept without a limit for a caller that does not read, which may have ended its sending
+/// side.
+fn assert_left(ends_sending: bool) {
     let server = Server::start(CallerLimits::default());
     let caller = server.connect();
     (&caller).write_all(&get(LARGE_BYTES, "")).unwrap();
     (&caller).read_exact(&mut [0]).unwrap();
-    caller.shutdown(Shutdown::Write).unwrap();
+    if ends_sending {
+        caller.shutdown(Shutdown::Write).unwrap();
+    }
     // A server that stops reads no more from its callers.
     thread::sleep(Duration::from_millis(300));
     server.stop.send(true).unwrap();
@@ -166,3 +168,13 @@
         thread::sleep(PIECE_PAUSE);
     }
 }
+
+#[test]
+fn ended_caller_left() {
+    assert_left(true);
+}
+
+#[test]
+fn silent_caller_left() {
+    assert_left(false);
+}
