--- a/src/daemon/kept_answers.rs
+++ b/src/daemon/kept_answers.rs
@@ -17,13 +17,13 @@
 };
 
 /// Size of an answer body that an entry daemon always takes at once.
-const ROOM_BYTES: usize = SMALL_BYTES;
+const INLINE_BYTES_MIN: usize = SMALL_BYTES;
 /// Size of an answer body that an entry daemon takes at once while it has room, so that the answers of ordinary calls
 /// need no second message. Answers of routes with `large_answers` have 90 to 540 KB.
-const CALM_ROOM_BYTES: usize = 1024 * 1024;
+const INLINE_BYTES_MAX: usize = 1024 * 1024;
 /// Part of the budget that may be promised to answers that have not arrived. If the rest is used up meanwhile, the
 /// budget is exceeded by this.
-const PROMISED_PART: usize = 8;
+const PROMISED_FRACTION: usize = 8;
 
 /// Answer bodies that this daemon keeps for entry daemons without room, and the room that it promises as an entry daemon.
 ///
@@ -34,7 +34,7 @@
 pub(super) struct KeptAnswers {
     /// Sorted by id.
     bodies: RefCell<Vec<(u64, Bytes)>>,
-    /// Room of this daemon for the answers to calls that it has forwarded, beyond [`ROOM_BYTES`] each.
+    /// Room of this daemon for the answers to calls that it has forwarded, beyond [`INLINE_BYTES_MIN`] each.
     promised_bytes: Cell<usize>,
 }
 
@@ -67,7 +67,7 @@
 impl AnswerRoom<'_> {
     /// Returns the size of the largest body that is taken at once.
     pub fn bytes(&self) -> usize {
-        self.bytes.max(ROOM_BYTES)
+        self.bytes.max(INLINE_BYTES_MIN)
     }
 }
 
@@ -104,9 +104,9 @@
     pub(super) fn answer_room(&self) -> Option<AnswerRoom<'_>> {
         let limit = self.budget.limit()?;
         let promised_bytes = &self.kept_answers.promised_bytes;
-        let promised = promised_bytes.get() + CALM_ROOM_BYTES;
-        let is_calm = promised <= limit / PROMISED_PART && self.budget.held() + promised <= limit / 2;
-        let bytes = if is_calm { CALM_ROOM_BYTES } else { 0 };
+        let promised = promised_bytes.get() + INLINE_BYTES_MAX;
+        let has_room = promised <= limit / PROMISED_FRACTION && self.budget.held() + promised <= limit / 2;
+        let bytes = if has_room { INLINE_BYTES_MAX } else { 0 };
         promised_bytes.set(promised_bytes.get() + bytes);
         Some(AnswerRoom {
             promised_bytes,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -36,6 +36,7 @@
 mod slot_gate;
 mod split_status;
 mod state_fetch;
+mod stop;
 mod watch_task;
 
 pub use {
