LOST: a call is not given up before its time is over

Callers got an answer 504 of the daemon's own up to 0.5 ms before the time of the route was over, in the place of that of a server which was still at work. Around a stop, that counts as a lost request.

Times are cut to whole milliseconds: the moment at which the call began, and the time left at the entry daemon, at the daemon of the server and at its client. The errors add up. The entry daemon now gives the answer only once its clock is past the limit, which is then certainly over.

--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -137,6 +137,7 @@
                     if result.outcome == Outcome::NotRun && result.retry_after == Ms::ZERO {
                         result.retry_after = DEFAULT_RETRY_AFTER;
                     }
+                    self.await_time_limit(&result, deadline).await;
                     return open_attempts.final_result(result);
                 }
                 NextStep::AwaitChange => self.await_ownership_change().await,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -37,6 +37,7 @@
 mod split_status;
 mod state_fetch;
 mod stop;
+mod time_limit;
 mod watch_task;
 
 pub use {
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -133,6 +133,7 @@
             Ok(_) => self.run_attempts(call.clone(), &terms).await,
             Err(reason) => CallResult::failed(*reason),
         };
+        self.await_time_limit(&result, terms.deadline).await;
         self.finish_routed(&call.request_id, Some(&terms), entry, result)
     }
 
