GONE: calls that were delayed on their way wait for the cancel messages behind them

Callers that left had their calls sent to a server over half a second later: over a full link, a call and the cancel message behind it wait in the network, where the sender cannot withdraw them. Frames carried no time of sending, so that the receiver could not tell, and counted the deadline of a call from its arrival.

Calls now carry the time of sending by the clock of the sender. The receiver measures the delay against the shortest transit time of the link, takes it off the time limits of the call, and holds a call that is later than 500 ms back for the rest of its delay: the cancel message has arrived by then if the caller left more than 500 ms before. The decisions are in TransitMeter.

--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -273,6 +273,7 @@
         let request = Call {
             deadline_ms: u32::try_from(time_left.0).unwrap_or(u32::MAX),
             revision: self.state().applied(),
+            sent_at_ms: sent_at.0,
             answer_room: room.as_ref().map(|room| room.bytes() as u64),
             ..call.clone()
         };
--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -3,13 +3,13 @@
         frame_batch::{send_queued, FrameReceiver, FrameSender},
         handshake::{self, FrameStream},
         served_requests::ServedRequests,
-        socket, LinkIdentity, RequestIntake,
+        socket, LinkIdentity, RequestIntake, TransitMeter,
     },
     crate::{
-        clock::Clock,
+        clock::{Clock, Ms},
         event::{Event, RateLimit},
         log_event,
-        wire::peer::{frame::Body, Frame, Pong},
+        wire::peer::{frame::Body, CallRequest, Frame, Pong},
     },
     futures_util::{stream::SplitSink, SinkExt, StreamExt},
     slog::Logger,
@@ -90,7 +90,7 @@
 impl LinkAcceptor {
     async fn serve_link<H, F>(self: Rc<Self>, stream: TcpStream, handler: H)
     where
-        H: Fn(Body) -> F + 'static,
+        H: Fn(Body) -> F + Clone + 'static,
         F: Future<Output = Option<Body>> + 'static,
     {
         let from = stream
@@ -118,7 +118,7 @@
 /// resets the connection, and the peer loses the answers that it has not received yet.
 async fn serve_frames<H, F>(stream: FrameStream, mut stop: watch::Receiver<bool>, handler: H)
 where
-    H: Fn(Body) -> F + 'static,
+    H: Fn(Body) -> F + Clone + 'static,
     F: Future<Output = Option<Body>> + 'static,
 {
     let (sink, mut source) = stream.split();
@@ -127,6 +127,7 @@
     spawn_local(write_answers(sink, rx, answers_complete.clone()));
     let requests = Rc::new(ServedRequests::default());
     let mut intake = RequestIntake::default();
+    let mut transit_meter = TransitMeter::default();
     let mut is_complete = false;
     loop {
         let received = tokio::select! {
@@ -148,10 +149,21 @@
             Some(Body::CallCancel(cancel)) => requests.cancel(cancel.correlation),
             // Answers that fill the queue show as well that the link works.
             Some(Body::Ping(_)) => drop(tx.try_send(unsolicited(Body::Pong(Pong {})))),
+            Some(Body::CallRequest(mut call)) if intake.take(frame.correlation) => {
+                let hold = receive_call(&mut call, &mut transit_meter);
+                let handler = handler.clone();
+                let answer = async move {
+                    if hold > Ms::ZERO {
+                        sleep(hold.as_duration()).await;
+                    }
+                    handler(Body::CallRequest(call)).await
+                };
+                let answer = send_answer(tx.clone(), frame.correlation, answer);
+                requests.spawn(frame.correlation, true, answer);
+            }
             Some(body) if intake.take(frame.correlation) => {
-                let is_call = matches!(body, Body::CallRequest(_));
                 let answer = send_answer(tx.clone(), frame.correlation, handler(body));
-                requests.spawn(frame.correlation, is_call, answer);
+                requests.spawn(frame.correlation, false, answer);
             }
             Some(_) | None => {}
         }
@@ -160,6 +172,21 @@
     requests.cancel_all();
 }
 
+/// Takes the time for which a call was delayed on its way, and is held back, off its time limits. Returns the time for which
+/// it has to be held back.
+fn receive_call(call: &mut CallRequest, meter: &mut TransitMeter) -> Ms {
+    if call.sent_at_ms == 0 {
+        return Ms::ZERO;
+    }
+    let transit = meter.record(Ms(call.sent_at_ms), Clock::System.now());
+    let passed = u32::try_from((transit.delay + transit.hold).0).unwrap_or(u32::MAX);
+    call.deadline_ms = call.deadline_ms.saturating_sub(passed);
+    if let Some(route) = &mut call.route {
+        route.objective_ms = route.objective_ms.saturating_sub(passed);
+    }
+    transit.hold
+}
+
 /// Returns a frame that is not an answer and has none.
 fn unsolicited(body: Body) -> Box<Frame> {
     Box::new(Frame {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -13,6 +13,7 @@
 mod served_requests;
 mod silence_detector;
 mod socket;
+mod transit_meter;
 
 pub(crate) use key_ring::from_hex;
 use read_meter::ReadMeter;
@@ -25,4 +26,5 @@
     link_server::{serve_links, serve_links_until},
     request_intake::RequestIntake,
     silence_detector::{LinkCheck, SilenceDetector},
+    transit_meter::{Transit, TransitMeter},
 };
