LOST: a caller that has closed its connection no longer holds a stop

A caller that ended its sending side during a stop and then closed its connection, with a part of its answer unread, kept the connection open until it had taken no bytes for 15 s. A stop lasted that long, or until 500 ms before `killed_after`.

Cause: after the end of the caller's side nothing more is read, so that the reset is not seen; the number of undelivered bytes stays as it was, and looked like a caller that does not read.

--- a/src/edge/linger.rs
+++ b/src/edge/linger.rs
@@ -86,6 +86,12 @@
         undelivered
     }
 
+    /// Returns whether the connection was reset. Once the caller has ended its sending side, reads do not tell this any
+    /// more, and the number of undelivered bytes stays as it was.
+    fn is_reset(&self) -> bool {
+        !matches!(self.stream.take_error(), Ok(None))
+    }
+
     /// Shuts the connection down for writing and discards what its caller still sends, until it may be closed.
     pub async fn run(mut self) {
         if self.stream.shutdown().await.is_err() {
@@ -109,6 +115,9 @@
                 Some(Err(_)) => return,
                 None => {}
             }
+            if is_ended && self.is_reset() {
+                return;
+            }
             let undelivered = self.check_undelivered();
             if is_ended && undelivered == 0 || timer.is_over(undelivered, clock.now()) {
                 return;
--- a/tests/undelivered_answers.rs
+++ b/tests/undelivered_answers.rs
@@ -3,7 +3,7 @@
 use {
     clementinefold::{
         clock::Ms,
-        edge::{plain_response, serve_http, BodyError, HttpRequest, HttpResponse},
+        edge::{body_error_response, plain_response, serve_http, BodyError, HttpRequest, HttpResponse},
         settings::CallerLimits,
     },
     http::StatusCode,
@@ -28,6 +28,8 @@
 const PIECE_BYTES: usize = 500;
 const PIECE_PAUSE: Duration = Duration::from_millis(25);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest time for a connection to end after its caller has closed it. A caller that takes no bytes is given up after 15 s.
+const CLOSED_TIMEOUT: Duration = Duration::from_secs(8);
 
 struct Server {
     address: SocketAddr,
@@ -70,7 +72,10 @@
 
 /// Answers with as many bytes as the path says.
 async fn answer(request: Result<HttpRequest, BodyError>) -> HttpResponse {
-    let request = request.unwrap();
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => return body_error_response(error),
+    };
     let bytes = request.uri.path()[1..].parse().unwrap();
     plain_response(StatusCode::OK, &"x".repeat(bytes))
 }
@@ -178,3 +183,23 @@
 fn silent_caller_left() {
     assert_left(false);
 }
+
+/// Guards against a connection that is kept for a caller that has closed it: it would hold a stop, and a place among the
+/// connections, for as long as one whose caller takes no bytes.
+#[test]
+fn closed_caller_left() {
+    let server = Server::start(CallerLimits::default());
+    let caller = server.connect_slowly();
+    (&caller).write_all(&get(BUFFERED_BYTES, "")).unwrap();
+    read_slowly(&caller, Duration::from_millis(300));
+    server.stop.send(true).unwrap();
+    read_slowly(&caller, Duration::from_millis(300));
+    caller.shutdown(Shutdown::Write).unwrap();
+    read_slowly(&caller, Duration::from_millis(1500));
+    drop(caller);
+    let closed = Instant::now();
+    while !server.thread.is_finished() {
+        assert!(closed.elapsed() < CLOSED_TIMEOUT, "the connection is still open");
+        thread::sleep(PIECE_PAUSE);
+    }
+}
