LOST: an answer is awaited although its caller ended its sending side before a stop

A caller that ends its sending side and still reads its answer slowly was left to the kernel outside a stop: the connection was closed, and a later stop did not wait for it. If the network of the machine ends together with the process, the rest of the answer is lost.

Cause: the rest in the send buffer was taken for delivered, as nothing could reset the connection any more.

The connection now stays open, and counts for a stop and for the limit of connections, until its caller has received everything, takes no bytes for 15 s, or resets it.

--- a/src/edge/linger.rs
+++ b/src/edge/linger.rs
@@ -108,9 +108,8 @@
             };
             match received {
                 Some(Ok(1..)) => timer.record_received(clock.now()),
-                // A caller that has ended its side sends nothing that could reset the connection, so that the kernel delivers the
-                // rest after the close, unless the process ends.
-                Some(Ok(0)) if !self.state.is_stopping() => return,
+                // The kernel would deliver the rest after the close, but not if the network of the machine ends together with
+                // the process, and a stop does not wait for a closed connection.
                 Some(Ok(0)) => is_ended = true,
                 Some(Err(_)) => return,
                 None => {}
--- a/tests/undelivered_answers.rs
+++ b/tests/undelivered_answers.rs
@@ -184,6 +184,35 @@
     assert_left(false);
 }
 
+/// Sends `unfinished` and ends the sending side of a caller whose answer lies in the send buffer, before a stop. Guards against a
+/// process that ends before this caller has its answer, which is lost if the network of the machine ends together with the
+/// process.
+fn assert_awaited(unfinished: &str) {
+    let server = Server::start(CallerLimits::default());
+    let caller = server.connect_slowly();
+    (&caller).write_all(&get(BUFFERED_BYTES, "")).unwrap();
+    let mut begun = read_slowly(&caller, Duration::from_millis(300));
+    (&caller).write_all(unfinished.as_bytes()).unwrap();
+    caller.shutdown(Shutdown::Write).unwrap();
+    begun += read_slowly(&caller, Duration::from_millis(300));
+    server.stop.send(true).unwrap();
+    begun += read_slowly(&caller, Duration::from_millis(3000));
+    assert!(begun < BUFFERED_BYTES - RECEIVE_BUF_BYTES * 2);
+    assert!(!server.thread.is_finished(), "the answer is not awaited");
+    assert!(begun + read_rest(&caller) > BUFFERED_BYTES);
+    server.thread.join().unwrap();
+}
+
+#[test]
+fn ended_caller_awaited() {
+    assert_awaited("");
+}
+
+#[test]
+fn unfinished_body_awaited() {
+    assert_awaited("POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n123");
+}
+
 /// Guards against a connection that is kept for a caller that has closed it: it would hold a stop, and a place among the
 /// connections, for as long as one whose caller takes no bytes.
 #[test]
