LOST: an answer is awaited although its connection ended within the next request

A caller that had not received its answer yet, sent a part of the head of its next request and ended its sending side, lost the rest if the process and the network of its machine ended: the connection was closed at once, and a stop did not wait for it.

Cause: each error of the HTTP library but a time-out was taken for a lost connection. Of those, the end of the stream within a head is none. Errors of reads and writes mean a reset, after which nothing can be delivered; an unfinished body is answered and ends in order.

All ends but those of callers that take no bytes for 15 s now wait for what is undelivered; on a reset connection the shutdown fails, so that it is closed at once as before.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -55,6 +55,9 @@
 }
 
 impl CallerStream {
+    /// Error of a write whose caller has taken no bytes for [`STALL_TIMEOUT`].
+    pub const STALL_ERROR: io::ErrorKind = io::ErrorKind::ConnectionAborted;
+
     /// Returns the stream of a connection. It fails once a head takes longer than `head_timeout`.
     pub fn new(stream: TcpStream, state: Rc<ConnectionState>, head_timeout: Ms) -> Self {
         Self {
@@ -119,7 +122,7 @@
             .stall_timer
             .get_or_insert_with(|| Box::pin(sleep(STALL_TIMEOUT.as_duration())));
         ready!(timer.as_mut().poll(cx));
-        Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()))
+        Poll::Ready(Err(Self::STALL_ERROR.into()))
     }
 
     fn poll_write_pending(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -194,8 +194,8 @@
         };
         match ConnectionEnd::of(&served) {
             ConnectionEnd::InOrder => linger.run().await,
-            ConnectionEnd::TimedOut => linger.run_if_undelivered().await,
-            ConnectionEnd::Failed => {}
+            ConnectionEnd::Early => linger.run_if_undelivered().await,
+            ConnectionEnd::Stalled => {}
         }
         cut_guard.error = served.err().map_or_else(String::new, |e| e.to_string());
     }
@@ -205,28 +205,29 @@
 enum ConnectionEnd {
     /// Everything was written that had to be written.
     InOrder,
-    /// The connection was idle, or a head was not completed in time.
-    TimedOut,
-    /// The connection was lost.
-    Failed,
+    /// The connection was idle for too long, or it ended before a whole request was received. An answer to an earlier request
+    /// may be undelivered.
+    Early,
+    /// The caller took no bytes of its answer for long.
+    Stalled,
 }
 
 impl ConnectionEnd {
     fn of(served: &hyper::Result<()>) -> Self {
         match served {
             Ok(()) => Self::InOrder,
-            Err(e) if e.is_timeout() || is_timed_out(e) => Self::TimedOut,
             // The library answers malformed requests itself.
             Err(e) if e.is_parse() => Self::InOrder,
-            Err(_) => Self::Failed,
+            Err(e) if is_stalled(e) => Self::Stalled,
+            Err(_) => Self::Early,
         }
     }
 }
 
-/// Returns whether the stream of the connection failed because a head was not completed in time.
-fn is_timed_out(error: &hyper::Error) -> bool {
+/// Returns whether the stream of the connection failed because its caller takes no bytes of its answer.
+fn is_stalled(error: &hyper::Error) -> bool {
     let source = error.source().and_then(|e| e.downcast_ref::<io::Error>());
-    source.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut)
+    source.is_some_and(|e| e.kind() == CallerStream::STALL_ERROR)
 }
 
 fn body_length(request: &Request<Incoming>) -> BodyLength {
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -151,7 +151,7 @@
         self.undelivered.set(bytes);
         match (self.stage.get(), bytes) {
             (Stage::Delivering, 0) => self.stage.set(Stage::Idle),
-            (Stage::Idle, 1..) => self.stage.set(Stage::Delivering),
+            (Stage::Idle | Stage::Head, 1..) => self.stage.set(Stage::Delivering),
             _ => {}
         }
     }
--- a/tests/undelivered_answers.rs
+++ b/tests/undelivered_answers.rs
@@ -208,6 +208,11 @@
     assert_awaited("");
 }
 
+#[test]
+fn unfinished_head_awaited() {
+    assert_awaited("GET /1 HTTP/1.1\r\nho");
+}
+
 #[test]
 fn unfinished_body_awaited() {
     assert_awaited("POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n123");
