LOST: servers, operators and probes get their answers before the process ends

An operator that read a configuration slowly while the daemon stopped got a part of it and a reset. A server whose request was still arriving when everything else had ended got no answer.

Cause: the listeners of servers, operators and probes had a stop that never came. The process ended while answers lay in their send buffers, and waited only for requests that were being handled.

When calls, links and callers have ended, the connections that are open then end, each as soon as nothing is in progress on it and its peer has acknowledged all answers. Until all of them have, new connections are served as before, since a server may need the daemon while an operator reads slowly; the listeners are closed last, and what was accepted since is delivered too.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -8,7 +8,7 @@
     crate::{
         clock::Clock,
         control::{start_control, ControlConfig, ControlHandle, ControlInput},
-        edge,
+        edge::{self, DeliveryStop},
         event::Event,
         link::{serve_links_until, KeyRing, LinkIdentity, Links},
         log_event,
@@ -169,8 +169,7 @@
         (cx.settings.metrics_address, |e, n, r| e.serve_metrics(n, r)),
     ];
     let mut caller_task = None;
-    // Servers, operators and probes are served until the process ends: this channel never changes.
-    let (_never_tx, never_stop) = watch::channel(false);
+    let delivery_stop = Rc::new(DeliveryStop::default());
     for (position, (address, serve)) in served.into_iter().enumerate() {
         let Some(address) = address else { continue };
         let is_for_callers = position == 0;
@@ -193,17 +192,15 @@
                 false => node.settings().caller_limits,
             }
         };
-        let stop = if is_for_callers { &stop } else { &never_stop };
-        let serving = spawn_local(edge::serve_http_within(
-            cx.budget.clone(),
-            listener,
-            limits,
-            log.clone(),
-            stop.clone(),
-            handler,
-        ));
+        let (budget, log) = (cx.budget.clone(), log.clone());
         if is_for_callers {
-            caller_task = Some(serving);
+            let serving = edge::serve_http_within(budget, listener, limits, log, stop.clone(), handler);
+            caller_task = Some(spawn_local(serving));
+        } else {
+            let stop = delivery_stop.clone();
+            spawn_local(async move {
+                edge::serve_http_until_delivered(budget, listener, limits, log, &stop, handler).await;
+            });
         }
     }
 
@@ -242,6 +239,7 @@
         caller_task,
         links_stop: links_stop_tx,
         links_task,
+        delivery_stop,
     };
     stop_daemon(&cx, parts).await;
     log_event!(log, Event::DaemonStopped; "host" => &cx.settings.host, "calls" => cx.running_calls.get());
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -3,6 +3,7 @@
     crate::{
         clock::Ms,
         control::ControlInput,
+        edge::DeliveryStop,
         wire::control::{change, EndSession},
     },
     futures_util::FutureExt,
@@ -23,6 +24,14 @@
 /// Time before the end of a stop at which the links end even if calls still run. Peers need a round trip and their answers.
 const LINKS_END_RESERVE: Ms = Ms(300);
 
+/// Time before the end of a stop at which the connections of servers, operators and probes end even if callers still read their
+/// answers.
+const PEERS_END_RESERVE: Ms = Ms(200);
+
+/// Time before the end of a stop at which no more connections of servers, operators and probes are accepted, even if one of
+/// them has not received its answer.
+const PEERS_CLOSE_RESERVE: Ms = Ms(100);
+
 /// Part of the stop after which calls of other daemons are refused, although callers still wait for their answers or
 /// read them. The calls that run then have the rest of the stop to end.
 const CALLER_WAIT_PERCENT: u64 = 50;
@@ -37,6 +46,8 @@
     /// Ends the links of other daemons.
     pub links_stop: watch::Sender<bool>,
     pub links_task: JoinHandle<()>,
+    /// Ends the connections of servers, operators and probes, which are served until everything else has ended.
+    pub delivery_stop: Rc<DeliveryStop>,
 }
 
 /// Stops the daemon in order, for `stop_timeout` of the settings at most. The rest of the answers is cut off if their callers do
@@ -46,6 +57,7 @@
         caller_task,
         links_stop,
         links_task,
+        delivery_stop,
     } = parts;
     let callers_ended = async {
         if let Some(caller_task) = caller_task {
@@ -62,28 +74,31 @@
         let _ = links_task.await;
     };
     let stop_timeout = cx.settings.stop_timeout;
+    let before_end = |reserve: Ms| stop_timeout - reserve.min(Ms(stop_timeout.0 / 4));
     let calls_ended = end_calls(cx, callers_ended.clone());
-    let ended = async {
-        tokio::join!(
-            end_in_order(stop_timeout, calls_ended, links_ended),
-            callers_ended
-        )
+    let links_ended = end_in_order(before_end(LINKS_END_RESERVE), calls_ended, links_ended);
+    let rest_ended = async {
+        tokio::join!(links_ended, callers_ended);
     };
+    let peers_ended = end_in_order(
+        before_end(PEERS_END_RESERVE),
+        rest_ended,
+        delivery_stop.end_open(),
+    );
+    let ended = end_in_order(
+        before_end(PEERS_CLOSE_RESERVE),
+        peers_ended,
+        delivery_stop.end_late(),
+    );
     let _ = timeout(stop_timeout.as_duration(), ended).await;
 }
 
-/// Waits until the calls and the session have ended, and then until the links have. The last [`LINKS_END_RESERVE`] of the
-/// stop are left for the links, while callers may still read their answers.
-async fn end_in_order(
-    stop_timeout: Ms,
-    calls_ended: impl Future<Output = ()>,
-    links_ended: impl Future<Output = ()>,
-) {
-    let reserve = LINKS_END_RESERVE.min(Ms(stop_timeout.0 / 4));
-    let mut calls_ended = pin!(calls_ended);
-    match timeout((stop_timeout - reserve).as_duration(), &mut calls_ended).await {
-        Ok(()) => links_ended.await,
-        Err(_) => drop(tokio::join!(calls_ended, links_ended)),
+/// Runs `last` after `first`, or beside it once `first` has taken longer than `limit`. Returns once both have ended.
+async fn end_in_order(limit: Ms, first: impl Future<Output = ()>, last: impl Future<Output = ()>) {
+    let mut first = pin!(first);
+    match timeout(limit.as_duration(), &mut first).await {
+        Ok(()) => last.await,
+        Err(_) => drop(tokio::join!(first, last)),
     }
 }
 
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -5,6 +5,7 @@
         http_server::{BodyError, HttpRequest, HttpResponse},
         linger::Linger,
         request_scanner::BodyLength,
+        stop_rule::StopRule,
     },
     crate::{
         clock::Clock,
@@ -24,7 +25,7 @@
     slog::Logger,
     std::{
         cell::RefCell, convert::Infallible, error::Error, future::Future, io, net::SocketAddr, pin::Pin,
-        rc::Rc, time::Duration,
+        rc::Rc,
     },
     tokio::{
         net::TcpStream,
@@ -36,9 +37,6 @@
 /// Smallest limit of the head size that the HTTP library accepts.
 const HEAD_BYTES_MIN: usize = 8192;
 
-/// Time after the stop during which connections are still served. Each response from then on closes its connection.
-pub(super) const STOP_GRACE: Duration = Duration::from_millis(1000);
-
 /// Logs connections that end before a request on them is completely answered.
 #[derive(Debug)]
 pub(super) struct ConnectionLog {
@@ -102,6 +100,7 @@
     /// Returns the limits that are in force.
     pub limits: L,
     pub stop: watch::Receiver<bool>,
+    pub stop_rule: StopRule,
     pub log: Rc<ConnectionLog>,
     /// Budget from which the bodies of requests get their memory.
     pub budget: MemoryBudget,
@@ -121,6 +120,7 @@
             from,
             limits,
             mut stop,
+            stop_rule,
             log,
             budget,
             handler,
@@ -129,6 +129,7 @@
         let initial_limits = limits();
         let state = Rc::new(ConnectionState::new(
             stop.clone(),
+            stop_rule,
             budget.reservation(ReservationKind::Writing, Some(from.ip())),
         ));
         let mut cut_guard = CutGuard {
@@ -166,7 +167,7 @@
             .serve_connection(stream, service);
         let stopped = async {
             let _ = stop.wait_for(|stop| *stop).await;
-            sleep(STOP_GRACE).await;
+            sleep(stop_rule.grace()).await;
             state.wait_until_idle().await;
         };
         let mut pinned = Pin::new(&mut connection);
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::request_scanner::BodyLength,
+    super::{request_scanner::BodyLength, stop_rule::StopRule},
     crate::memory::Reservation,
     std::cell::Cell,
     tokio::sync::{watch, Notify},
@@ -56,15 +56,16 @@
     /// Number of written bytes that the caller has not received, as far as known.
     undelivered: Cell<usize>,
     stop: watch::Receiver<bool>,
+    stop_rule: StopRule,
     became_idle: Notify,
     /// The response that is being written.
     writing: Reservation,
 }
 
 impl ConnectionState {
-    /// Returns the state of a new connection. `stop` tells whether the process is stopping, and `writing` is the reservation of
-    /// memory of the responses that are written.
-    pub fn new(stop: watch::Receiver<bool>, writing: Reservation) -> Self {
+    /// Returns the state of a new connection. `stop` tells whether the connection has to end by its rule, and `writing` is the
+    /// reservation of memory of the responses that are written.
+    pub fn new(stop: watch::Receiver<bool>, stop_rule: StopRule, writing: Reservation) -> Self {
         Self {
             stage: Cell::default(),
             body_length: Cell::default(),
@@ -72,6 +73,7 @@
             announces_close: Cell::default(),
             undelivered: Cell::default(),
             stop,
+            stop_rule,
             became_idle: Notify::new(),
             writing,
         }
@@ -89,6 +91,11 @@
         *self.stop.borrow()
     }
 
+    /// Returns whether the connection ends as soon as its peer has received everything that was written.
+    pub fn ends_once_delivered(&self) -> bool {
+        self.is_stopping() && self.stop_rule == StopRule::OnceDelivered
+    }
+
     /// Returns whether the connection may end with the answer to the current request, so that the next request must not
     /// be read.
     pub fn ends_after_answer(&self) -> bool {
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,5 +1,9 @@
 use {
-    super::connection::{Connection, ConnectionLog, STOP_GRACE},
+    super::{
+        connection::{Connection, ConnectionLog},
+        delivery_stop::DeliveryStop,
+        stop_rule::StopRule,
+    },
     crate::{
         call::{CallResult, Reason},
         clock::Ms,
@@ -12,7 +16,7 @@
     http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri},
     serde::Serialize,
     slog::Logger,
-    std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{watch, Notify},
@@ -98,37 +102,120 @@
     listener: TcpListener,
     limits: L,
     log: Logger,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     handler: H,
 ) where
     L: Fn() -> CallerLimits + Clone + 'static,
     H: Fn(Result<HttpRequest, BodyError>) -> F + Clone + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
-    let address = listener.local_addr();
-    let connection_stop = stop.clone();
-    let connection_log = Rc::new(ConnectionLog::new(log.clone()));
-    let open_connections = Rc::new(Cell::new(0_usize));
-    let all_ended = Rc::new(Notify::new());
-    let mut stopped = std::pin::pin!(async {
-        let _ = stop.wait_for(|stop| *stop).await;
-        sleep(STOP_GRACE).await;
+    let server = HttpServer::new(budget, limits, log, handler);
+    let accepted_until = async {
+        let _ = stop.clone().wait_for(|stop| *stop).await;
+        sleep(StopRule::AfterGrace.grace()).await;
+    };
+    let serve = |stream, from| server.serve(stream, from, &stop, StopRule::AfterGrace);
+    accept_until(&listener, accepted_until, serve).await;
+    server.close(listener, serve);
+    server.wait_until_ended().await;
+}
+
+/// Serves HTTP/1.1 until `stop` ends the listener. Each connection ends as soon as its peer has received the answers to the requests
+/// that had arrived.
+pub async fn serve_http_until_delivered<L, H, F>(
+    budget: MemoryBudget,
+    listener: TcpListener,
+    limits: L,
+    log: Logger,
+    stop: &DeliveryStop,
+    handler: H,
+) where
+    L: Fn() -> CallerLimits + Clone + 'static,
+    H: Fn(Result<HttpRequest, BodyError>) -> F + Clone + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    let [open_stop, late_stop] = stop.subscribe();
+    let server = HttpServer::new(budget, limits, log, handler);
+    // Each stop waits until its receivers are gone.
+    for stop in [open_stop, late_stop.clone()] {
+        let stopped = async {
+            let _ = stop.clone().wait_for(|stop| *stop).await;
+        };
+        let serve = |stream, from| server.serve(stream, from, &stop, StopRule::OnceDelivered);
+        accept_until(&listener, stopped, serve).await;
+    }
+    server.close(listener, |stream, from| {
+        server.serve(stream, from, &late_stop, StopRule::OnceDelivered);
     });
-    let serve_accepted = |stream: TcpStream, from: SocketAddr| {
-        if open_connections.get() >= limits().connections {
-            log_event!(log, Event::ConnectionRefused; "from" => from.to_string(), "open" => open_connections.get());
+}
+
+/// Accepts connections until `stopped` is ready.
+async fn accept_until(
+    listener: &TcpListener,
+    stopped: impl Future<Output = ()>,
+    serve: impl Fn(TcpStream, SocketAddr),
+) {
+    let mut stopped = pin!(stopped);
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = stopped.as_mut() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, from)) => serve(stream, from),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Serves the connections of one listener, each in its own task.
+struct HttpServer<L, H> {
+    budget: MemoryBudget,
+    limits: L,
+    log: Logger,
+    connection_log: Rc<ConnectionLog>,
+    open_connections: Rc<Cell<usize>>,
+    all_ended: Rc<Notify>,
+    handler: H,
+}
+
+impl<L, H, F> HttpServer<L, H>
+where
+    L: Fn() -> CallerLimits + Clone + 'static,
+    H: Fn(Result<HttpRequest, BodyError>) -> F + Clone + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    fn new(budget: MemoryBudget, limits: L, log: Logger, handler: H) -> Self {
+        Self {
+            budget,
+            limits,
+            connection_log: Rc::new(ConnectionLog::new(log.clone())),
+            log,
+            open_connections: Rc::default(),
+            all_ended: Rc::default(),
+            handler,
+        }
+    }
+
+    /// Starts to serve a connection, unless too many are open.
+    fn serve(&self, stream: TcpStream, from: SocketAddr, stop: &watch::Receiver<bool>, stop_rule: StopRule) {
+        let open = self.open_connections.get();
+        if open >= (self.limits)().connections {
+            log_event!(self.log, Event::ConnectionRefused; "from" => from.to_string(), "open" => open);
             return;
         }
-        open_connections.set(open_connections.get() + 1);
-        let (open_connections, all_ended) = (open_connections.clone(), all_ended.clone());
+        self.open_connections.set(open + 1);
+        let (open_connections, all_ended) = (self.open_connections.clone(), self.all_ended.clone());
         let connection = Connection {
             stream,
             from,
-            limits: limits.clone(),
-            stop: connection_stop.clone(),
-            log: connection_log.clone(),
-            budget: budget.clone(),
-            handler: handler.clone(),
+            limits: self.limits.clone(),
+            stop: stop.clone(),
+            stop_rule,
+            log: self.connection_log.clone(),
+            budget: self.budget.clone(),
+            handler: self.handler.clone(),
         };
         spawn_local(async move {
             connection.serve().await;
@@ -137,27 +224,26 @@
                 all_ended.notify_one();
             }
         });
-    };
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stopped.as_mut() => break,
-        };
-        match accepted {
-            Ok((stream, from)) => serve_accepted(stream, from),
-            Err(_) => sleep(ACCEPT_PAUSE).await,
-        }
     }
-    for (stream, from) in accept_backlog(listener) {
-        serve_accepted(stream, from);
+
+    /// Closes the listener, and passes the connections in its backlog to `serve`.
+    fn close(&self, listener: TcpListener, serve: impl Fn(TcpStream, SocketAddr)) {
+        let address = listener.local_addr();
+        for (stream, from) in accept_backlog(listener) {
+            serve(stream, from);
+        }
+        log_event!(
+            self.log, Event::ListenerClosed;
+            "address" => address.map_or_else(|e| e.to_string(), |a| a.to_string()),
+            "open" => self.open_connections.get()
+        );
     }
-    log_event!(
-        log, Event::ListenerClosed;
-        "address" => address.map_or_else(|e| e.to_string(), |a| a.to_string()), "open" => open_connections.get()
-    );
-    // A notification may be left from an earlier moment without connections.
-    while open_connections.get() > 0 {
-        all_ended.notified().await;
+
+    async fn wait_until_ended(&self) {
+        // A notification may be left from an earlier moment without connections.
+        while self.open_connections.get() > 0 {
+            self.all_ended.notified().await;
+        }
     }
 }
 
--- a/src/edge/linger.rs
+++ b/src/edge/linger.rs
@@ -18,6 +18,8 @@
 pub(super) const STALL_TIMEOUT: Ms = Ms(15_000);
 /// Interval at which it is checked what the caller has received.
 const CHECK_INTERVAL: Ms = Ms(250);
+/// The same for a connection that ends once its peer has received everything, which delays the end of the process.
+const STOP_CHECK_INTERVAL: Ms = Ms(10);
 /// Number of bytes that are discarded at a time.
 const BUF_BYTES: usize = 4096;
 
@@ -102,9 +104,19 @@
         let mut discarded = vec![0; BUF_BYTES];
         let mut is_ended = false;
         loop {
+            let ends_once_delivered = self.state.ends_once_delivered();
+            let undelivered = self.check_undelivered();
+            let is_delivered = undelivered == 0 && (is_ended || ends_once_delivered);
+            if is_delivered || timer.is_over(undelivered, clock.now()) {
+                return;
+            }
+            let interval = match ends_once_delivered {
+                true => STOP_CHECK_INTERVAL,
+                false => CHECK_INTERVAL,
+            };
             let received = tokio::select! {
                 received = self.stream.read(&mut discarded), if !is_ended => Some(received),
-                () = sleep(CHECK_INTERVAL.as_duration()) => None,
+                () = sleep(interval.as_duration()) => None,
             };
             match received {
                 Some(Ok(1..)) => timer.record_received(clock.now()),
@@ -117,10 +129,6 @@
             if is_ended && self.is_reset() {
                 return;
             }
-            let undelivered = self.check_undelivered();
-            if is_ended && undelivered == 0 || timer.is_over(undelivered, clock.now()) {
-                return;
-            }
         }
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod connection_state;
 mod counted_stream;
+mod delivery_stop;
 mod head_timer;
 mod http_server;
 mod linger;
@@ -17,12 +18,14 @@
 mod server_dialect;
 mod server_edge;
 mod server_orders;
+mod stop_rule;
 
 pub use {
     caller_edge::{add_headers, caller_response, read_call, read_route_headers, RouteHeaders},
+    delivery_stop::DeliveryStop,
     http_server::{
         body_error_response, json_response, json_text_response, plain_response, serve_http,
-        serve_http_within, BodyError, HttpRequest, HttpResponse,
+        serve_http_until_delivered, serve_http_within, BodyError, HttpRequest, HttpResponse,
     },
     operator_edge::{operator_command, CommandRequest},
     request_scanner::{BodyLength, RequestScanner},
