--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -5,6 +5,7 @@
         http_server::{BodyError, HttpRequest, HttpResponse},
         linger::Linger,
         request_scanner::BodyLength,
+        stop_rule::StopRule,
     },
     crate::{
         clock::Clock,
@@ -24,7 +25,7 @@
     slog::Logger,
     std::{
         cell::RefCell, convert::Infallible, error::Error, future::Future, io, net::SocketAddr, pin::Pin,
-        rc::Rc, time::Duration,
+        rc::Rc,
     },
     tokio::{
         net::TcpStream,
@@ -36,9 +37,6 @@
 /// Smallest limit of the head size that the HTTP library accepts.
 const HEAD_BYTES_MIN: usize = 8192;
 
-/// Time after the stop during which connections are still served. Each response from then on closes its connection.
-pub(super) const STOP_GRACE: Duration = Duration::from_millis(1000);
-
 /// Logs connections that end before a request on them is completely answered.
 #[derive(Debug)]
 pub(super) struct ConnectionLog {
@@ -102,6 +100,7 @@
     /// Returns the limits that are in force.
     pub limits: L,
     pub stop: watch::Receiver<bool>,
+    pub stop_rule: StopRule,
     pub log: Rc<ConnectionLog>,
     /// Budget from which the bodies of requests get their memory.
     pub budget: MemoryBudget,
@@ -121,6 +120,7 @@
             from,
             limits,
             mut stop,
+            stop_rule,
             log,
             budget,
             handler,
@@ -129,6 +129,7 @@
         let initial_limits = limits();
         let state = Rc::new(ConnectionState::new(
             stop.clone(),
+            stop_rule,
             budget.reservation(ReservationKind::Writing, Some(from.ip())),
         ));
         let mut cut_guard = CutGuard {
@@ -166,7 +167,7 @@
             .serve_connection(stream, service);
         let stopped = async {
             let _ = stop.wait_for(|stop| *stop).await;
-            sleep(STOP_GRACE).await;
+            sleep(stop_rule.grace()).await;
             state.wait_until_idle().await;
         };
         let mut pinned = Pin::new(&mut connection);
@@ -194,8 +195,8 @@
         };
         match ConnectionEnd::of(&served) {
             ConnectionEnd::InOrder => linger.run().await,
-            ConnectionEnd::TimedOut => linger.run_if_undelivered().await,
-            ConnectionEnd::Failed => {}
+            ConnectionEnd::Early => linger.run_if_undelivered().await,
+            ConnectionEnd::Stalled => {}
         }
         cut_guard.error = served.err().map_or_else(String::new, |e| e.to_string());
     }
@@ -205,28 +206,29 @@
 enum ConnectionEnd {
     /// Everything was written that had to be written.
     InOrder,
-    /// The connection was idle, or a head was not completed in time.
-    TimedOut,
-    /// The connection was lost.
-    Failed,
+    /// The connection was idle for too long, or it ended before a whole request was received. An answer to an earlier request
+    /// may be undelivered.
+    Early,
+    /// The caller took no bytes of its answer for long.
+    Stalled,
 }
 
 impl ConnectionEnd {
     fn of(served: &hyper::Result<()>) -> Self {
         match served {
             Ok(()) => Self::InOrder,
-            Err(e) if e.is_timeout() || is_timed_out(e) => Self::TimedOut,
             // The library answers malformed requests itself.
             Err(e) if e.is_parse() => Self::InOrder,
-            Err(_) => Self::Failed,
+            Err(e) if is_stalled(e) => Self::Stalled,
+            Err(_) => Self::Early,
         }
     }
 }
 
-/// Returns whether the stream of the connection failed because a head was not completed in time.
-fn is_timed_out(error: &hyper::Error) -> bool {
+/// Returns whether the stream of the connection failed because its caller takes no bytes of its answer.
+fn is_stalled(error: &hyper::Error) -> bool {
     let source = error.source().and_then(|e| e.downcast_ref::<io::Error>());
-    source.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut)
+    source.is_some_and(|e| e.kind() == CallerStream::STALL_ERROR)
 }
 
 fn body_length(request: &Request<Incoming>) -> BodyLength {
--- a/src/edge/linger.rs
+++ b/src/edge/linger.rs
@@ -18,6 +18,8 @@
 pub(super) const STALL_TIMEOUT: Ms = Ms(15_000);
 /// Interval at which it is checked what the caller has received.
 const CHECK_INTERVAL: Ms = Ms(250);
+/// The same for a connection that ends once its peer has received everything, which delays the end of the process.
+const STOP_CHECK_INTERVAL: Ms = Ms(10);
 /// Number of bytes that are discarded at a time.
 const BUF_BYTES: usize = 4096;
 
@@ -86,6 +88,12 @@
         undelivered
     }
 
+    /// Returns whether the connection was reset. Once the caller has ended its sending side, reads do not tell this any
+    /// more, and the number of undelivered bytes stays as it was.
+    fn is_reset(&self) -> bool {
+        !matches!(self.stream.take_error(), Ok(None))
+    }
+
     /// Shuts the connection down for writing and discards what its caller still sends, until it may be closed.
     pub async fn run(mut self) {
         if self.stream.shutdown().await.is_err() {
@@ -96,21 +104,29 @@
         let mut discarded = vec![0; BUF_BYTES];
         let mut is_ended = false;
         loop {
+            let ends_once_delivered = self.state.ends_once_delivered();
+            let undelivered = self.check_undelivered();
+            let is_delivered = undelivered == 0 && (is_ended || ends_once_delivered);
+            if is_delivered || timer.is_over(undelivered, clock.now()) {
+                return;
+            }
+            let interval = match ends_once_delivered {
+                true => STOP_CHECK_INTERVAL,
+                false => CHECK_INTERVAL,
+            };
             let received = tokio::select! {
                 received = self.stream.read(&mut discarded), if !is_ended => Some(received),
-                () = sleep(CHECK_INTERVAL.as_duration()) => None,
+                () = sleep(interval.as_duration()) => None,
             };
             match received {
                 Some(Ok(1..)) => timer.record_received(clock.now()),
-                // A caller that has ended its side sends nothing that could reset the connection, so that the kernel delivers the
-                // rest after the close, unless the process ends.
-                Some(Ok(0)) if !self.state.is_stopping() => return,
+                // The kernel would deliver the rest after the close, but not if the network of the machine ends together with
+                // the process, and a stop does not wait for a closed connection.
                 Some(Ok(0)) => is_ended = true,
                 Some(Err(_)) => return,
                 None => {}
             }
-            let undelivered = self.check_undelivered();
-            if is_ended && undelivered == 0 || timer.is_over(undelivered, clock.now()) {
+            if is_ended && self.is_reset() {
                 return;
             }
         }
