Drop copies of earlier answers in place of breaking off the call

What callers saw: 502 `bad-answer` of the daemon, while the server was at work on their request, and ran it to its end.

Cause: a server may send a copy of an earlier answer late, where the next answer is expected. The HTTP library takes the first answer after a request for the answer to it. The daemon saw from the id that it was not, ended the call and closed the connection, although the id also tells which answer to wait for.

The bytes of a server pass a filter that holds back the head of an answer until it is complete. If it names another call, the answer is dropped to its end, and the next one is examined. If the end cannot be found (no length and no chunks, or a HEAD request was sent on the connection), the answer is passed on, and the call ends as before. A connection on which a copy was dropped is not used again, as before.

RequestScanner, which finds the end of a message, is now MessageScanner.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -3,7 +3,7 @@
         connection_state::{ConnectionState, Stage},
         head_timer::HeadTimer,
         linger::STALL_TIMEOUT,
-        request_scanner::RequestScanner,
+        message_scanner::MessageScanner,
     },
     crate::clock::Ms,
     hyper::rt::{Read, ReadBufCursor, Write},
@@ -38,7 +38,7 @@
     stream: TokioIo<TcpStream>,
     state: Rc<ConnectionState>,
     head_timer: HeadTimer,
-    scanner: RequestScanner,
+    scanner: MessageScanner,
     /// Bytes that were received and not yet given to the HTTP library.
     received: Vec<u8>,
     /// Whether the caller has ended its sending side.
@@ -62,7 +62,7 @@
             writes_vectored: state.writing().is_limited(),
             head_timer: HeadTimer::new(state.clone(), head_timeout),
             state,
-            scanner: RequestScanner::default(),
+            scanner: MessageScanner::default(),
             received: Vec::new(),
             is_ended: false,
             stall_timer: None,
@@ -163,7 +163,7 @@
             if !matches!(self.state.stage(), Stage::Idle | Stage::Head) {
                 return self.poll_end(cx);
             }
-            self.scanner = RequestScanner::default();
+            self.scanner = MessageScanner::default();
         }
         if self.received.is_empty() {
             let received = self.poll_receive(cx);
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -4,7 +4,7 @@
         connection_state::ConnectionState,
         http_server::{BodyError, HttpRequest, HttpResponse},
         linger::Linger,
-        request_scanner::BodyLength,
+        message_scanner::BodyLength,
     },
     crate::{
         clock::Clock,
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::request_scanner::BodyLength,
+    super::message_scanner::BodyLength,
     crate::memory::Reservation,
     std::cell::Cell,
     tokio::sync::{watch, Notify},
--- a/src/edge/counted_stream.rs
+++ b/src/edge/counted_stream.rs
@@ -1,9 +1,10 @@
 use {
+    super::answer_filter::AnswerFilter,
     crate::{clock::Clock, lease::DaemonLease},
     hyper::rt::{Read, ReadBuf, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
         io::{self, IoSlice},
         pin::Pin,
         rc::Rc,
@@ -72,23 +73,60 @@
     }
 }
 
-/// A connection to a backend server that counts the sent bytes, and sends only while its [`SendMeter`] allows it.
+/// Number of bytes that are read at a time while the head of an answer is examined.
+const HEAD_READ_BYTES: usize = 4 * 1024;
+
+/// A connection to a backend server that counts the sent bytes, and sends only while its [`SendMeter`] allows it. Answers to
+/// other calls are dropped.
 #[derive(Debug)]
 pub(super) struct CountedStream {
     stream: TokioIo<TcpStream>,
     meter: Rc<SendMeter>,
+    filter: Rc<RefCell<AnswerFilter>>,
     /// Whether at most [`READ_BYTES`] are read at a time.
     limits_reads: bool,
 }
 
 impl CountedStream {
-    pub fn new(stream: TcpStream, meter: Rc<SendMeter>, limits_reads: bool) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        meter: Rc<SendMeter>,
+        filter: Rc<RefCell<AnswerFilter>>,
+        limits_reads: bool,
+    ) -> Self {
         Self {
             stream: TokioIo::new(stream),
             meter,
+            filter,
             limits_reads,
         }
     }
+
+    /// Reads an answer whose head has not been passed on completely.
+    fn poll_read_filtered(
+        &mut self,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            let passed = self.filter.borrow_mut().take_passed(buf.remaining());
+            if !passed.is_empty() {
+                buf.put_slice(&passed);
+                return Poll::Ready(Ok(()));
+            }
+            let mut bytes = [0; HEAD_READ_BYTES];
+            let mut read = ReadBuf::new(&mut bytes);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, read.unfilled()))?;
+            let mut filter = self.filter.borrow_mut();
+            if read.filled().is_empty() {
+                filter.end_input();
+                if filter.is_idle() {
+                    return Poll::Ready(Ok(()));
+                }
+            }
+            filter.receive(read.filled());
+        }
+    }
 }
 
 impl Read for CountedStream {
@@ -97,6 +135,9 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.filter.borrow().is_idle() {
+            return self.poll_read_filtered(cx, buf);
+        }
         if !self.limits_reads || buf.remaining() <= READ_BYTES {
             return Pin::new(&mut self.stream).poll_read(cx, buf);
         }
--- a/src/edge/request_scanner.rs
+++ b/src/edge/message_scanner.rs
@@ -1,4 +1,4 @@
-/// How the end of a request's body is found.
+/// How the end of a message's body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyLength {
     /// The body has this number of bytes.
@@ -7,7 +7,7 @@
     Chunked,
 }
 
-/// The part of a request that is being received.
+/// The part of a message that is being received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Part {
     /// Empty lines may precede the head.
@@ -31,19 +31,19 @@
         is_empty: bool,
     },
     End,
-    /// The end cannot be found, because the HTTP library reads the request in another way.
+    /// The end cannot be found, because the HTTP library reads the message in another way.
     Unknown,
 }
 
-/// Finds the end of a request in the bytes of a connection, so that the bytes of the next request are not given to the
-/// HTTP library before the request is answered. The library parses and checks the request; this decides only where
-/// it ends.
+/// Finds the end of a request or an answer in the bytes of a connection, so that the bytes of the next request are not given
+/// to the HTTP library before the request is answered, and answers to other calls are dropped. The library parses and checks
+/// messages; this decides only where one ends.
 #[derive(Clone, Copy, Debug)]
-pub struct RequestScanner {
+pub struct MessageScanner {
     part: Part,
 }
 
-impl Default for RequestScanner {
+impl Default for MessageScanner {
     fn default() -> Self {
         Self {
             part: Part::HeadStart,
@@ -51,9 +51,9 @@
     }
 }
 
-impl RequestScanner {
-    /// Returns how many of the next `bytes` of the connection belong to the request. Stops at the end of the head and at
-    /// the end of the request.
+impl MessageScanner {
+    /// Returns how many of the next `bytes` of the connection belong to the message. Stops at the end of the head and at
+    /// the end of the message.
     pub fn scan(&mut self, bytes: &[u8]) -> usize {
         if self.part == Part::HeadEnd {
             self.part = Part::Unknown;
@@ -81,7 +81,12 @@
         self.part != Part::HeadStart
     }
 
-    /// Returns whether the whole request has been scanned.
+    /// Returns whether the head has been scanned and the length of the body is not known yet.
+    pub fn is_head_complete(&self) -> bool {
+        self.part == Part::HeadEnd
+    }
+
+    /// Returns whether the whole message has been scanned.
     pub fn is_complete(&self) -> bool {
         self.part == Part::End
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP interfaces for callers, backend servers and operators.
 
+mod answer_filter;
 mod caller_edge;
 mod caller_stream;
 mod carried_calls;
@@ -9,8 +10,8 @@
 mod head_timer;
 mod http_server;
 mod linger;
+mod message_scanner;
 mod operator_edge;
-mod request_scanner;
 mod request_signature;
 mod send_queue;
 mod server_client;
@@ -24,8 +25,8 @@
         body_error_response, json_response, json_text_response, plain_response, serve_http,
         serve_http_within, BodyError, HttpRequest, HttpResponse,
     },
+    message_scanner::{BodyLength, MessageScanner},
     operator_edge::{operator_command, CommandRequest},
-    request_scanner::{BodyLength, RequestScanner},
     request_signature::{RequestSignature, SignatureError},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
     server_dialect::{
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        answer_filter::AnswerFilter,
         carried_calls::CarriedCalls,
         counted_stream::{CountedStream, SendMeter},
         server_dialect::{AnswerHead, ServerDialect, ServerNotice},
@@ -102,6 +103,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     meter: Rc<SendMeter>,
+    filter: Rc<RefCell<AnswerFilter>>,
     task: AbortHandle,
     /// End of the last call on this connection.
     idle_since: Ms,
@@ -180,8 +182,17 @@
             return failed(Reason::BadHeader);
         };
         connection.meter.begin_request(attempt.needs_lease);
+        connection
+            .filter
+            .borrow_mut()
+            .begin(answer_id, &attempt.call.method);
         let exchange = self.exchange(&mut connection, request, &attempt);
-        match timeout(remaining.as_duration(), exchange).await {
+        let exchanged = timeout(remaining.as_duration(), exchange).await;
+        let has_dropped = connection.filter.borrow().has_dropped();
+        if has_dropped {
+            self.no_reuse_until.set(self.clock.now() + NO_REUSE_PERIOD);
+        }
+        match exchanged {
             Ok(Ok(reply)) => {
                 if !is_final(&reply.result) {
                     let now = self.clock.now();
@@ -190,7 +201,14 @@
                 self.keep_for_reuse(connection);
                 reply
             }
-            Ok(Err(reason)) => failed(failure_reason(connection.meter.close(), reason)),
+            Ok(Err(reason)) => {
+                // The server went on to answer, but not to this call.
+                let reason = match reason {
+                    Reason::ServerLost if has_dropped => Reason::BadAnswer,
+                    reason => reason,
+                };
+                failed(failure_reason(connection.meter.close(), reason))
+            }
             Err(_) => failed(failure_reason(connection.meter.close(), Reason::ServerLate)),
         }
     }
@@ -227,7 +245,8 @@
             self.lease.clone(),
             self.stopped.clone(),
         ));
-        let stream = CountedStream::new(stream, meter.clone(), self.budget.is_limited());
+        let filter = Rc::new(RefCell::new(AnswerFilter::new(self.dialect.answer_id_header())));
+        let stream = CountedStream::new(stream, meter.clone(), filter.clone(), self.budget.is_limited());
         let Ok((sender, connection)) = http1::handshake(stream).await else {
             return Err(failed(Reason::ServerUnreachable));
         };
@@ -235,6 +254,7 @@
         Ok(Connection {
             sender,
             meter,
+            filter,
             task,
             idle_since: now,
             idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
--- a/src/edge/server_dialect.rs
+++ b/src/edge/server_dialect.rs
@@ -14,6 +14,9 @@
     /// Returns the request head of one attempt, which has the time `remaining` until its deadline.
     fn head(&self, attempt: &Attempt<'_>, address: &str, remaining: Ms) -> request::Builder;
 
+    /// Returns the name of the header in which an answer repeats the id of its call.
+    fn answer_id_header(&self) -> &'static str;
+
     /// Returns the id that an answer to `attempt` names. Several tries of a call may share it.
     fn answer_id<'a>(&self, attempt: &Attempt<'a>) -> &'a str;
 
@@ -92,6 +95,10 @@
         head
     }
 
+    fn answer_id_header(&self) -> &'static str {
+        "fold-call"
+    }
+
     fn answer_id<'a>(&self, attempt: &Attempt<'a>) -> &'a str {
         attempt.call_id
     }
@@ -100,7 +107,7 @@
     fn classify(&self, attempt: &Attempt<'_>, answer: &Parts) -> AnswerHead {
         let names_call = answer
             .headers
-            .get("fold-call")
+            .get(self.answer_id_header())
             .is_some_and(|id| id.as_bytes() == self.answer_id(attempt).as_bytes());
         if !names_call || !is_delimited(answer, &attempt.call.method) {
             return AnswerHead::Foreign;
--- a/tests/sent_ahead.rs
+++ b/tests/sent_ahead.rs
@@ -3,7 +3,7 @@
 use {
     clementinefold::{
         edge::{
-            plain_response, serve_http, BodyError, BodyLength, HttpRequest, HttpResponse, RequestScanner,
+            plain_response, serve_http, BodyError, BodyLength, HttpRequest, HttpResponse, MessageScanner,
         },
         settings::CallerLimits,
     },
@@ -125,7 +125,7 @@
 
 quickcheck! {
     fn requests_separated(sequence: Sequence) -> bool {
-        let mut scanner = RequestScanner::default();
+        let mut scanner = MessageScanner::default();
         let mut found = vec![Vec::new()];
         let mut received = Vec::new();
         for piece in sequence.pieces() {
@@ -138,7 +138,7 @@
                     scanner.begin_body(sequence.requests[number].length);
                 }
                 if scanner.is_complete() {
-                    scanner = RequestScanner::default();
+                    scanner = MessageScanner::default();
                     found.push(Vec::new());
                 }
             }
--- a/tests/server_answers.rs
+++ b/tests/server_answers.rs
@@ -83,6 +83,36 @@
         Script::SendThenClose("HTTP/1.1 200 OK\r\nfold-call: other-1\r\ncontent-length: 5\r\n\r\nother"),
         Err(Reason::BadAnswer),
     ),
+    row(
+        "copy of another answer first",
+        Script::Send("HTTP/1.1 200 OK\r\nfold-call: other-1\r\ncontent-length: 5\r\n\r\notherHTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"),
+        Ok("hello"),
+    ),
+    row(
+        "copies in chunks and without a body first",
+        Script::Send("HTTP/1.1 200 OK\r\nFold-Call: other-1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=1\r\nother\r\n0\r\nfold-call: CALL\r\n\r\nHTTP/1.1 204 No Content\r\nfold-call: other-2\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"),
+        Ok("hello"),
+    ),
+    row(
+        "copy of a refusal first",
+        Script::Send("HTTP/1.1 409 Conflict\r\nfold-call: other-1\r\nfold-refused: draining\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"),
+        Ok("hello"),
+    ),
+    row(
+        "copy that ends with the connection",
+        Script::SendThenClose("HTTP/1.1 200 OK\r\nfold-call: other-1\r\n\r\nother"),
+        Err(Reason::BadAnswer),
+    ),
+    row(
+        "half a copy",
+        Script::SendThenClose("HTTP/1.1 200 OK\r\nfold-call: other-1\r\ncontent-length: 10\r\n\r\nother"),
+        Err(Reason::BadAnswer),
+    ),
+    row(
+        "copy and no answer",
+        Script::Send("HTTP/1.1 200 OK\r\nfold-call: other-1\r\ncontent-length: 5\r\n\r\nother"),
+        Err(Reason::ServerLate),
+    ),
     row(
         "no call id",
         Script::SendThenClose("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother"),
@@ -148,8 +178,12 @@
 }
 
 async fn send(client: &ServerClient, id: &str) -> ServerReply {
+    send_as(client, id, "POST").await
+}
+
+async fn send_as(client: &ServerClient, id: &str, method: &str) -> ServerReply {
     let call = Call {
-        method: "POST".into(),
+        method: method.into(),
         path: "/pay".into(),
         request_id: id.into(),
         body: Bytes::from("amount=5"),
@@ -241,6 +275,25 @@
     });
 }
 
+/// Guards against the length in a copy of an answer to HEAD being taken for that of a body: the copy would swallow the
+/// answer behind it.
+#[test]
+fn copy_of_head_answer() {
+    let copied = "HTTP/1.1 200 OK\r\nfold-call: call-first\r\ncontent-length: 200\r\n\r\n\
+                  HTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello";
+    let head = "HTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 200\r\n\r\n";
+    let server = FakeServer::start(vec![Script::Send(head), Script::Send(copied)]);
+    run(async {
+        let client = client(&server.address, valid_lease(&Clock::System));
+        let first = send_as(&client, "first", "HEAD").await;
+        assert_eq!(first.result.outcome, Outcome::Answered);
+        let second = send(&client, "second").await;
+        assert_eq!(second.result.reason, Some(Reason::BadAnswer));
+        let next = send(&client, "third").await;
+        assert_eq!(next.result.body, good_answer("third"));
+    });
+}
+
 #[test]
 fn unreachable_server() {
     run(async {
