--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{request_scanner::BodyLength, stop_rule::StopRule},
+    super::{message_scanner::BodyLength, stop_rule::StopRule},
     crate::memory::Reservation,
     std::cell::Cell,
     tokio::sync::{watch, Notify},
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP interfaces for callers, backend servers and operators.
 
+mod answer_filter;
 mod caller_edge;
 mod caller_stream;
 mod carried_calls;
@@ -10,8 +11,8 @@
 mod head_timer;
 mod http_server;
 mod linger;
+mod message_scanner;
 mod operator_edge;
-mod request_scanner;
 mod request_signature;
 mod send_queue;
 mod server_client;
@@ -27,8 +28,8 @@
         body_error_response, json_response, json_text_response, plain_response, serve_http,
         serve_http_until_delivered, serve_http_within, BodyError, HttpRequest, HttpResponse,
     },
+    message_scanner::{BodyLength, MessageScanner},
     operator_edge::{operator_command, CommandRequest},
-    request_scanner::{BodyLength, RequestScanner},
     request_signature::{RequestSignature, SignatureError},
     server_client::{Attempt, ServerClient, ServerLimits, ServerReply},
     server_dialect::{
