Memory: limit what the kernel holds of unread responses

400 callers that left responses of 3 MB unread made the kernel hold 1.15 GB for a daemon with a limit of 64 MB: a response counted as written, and left the budget, once it was in the send buffer, which grows to 4 MB.

Accepted connections now have TCP_NOTSENT_LOWAT of 16 KiB: the kernel takes no more while so much is not sent, so that the rest of the response stays in the budget, whose rules apply. What is on its way is not limited. An error of the option is ignored: the connection is served as before.

--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,5 +1,8 @@
 use {
-    super::connection::{Connection, ConnectionLog, STOP_GRACE},
+    super::{
+        connection::{Connection, ConnectionLog, STOP_GRACE},
+        send_queue::limit_unsent,
+    },
     crate::{
         call::{CallResult, Reason},
         clock::Ms,
@@ -119,6 +122,7 @@
             log_event!(log, Event::ConnectionRefused; "from" => from.to_string(), "open" => open_connections.get());
             return;
         }
+        limit_unsent(&stream);
         open_connections.set(open_connections.get() + 1);
         let (open_connections, all_ended) = (open_connections.clone(), all_ended.clone());
         let connection = Connection {
