Memory: begin connections with a small receive buffer

400 callers whose bodies of 1 MiB waited for the budget made the kernel keep 39 to 44 MB for a daemon with a limit of 64 MB, up to 130 KB each: a body that waits is not read, and receive buffers begin with 128 KB.

Listeners now have a receive buffer of 32 KB (as the kernel counts it), which their connections inherit. Setting the size also fixes it; SO_BUF_LOCK removes that, so that the buffer grows with what the process reads, which the budget grants. Where the system does not know SO_BUF_LOCK (before Linux 5.14), nothing is set, since a fixed small buffer would slow uploads down.

--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         connection::{Connection, ConnectionLog, STOP_GRACE},
+        receive_queue::limit_unread,
         send_queue::limit_unsent,
     },
     crate::{
@@ -15,7 +16,7 @@
     http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri},
     serde::Serialize,
     slog::Logger,
-    std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, future::Future, net::SocketAddr, os::fd::AsFd, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{watch, Notify},
@@ -109,6 +110,8 @@
     F: Future<Output = HttpResponse> + 'static,
 {
     let address = listener.local_addr();
+    // Without support of the system, the connections can be served all the same.
+    let _ = limit_unread(listener.as_fd());
     let connection_stop = stop.clone();
     let connection_log = Rc::new(ConnectionLog::new(log.clone()));
     let open_connections = Rc::new(Cell::new(0_usize));
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,7 @@
 mod http_server;
 mod linger;
 mod operator_edge;
+mod receive_queue;
 mod request_scanner;
 mod request_signature;
 mod send_queue;
