Edge: close a waiting connection in favour of a new one

Callers that held as many connections as a daemon accepts, without a request, kept all others out until the idle time limit: each new connection was closed. The limit counted connections whatever they were used for.

At the limit, a connection that waits for a request is now closed in favour of the new one: first those that never had a request, then idle ones, then those whose body has been on its way for over 2 s; among these, the one that has waited longest. None of their requests has run: the connection looks whether it has to end before it reads more.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -168,6 +168,7 @@
         if self.received.is_empty() {
             let received = self.poll_receive(cx);
             if received.is_pending() {
+                self.state.record_read_wait();
                 // Bytes that have arrived are read first, so that a pause of this process doesn't count against the caller.
                 ready!(self.head_timer.poll_timeout(cx));
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -4,6 +4,7 @@
         connection_state::ConnectionState,
         http_server::{BodyError, HttpRequest, HttpResponse},
         linger::Linger,
+        open_connections::RequestWait,
         request_scanner::BodyLength,
     },
     crate::{
@@ -105,6 +106,8 @@
     pub log: Rc<ConnectionLog>,
     /// Budget from which the bodies of requests get their memory.
     pub budget: MemoryBudget,
+    /// Ends the connection if another one needs its place.
+    pub wait: Rc<RequestWait>,
     pub handler: H,
 }
 
@@ -123,6 +126,7 @@
             mut stop,
             log,
             budget,
+            wait,
             handler,
         } = self;
         let _ = stream.set_nodelay(true);
@@ -130,6 +134,7 @@
         let state = Rc::new(ConnectionState::new(
             stop.clone(),
             budget.reservation(ReservationKind::Writing, Some(from.ip())),
+            wait.clone(),
         ));
         let mut cut_guard = CutGuard {
             log: log.clone(),
@@ -182,12 +187,16 @@
             }
         };
         let served = tokio::select! {
+            // Before anything more is read: a request that is read runs, and its connection is not closed.
+            biased;
+            () = wait.closed() => return,
             served = serving => served,
             () = state.writing().refused() => {
                 cut_guard.error = "it is not read while memory is short".into();
                 return;
             }
         };
+        wait.record_end();
         let linger = Linger {
             stream: connection.into_parts().io.into_inner(),
             state,
--- a/src/edge/connection_state.rs
+++ b/src/edge/connection_state.rs
@@ -1,7 +1,7 @@
 use {
-    super::request_scanner::BodyLength,
-    crate::memory::Reservation,
-    std::cell::Cell,
+    super::{open_connections::RequestWait, request_scanner::BodyLength},
+    crate::{clock::Clock, memory::Reservation},
+    std::{cell::Cell, rc::Rc},
     tokio::sync::{watch, Notify},
 };
 
@@ -59,12 +59,13 @@
     became_idle: Notify,
     /// The response that is being written.
     writing: Reservation,
+    wait: Rc<RequestWait>,
 }
 
 impl ConnectionState {
     /// Returns the state of a new connection. `stop` tells whether the process is stopping, and `writing` is the reservation of
-    /// memory of the responses that are written.
-    pub fn new(stop: watch::Receiver<bool>, writing: Reservation) -> Self {
+    /// memory of the responses that are written. `wait` tells the listener what the connection waits for.
+    pub fn new(stop: watch::Receiver<bool>, writing: Reservation, wait: Rc<RequestWait>) -> Self {
         Self {
             stage: Cell::default(),
             body_length: Cell::default(),
@@ -74,6 +75,7 @@
             stop,
             became_idle: Notify::new(),
             writing,
+            wait,
         }
     }
 
@@ -111,15 +113,27 @@
         }
     }
 
+    /// Records that nothing can be read now.
+    pub fn record_read_wait(&self) {
+        let now = || Clock::System.now();
+        match self.stage.get() {
+            Stage::Idle | Stage::Head => self.wait.record_head_wait(now),
+            Stage::Body => self.wait.record_body_wait(now),
+            Stage::Serving | Stage::Answering | Stage::Delivering => {}
+        }
+    }
+
     /// Records that a whole head was received.
     pub fn record_head(&self, body_length: BodyLength) {
         self.body_length.set(Some(body_length));
         self.stage.set(Stage::Body);
+        self.wait.record_head();
     }
 
     /// Records that the body of the request was received, or that it will not be.
     pub fn record_body(&self) {
         self.stage.set(Stage::Serving);
+        self.wait.record_request();
     }
 
     /// Records that the answer is ready to be written. Returns whether it has to announce the end of the connection: the
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -1,12 +1,13 @@
 use {
     super::{
         connection::{Connection, ConnectionLog, STOP_GRACE},
+        open_connections::{OpenConnections, RequestWait},
         receive_queue::limit_unread,
         send_queue::limit_unsent,
     },
     crate::{
         call::{CallResult, Reason},
-        clock::Ms,
+        clock::{Clock, Ms},
         event::Event,
         log_event,
         memory::MemoryBudget,
@@ -76,8 +77,9 @@
 pub type HttpResponse = Response<Bytes>;
 
 /// Serves HTTP/1.1 until `stop` turns true, then for a grace period with responses that close their connections.
-/// Returns once all connections have ended. Each connection has its own task, so
-/// that an idle connection never delays another one.
+/// Returns once all connections have ended. Each connection has its own task, so that an idle connection never delays another
+/// one. At the limit of connections, one that waits for a request is closed in favour of a new one; if there is none, the new
+/// one is refused.
 ///
 /// `limits` is called for each connection and again for the body of each request, as the limits may change
 /// meanwhile.
@@ -115,19 +117,23 @@
     let connection_stop = stop.clone();
     let connection_log = Rc::new(ConnectionLog::new(log.clone()));
     let open_connections = Rc::new(Cell::new(0_usize));
+    let waits = Rc::new(OpenConnections::default());
     let all_ended = Rc::new(Notify::new());
     let mut stopped = std::pin::pin!(async {
         let _ = stop.wait_for(|stop| *stop).await;
         sleep(STOP_GRACE).await;
     });
     let serve_accepted = |stream: TcpStream, from: SocketAddr| {
-        if open_connections.get() >= limits().connections {
+        let is_full = waits.count() >= limits().connections;
+        if is_full && !waits.make_room(Clock::System.now()) {
             log_event!(log, Event::ConnectionRefused; "from" => from.to_string(), "open" => open_connections.get());
             return;
         }
         limit_unsent(&stream);
         open_connections.set(open_connections.get() + 1);
         let (open_connections, all_ended) = (open_connections.clone(), all_ended.clone());
+        let wait = Rc::new(RequestWait::default());
+        let (waits, id) = (waits.clone(), waits.add(wait.clone()));
         let connection = Connection {
             stream,
             from,
@@ -135,10 +141,12 @@
             stop: connection_stop.clone(),
             log: connection_log.clone(),
             budget: budget.clone(),
+            wait,
             handler: handler.clone(),
         };
         spawn_local(async move {
             connection.serve().await;
+            waits.remove(id);
             open_connections.set(open_connections.get() - 1);
             if open_connections.get() == 0 {
                 all_ended.notify_one();
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod head_timer;
 mod http_server;
 mod linger;
+mod open_connections;
 mod operator_edge;
 mod receive_queue;
 mod request_scanner;
