Memory: accept as many connections as fit into the limit

2,000 connections with heads that did not end took a process with a limit of 34 MB to 42 to 49 MB: each may hold 30 KB outside the budget, and the number of connections did not depend on the limit.

Connections now use up to a quarter of the limit. ProcessLimit::connections decides how many fit, with the size limit of a head: 273 with 32 MiB, 2,000 from 256 MB on. The smaller of it and caller_limits.connections is in force; CF1001 tells it.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -170,13 +170,18 @@
         }
         let leader = control_hosts.first().cloned().unwrap_or_default();
         let balance = parts.settings.balance;
+        let mut settings = parts.settings;
+        let limits = &mut settings.caller_limits;
+        limits.connections = limits
+            .connections
+            .min(parts.memory.connections(limits.head_bytes));
         let budget = MemoryBudget::of_process(parts.memory.bytes, parts.clock.clone());
         Self {
             large_answers: LargeAnswers::new(budget.limit()),
             kept_answers: KeptAnswers::default(),
             budget,
             memory: parts.memory,
-            settings: parts.settings,
+            settings,
             clock: parts.clock,
             log: parts.log,
             metrics: parts.metrics,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -234,6 +234,7 @@
         "peers" => cx.settings.peer_address.to_string(),
         "memory_bytes" => cx.memory.bytes,
         "memory_source" => cx.memory.source.as_str(),
+        "connections" => cx.settings.caller_limits.connections,
     );
 
     wait_for_stop(stop).await;
--- a/src/memory/process_limit.rs
+++ b/src/memory/process_limit.rs
@@ -12,6 +12,11 @@
 /// Limit of a process that cannot learn what the host grants: that of a host with 1 GiB.
 const UNKNOWN_GRANT_BYTES: u64 = 128 * 1024 * 1024;
 
+/// Part of the limit that the connections of callers use. The budget takes a half, the process itself the rest.
+const CONNECTIONS_DIVISOR: u64 = 4;
+/// Memory of a connection besides its head: received bytes and the state of the HTTP library.
+const CONNECTION_BYTES: u64 = 14 * 1024;
+
 /// Where the memory limit of a process comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitSource {
@@ -47,6 +52,13 @@
 }
 
 impl ProcessLimit {
+    /// Returns the number of connections of callers that fit into the limit if each holds a head of `head_bytes`: 2,000 or
+    /// more with 256 MB and heads of 16 KiB.
+    pub fn connections(self, head_bytes: usize) -> usize {
+        let fitting = self.bytes / CONNECTIONS_DIVISOR / (CONNECTION_BYTES + head_bytes as u64);
+        usize::try_from(fitting).unwrap_or(usize::MAX).max(1)
+    }
+
     /// Returns the limit from the settings or, without one, a part of what the host grants.
     pub fn choose(setting: Option<u64>, grant: HostGrant) -> Self {
         if let Some(bytes) = setting {
--- a/tests/process_limit.rs
+++ b/tests/process_limit.rs
@@ -64,6 +64,34 @@
     assert!(for_bodies >= 6400 * 19 / 1000 * MIB, "{for_bodies}");
 }
 
+/// Guards against connections that use more than a quarter of the limit, and against a limit that refuses the callers of a
+/// process with enough memory.
+#[test]
+fn fitting_connections() {
+    // Limit in bytes, size limit of a head, and number of connections.
+    let cases = [
+        (32 * MIB, 16 * 1024, 273),
+        (64 * MIB, 16 * 1024, 546),
+        (256_000_000, 16 * 1024, 2083),
+        (512 * MIB, 16 * 1024, 4369),
+        (32 * MIB, 1024 * 1024, 7),
+        (32 * MIB, 8192, 372),
+        (
+            u64::MAX,
+            8192,
+            usize::try_from(u64::MAX / 4 / (22 * 1024)).unwrap(),
+        ),
+        (0, 8192, 1),
+    ];
+    for (bytes, head_bytes, connections) in cases {
+        let limit = ProcessLimit {
+            bytes,
+            source: LimitSource::Setting,
+        };
+        assert_eq!(limit.connections(head_bytes), connections, "{bytes} {head_bytes}");
+    }
+}
+
 /// Paths of files below a root, and their text.
 type Files<'a> = &'a [(&'a str, &'a str)];
 
