--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -5,6 +5,7 @@
         http_server::{BodyError, HttpRequest, HttpResponse},
         linger::Linger,
         message_scanner::BodyLength,
+        open_connections::RequestWait,
         stop_rule::StopRule,
     },
     crate::{
@@ -104,6 +105,8 @@
     pub log: Rc<ConnectionLog>,
     /// Budget from which the bodies of requests get their memory.
     pub budget: MemoryBudget,
+    /// Ends the connection if another one needs its place.
+    pub wait: Rc<RequestWait>,
     pub handler: H,
 }
 
@@ -123,6 +126,7 @@
             stop_rule,
             log,
             budget,
+            wait,
             handler,
         } = self;
         let _ = stream.set_nodelay(true);
@@ -131,6 +135,7 @@
             stop.clone(),
             stop_rule,
             budget.reservation(ReservationKind::Writing, Some(from.ip())),
+            wait.clone(),
         ));
         let mut cut_guard = CutGuard {
             log: log.clone(),
@@ -182,23 +187,31 @@
             }
             }
         };
-        let served = tokio::select! {
-            served = serving => served,
+        let (end, error) = tokio::select! {
+            // Before anything more is read: a request that is read runs, and its connection is not closed.
+            biased;
+            // The caller may not have received the answer to its last request.
+            () = wait.closed() => (ConnectionEnd::Early, "another connection needs its place".into()),
+            served = serving => (
+                ConnectionEnd::of(&served),
+                served.err().map_or_else(String::new, |e| e.to_string()),
+            ),
             () = state.writing().refused() => {
                 cut_guard.error = "it is not read while memory is short".into();
                 return;
             }
         };
+        wait.record_end();
         let linger = Linger {
             stream: connection.into_parts().io.into_inner(),
             state,
         };
-        match ConnectionEnd::of(&served) {
+        match end {
             ConnectionEnd::InOrder => linger.run().await,
             ConnectionEnd::Early => linger.run_if_undelivered().await,
             ConnectionEnd::Stalled => {}
         }
-        cut_guard.error = served.err().map_or_else(String::new, |e| e.to_string());
+        cut_guard.error = error;
     }
 }
 
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -2,11 +2,14 @@
     super::{
         connection::{Connection, ConnectionLog},
         delivery_stop::DeliveryStop,
+        open_connections::{OpenConnections, RequestWait},
+        receive_queue::limit_unread,
+        send_queue::limit_unsent,
         stop_rule::StopRule,
     },
     crate::{
         call::{CallResult, Reason},
-        clock::Ms,
+        clock::{Clock, Ms},
         event::Event,
         log_event,
         memory::MemoryBudget,
@@ -16,7 +19,7 @@
     http::{header, HeaderMap, HeaderValue, Method, Response, StatusCode, Uri},
     serde::Serialize,
     slog::Logger,
-    std::{cell::Cell, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
+    std::{cell::Cell, future::Future, net::SocketAddr, os::fd::AsFd, pin::pin, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{watch, Notify},
@@ -28,6 +31,12 @@
 /// Pause after a failed accept, e.g. when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Part of the limit of connections that may be open beyond it: connections that have been closed in favour of others, whose
+/// callers have not received their last answers yet.
+const ENDING_FRACTION: usize = 8;
+/// Smallest number of them.
+const ENDING_MIN: usize = 16;
+
 /// Time after which a caller may repeat a request for which the daemon had no memory. It is longer than the time after
 /// which stalled bodies are refused.
 const NO_MEMORY_RETRY_AFTER: Ms = Ms(2000);
@@ -76,8 +85,9 @@
 pub type HttpResponse = Response<Bytes>;
 
 /// Serves HTTP/1.1 until `stop` turns true, then for a grace period with responses that close their connections.
-/// Returns once all connections have ended. Each connection has its own task, so
-/// that an idle connection never delays another one.
+/// Returns once all connections have ended. Each connection has its own task, so that an idle connection never delays another
+/// one. At the limit of connections, one that waits for a request is closed in favour of a new one; if there is none, the new
+/// one is refused.
 ///
 /// `limits` is called for each connection and again for the body of each request, as the limits may change
 /// meanwhile.
@@ -155,6 +165,8 @@
     stopped: impl Future<Output = ()>,
     serve: impl Fn(TcpStream, SocketAddr),
 ) {
+    // Without support of the system, the connections can be served all the same.
+    let _ = limit_unread(listener.as_fd());
     let mut stopped = pin!(stopped);
     loop {
         let accepted = tokio::select! {
@@ -176,6 +188,7 @@
     log: Logger,
     connection_log: Rc<ConnectionLog>,
     open_connections: Rc<Cell<usize>>,
+    waits: Rc<OpenConnections>,
     all_ended: Rc<Notify>,
     handler: H,
 }
@@ -193,20 +206,31 @@
             connection_log: Rc::new(ConnectionLog::new(log.clone())),
             log,
             open_connections: Rc::default(),
+            waits: Rc::default(),
             all_ended: Rc::default(),
             handler,
         }
     }
 
+    /// Returns whether one more connection can be served beside `open` others. Closes a waiting one for it if need be.
+    fn has_room(&self, open: usize) -> bool {
+        let limit = (self.limits)().connections;
+        let ending_max = ENDING_MIN.max(limit / ENDING_FRACTION);
+        self.waits.count() < limit || open < limit + ending_max && self.waits.make_room(Clock::System.now())
+    }
+
     /// Starts to serve a connection, unless too many are open.
     fn serve(&self, stream: TcpStream, from: SocketAddr, stop: &watch::Receiver<bool>, stop_rule: StopRule) {
         let open = self.open_connections.get();
-        if open >= (self.limits)().connections {
+        if !self.has_room(open) {
             log_event!(self.log, Event::ConnectionRefused; "from" => from.to_string(), "open" => open);
             return;
         }
+        limit_unsent(&stream);
         self.open_connections.set(open + 1);
         let (open_connections, all_ended) = (self.open_connections.clone(), self.all_ended.clone());
+        let wait = Rc::new(RequestWait::default());
+        let (waits, id) = (self.waits.clone(), self.waits.add(wait.clone()));
         let connection = Connection {
             stream,
             from,
@@ -215,10 +239,12 @@
             stop_rule,
             log: self.connection_log.clone(),
             budget: self.budget.clone(),
+            wait,
             handler: self.handler.clone(),
         };
         spawn_local(async move {
             connection.serve().await;
+            waits.remove(id);
             open_connections.set(open_connections.get() - 1);
             if open_connections.get() == 0 {
                 all_ended.notify_one();
