Memory of large bodies returns to the system when they are freed

Callers that sent bodies of 32 MB one after another through several daemons made a daemon with a limit of 64 MB have 70,640 to 71,148 KiB resident, although its budget held one body at any time.

glibc maps large blocks on their own at first, but keeps freed blocks of up to 32 MiB in the heap once it has freed one of their size. A small block that is placed into the gap of a freed body makes it too small for the next one, and the process has the memory of two bodies.

The process now fixes the size from which blocks are mapped at 4 MiB, which also ends the adjustment. Smaller blocks stay in the heap as before, so bodies of up to 1 MiB cost no page faults for mappings.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -12,7 +12,7 @@
         event::Event,
         link::{serve_links_until, KeyRing, LinkIdentity, Links},
         log_event,
-        memory::{HostGrant, ProcessLimit},
+        memory::{self, HostGrant, ProcessLimit},
         metrics::Metrics,
         settings::Settings,
     },
@@ -52,6 +52,7 @@
 /// # Errors
 /// A key file or an address cannot be used, or the I/O loop or the thread for signals cannot be started.
 pub fn run_with_edges(settings: Settings, log: Logger, edges: Rc<dyn Edges>) -> Result<()> {
+    memory::return_large_blocks();
     let (stop_tx, stop_rx) = watch::channel(false);
     let (reload_tx, reload_rx) = watch::channel(0_u64);
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("handling signals")?;
--- /dev/null
+++ b/src/memory/allocator.rs
@@ -0,0 +1,33 @@
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+use std::ffi::c_int;
+
+/// Size from which a block is mapped on its own, so that its memory returns to the system when it is freed. Bodies of
+/// up to 1 MiB, of which a daemon reads thousands a second, stay below it: each mapping costs page faults.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+const MAPPED_BYTES_MIN: c_int = 4 * 1024 * 1024;
+/// Free memory at the end of the heap from which it is returned. It is twice the size above, as by default.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+const TRIMMED_BYTES_MIN: c_int = 2 * MAPPED_BYTES_MIN;
+
+/// Makes the allocator return the memory of large blocks when they are freed.
+///
+/// By default, glibc keeps freed blocks of up to 32 MiB once it has freed one of their size. A small block that is then
+/// placed into such a gap makes it too small for the next body, so that the process has the memory of two.
+#[allow(unsafe_code)]
+pub fn return_large_blocks() {
+    #[cfg(all(target_os = "linux", target_env = "gnu"))]
+    {
+        /// Parameters of `mallopt`, from `malloc.h`.
+        const M_TRIM_THRESHOLD: c_int = -1;
+        const M_MMAP_THRESHOLD: c_int = -3;
+        extern "C" {
+            fn mallopt(param: c_int, value: c_int) -> c_int;
+        }
+        // SAFETY: `mallopt` has this signature in glibc, takes its own lock and changes only settings of the allocator.
+        // If it rejects a value, the default stays in place.
+        unsafe {
+            mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES_MIN);
+            mallopt(M_TRIM_THRESHOLD, TRIMMED_BYTES_MIN);
+        }
+    }
+}
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -1,5 +1,6 @@
 //! Budget of the memory that others make a daemon hold.
 
+mod allocator;
 mod budget;
 mod host_grant;
 mod ledger;
@@ -7,6 +8,7 @@
 mod reserved_buf;
 
 pub use {
+    allocator::return_large_blocks,
     budget::{MemoryBudget, Refused, Reservation},
     host_grant::HostGrant,
     ledger::{
