Links: a large forwarded call is accounted for before it is read

Callers that sent large bodies at once through several entry daemons made the daemon beside the server exceed its memory limit: with a limit of 64 MB, four entry daemons and bodies of 32 MB, it had 195,720 to 227,140 KiB resident.

The body of a forwarded call counted once its frame was complete. Each link buffered a whole frame first, up to 64 MiB where the configuration allows such bodies, and refused it afterwards.

RequestCodec now announces a call of over 64 KiB by its first bytes. The link asks the budget for the whole frame without waiting. With room, the body of the call keeps that reservation, and run_forwarded no longer counts it. Without room, the bytes are discarded as they arrive, and the call ends as not run with no-memory once the last one was received, so that the entry daemon may try another server. The messages are the same; older peers see the answer that they saw before for a complete body. Other requests of the link are read as before.

A frame that is being read may be refused as the body of a caller may: a peer that is frozen halfway through a frame would otherwise keep all bodies of other callers from the budget. Its part is freed and the rest discarded. The read buffer has to be replaced for this, so the accepting side of a link reads from its own half of the socket instead of a split stream.

Frames up to 64 KiB ask the budget once, when they are complete, as before.

--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -9,7 +9,6 @@
         key::Key,
         link::LinkError,
         log_event,
-        memory::Refused,
         route::{self, Candidate, KeyRoute, Signal},
         schema::{CallKind, Service},
         wire::peer::frame::Body,
@@ -294,13 +293,9 @@
         result.unwrap_or_else(|_| CallResult::failed(Reason::ServerLate))
     }
 
-    /// Runs a call that another daemon forwarded. The call is never forwarded again.
-    pub async fn run_forwarded(self: &Rc<Self>, mut call: Call) -> CallResult {
+    /// Runs a call that another daemon forwarded, whose body its link has accounted for. The call is never forwarded again.
+    pub async fn run_forwarded(self: &Rc<Self>, call: Call) -> CallResult {
         let _active_call = ActiveCall::new(self);
-        match self.budget.try_keep(std::mem::take(&mut call.body)) {
-            Ok(body) => call.body = body,
-            Err(Refused) => return CallResult::failed(Reason::NoMemory),
-        }
         let deadline = self.clock.now() + Ms::from(call.deadline_ms);
         if route::is_too_old(&self.state(), self.session.get(), &call) {
             self.await_applied(call.revision).await;
--- a/src/daemon/peer_handler.rs
+++ b/src/daemon/peer_handler.rs
@@ -1,8 +1,10 @@
 use {
     super::daemon_cx::DaemonCx,
     crate::{
+        call::{CallResult, Reason},
         clock::Ms,
         control::ControlInput,
+        memory::Refused,
         wire::{consensus::Envelope, peer::frame::Body},
     },
     prost::Message,
@@ -11,8 +13,13 @@
 };
 
 impl DaemonCx {
-    /// Serves a request of another daemon. Returns `None` if there is no answer to it.
-    pub async fn serve_peer(self: Rc<Self>, body: Body) -> Option<Body> {
+    /// Serves a request of another daemon, or ends a call whose body was refused as not run. Returns `None` if there is no
+    /// answer to it.
+    pub async fn serve_peer(self: Rc<Self>, request: Result<Body, Refused>) -> Option<Body> {
+        let Ok(body) = request else {
+            let result = CallResult::failed(Reason::NoMemory);
+            return Some(Body::CallAnswer(result.into_wire(self.state().applied())));
+        };
         match body {
             Body::CallRequest(call) => {
                 let started = self.clock.now();
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -10,7 +10,7 @@
         control::{start_control, ControlConfig, ControlHandle, ControlInput},
         edge,
         event::Event,
-        link::{serve_links_until, KeyRing, LinkIdentity, Links},
+        link::{serve_links_within, KeyRing, LinkIdentity, Links},
         log_event,
         memory::{self, HostGrant, ProcessLimit},
         metrics::Metrics,
@@ -211,12 +211,13 @@
     spawn_local(cx.clone().reload_keys(identity.keys.clone(), reload));
     let peer_cx = cx.clone();
     let (links_stop_tx, links_stop) = watch::channel(false);
-    let links_task = spawn_local(serve_links_until(
+    let links_task = spawn_local(serve_links_within(
+        cx.budget.clone(),
         peer_listener,
         identity,
         log.clone(),
         links_stop,
-        move |body| peer_cx.clone().serve_peer(body),
+        move |request| peer_cx.clone().serve_peer(request),
     ));
     spawn_local(cx.clone().send_control_messages(messages));
     spawn_local(cx.clone().maintain_session());
--- a/src/link/frame_batch.rs
+++ b/src/link/frame_batch.rs
@@ -1,9 +1,10 @@
 use {
-    super::handshake::FrameStream,
+    super::FrameCodec,
     crate::wire::peer::Frame,
-    futures_util::{stream::SplitSink, SinkExt},
+    futures_util::SinkExt,
     std::io,
-    tokio::sync::mpsc,
+    tokio::{net::tcp::OwnedWriteHalf, sync::mpsc},
+    tokio_util::codec::FramedWrite,
 };
 
 /// Sender of the queue of a link. The frames are boxed because a queue allocates its slots in blocks, and most links
@@ -12,12 +13,15 @@
 /// Receiver of the queue of a link.
 pub(super) type FrameReceiver = mpsc::Receiver<Box<Frame>>;
 
+/// The writing half of an accepted link.
+pub(super) type AnswerSink = FramedWrite<OwnedWriteHalf, FrameCodec>;
+
 /// Sends `first` and the frames queued behind it, and flushes once.
 ///
 /// # Errors
 /// Returns an error if the link has failed.
 pub(super) async fn send_queued(
-    sink: &mut SplitSink<FrameStream, Frame>,
+    sink: &mut AnswerSink,
     first: Box<Frame>,
     rx: &mut FrameReceiver,
 ) -> io::Result<()> {
--- a/src/link/frame_codec.rs
+++ b/src/link/frame_codec.rs
@@ -13,7 +13,7 @@
 const HELLO_FRAME_MAX_BYTES: usize = 4096;
 
 /// Size of the length before a frame.
-const LENGTH_BYTES: usize = 4;
+pub(super) const LENGTH_BYTES: usize = 4;
 /// An empty buffer of a link is kept up to this size. Frames other than those of large bodies fit into it.
 const KEPT_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Returns a codec for frames of full size.
+    pub(super) fn after_hello() -> Self {
+        let mut codec = Self::for_hello();
+        codec.end_hello();
+        codec
+    }
+
     /// Returns the meter of the bytes that are received.
     pub(super) fn meter(&self) -> ReadMeter {
         self.meter.clone()
@@ -45,6 +52,16 @@
     pub fn end_hello(&mut self) {
         self.lengths.set_max_frame_length(FRAME_MAX_BYTES);
     }
+
+    /// Returns the maximum size of a frame.
+    pub(super) fn frame_max_bytes(&self) -> usize {
+        self.lengths.max_frame_length()
+    }
+
+    /// Expects the length of a frame next, also if a frame was partly decoded.
+    pub(super) fn restart(&mut self) {
+        self.lengths = length_codec(self.frame_max_bytes());
+    }
 }
 
 /// Frees an empty buffer that a large frame has made large. A daemon has thousands of links.
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -21,7 +21,7 @@
 
 /// Initial size of the buffers of a link, one for each direction. They grow with the frames. Most links of a large
 /// cluster carry a small frame now and then, and a frame that is in use keeps the whole buffer that it was read into.
-const BUFFER_BYTES: usize = 1024;
+pub(super) const BUFFER_BYTES: usize = 1024;
 /// Size of the buffered frames from which a link is flushed.
 pub(super) const FLUSH_BYTES: usize = 8 * 1024;
 
--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -1,25 +1,30 @@
 use {
     super::{
-        frame_batch::{send_queued, FrameReceiver, FrameSender},
-        handshake::{self, FrameStream},
+        frame_batch::{send_queued, AnswerSink, FrameReceiver, FrameSender},
+        handshake::{self, FrameStream, BUFFER_BYTES, FLUSH_BYTES},
+        large_call::{CallCheck, LargeCall},
         served_requests::ServedRequests,
-        socket, LinkIdentity, RequestIntake,
+        socket, FrameCodec, LinkIdentity, Received, RequestCodec, RequestIntake,
     },
     crate::{
         clock::Clock,
         event::{Event, RateLimit},
         log_event,
+        memory::{MemoryBudget, Refused},
         wire::peer::{frame::Body, Frame, Pong},
     },
-    futures_util::{stream::SplitSink, SinkExt, StreamExt},
+    bytes::Bytes,
+    futures_util::{SinkExt, StreamExt},
     slog::Logger,
-    std::{cell::RefCell, future::Future, rc::Rc, time::Duration},
+    std::{cell::RefCell, future::Future, io::Cursor, mem::take, rc::Rc, time::Duration},
     tokio::{
-        net::{TcpListener, TcpStream},
+        io::{AsyncReadExt, Chain},
+        net::{tcp::OwnedReadHalf, TcpListener, TcpStream},
         sync::{mpsc, watch, Notify},
         task::{spawn_local, JoinSet},
         time::{sleep, timeout},
     },
+    tokio_util::codec::{FramedRead, FramedWrite},
 };
 
 /// Capacity of the queue of answers to one link. Handlers wait while it is full.
@@ -47,13 +52,34 @@
     listener: TcpListener,
     identity: LinkIdentity,
     log: Logger,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     handler: H,
 ) where
     H: Fn(Body) -> F + Clone + 'static,
     F: Future<Output = Option<Body>> + 'static,
+{
+    let handler = move |request: Result<Body, Refused>| {
+        let answer = request.ok().map(&handler);
+        async move { answer?.await }
+    };
+    serve_links_within(MemoryBudget::default(), listener, identity, log, stop, handler).await;
+}
+
+/// Serves links as [`serve_links_until`] does, and accounts for the bodies of calls. A call whose body has no room in
+/// `budget` reaches `handler` as an error: one over 64 KiB is then discarded as it arrives.
+pub async fn serve_links_within<H, F>(
+    budget: MemoryBudget,
+    listener: TcpListener,
+    identity: LinkIdentity,
+    log: Logger,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Result<Body, Refused>) -> F + Clone + 'static,
+    F: Future<Output = Option<Body>> + 'static,
 {
     let acceptor = Rc::new(LinkAcceptor {
+        budget,
         identity,
         log,
         refusal_log_limit: RefCell::default(),
@@ -79,8 +105,12 @@
     }
 }
 
+/// The reading half of an accepted link, behind the bytes that were received with the hello.
+type RequestSource = FramedRead<Chain<Cursor<Bytes>, OwnedReadHalf>, RequestCodec>;
+
 /// What all accepted links share.
 struct LinkAcceptor {
+    budget: MemoryBudget,
     identity: LinkIdentity,
     log: Logger,
     refusal_log_limit: RefCell<RateLimit>,
@@ -90,7 +120,7 @@
 impl LinkAcceptor {
     async fn serve_link<H, F>(self: Rc<Self>, stream: TcpStream, handler: H)
     where
-        H: Fn(Body) -> F + 'static,
+        H: Fn(Result<Body, Refused>) -> F + 'static,
         F: Future<Output = Option<Body>> + 'static,
     {
         let from = stream
@@ -99,7 +129,10 @@
         // The link also works without these options, but then takes long to notice that its peer is lost.
         let _ = socket::configure(&stream);
         match handshake::accept(stream, &self.identity).await {
-            Ok((stream, _)) => serve_frames(stream, self.stop.clone(), handler).await,
+            Ok((stream, _)) => {
+                let budget = self.budget.clone();
+                serve_frames(stream, budget, self.stop.clone(), handler).await;
+            }
             Err(e) => {
                 let passed = self.refusal_log_limit.borrow_mut().pass(Clock::System.now());
                 if let Some(suppressed) = passed {
@@ -116,18 +149,23 @@
 /// Serves a link after the hello until its peer closes it. Once `stop` is true, no more requests are taken, and the
 /// connection is shut down for writing behind the last answer. It is still read then: closing a socket with unread bytes
 /// resets the connection, and the peer loses the answers that it has not received yet.
-async fn serve_frames<H, F>(stream: FrameStream, mut stop: watch::Receiver<bool>, handler: H)
-where
-    H: Fn(Body) -> F + 'static,
+async fn serve_frames<H, F>(
+    stream: FrameStream,
+    budget: MemoryBudget,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Result<Body, Refused>) -> F + 'static,
     F: Future<Output = Option<Body>> + 'static,
 {
-    let (sink, mut source) = stream.split();
+    let (sink, mut source) = split(stream);
     let (tx, rx) = mpsc::channel(QUEUE_CAPACITY);
     let answers_complete = Rc::new(Notify::new());
     spawn_local(write_answers(sink, rx, answers_complete.clone()));
     let requests = Rc::new(ServedRequests::default());
     let mut intake = RequestIntake::default();
     let mut is_complete = false;
+    let mut large_call: Option<LargeCall> = None;
     loop {
         let received = tokio::select! {
             biased;
@@ -141,16 +179,48 @@
                 answers_complete.notify_one();
                 continue;
             }
+            check = LargeCall::check(large_call.as_ref()), if large_call.is_some() => {
+                match check {
+                    CallCheck::Progress => {
+                        large_call.iter_mut().for_each(|c| c.record_received(source.read_buffer().len()));
+                    }
+                    CallCheck::Refused => {
+                        large_call = None;
+                        discard_call(&mut source);
+                    }
+                }
+                continue;
+            }
             received = source.next() => received,
         };
-        let Some(Ok(frame)) = received else { break };
+        let Some(Ok(received)) = received else { break };
+        let frame = match received {
+            Received::LargeCall { bytes } => {
+                let reserved = budget.try_reserve(bytes);
+                large_call = reserved.ok().filter(|_| !intake.is_closed()).map(LargeCall::new);
+                if large_call.is_none() {
+                    discard_call(&mut source);
+                }
+                continue;
+            }
+            Received::Discarded { correlation } => {
+                if intake.take(correlation) {
+                    let answer = send_answer(tx.clone(), correlation, handler(Err(Refused)));
+                    requests.spawn(correlation, true, answer);
+                }
+                continue;
+            }
+            Received::Frame(frame) => frame,
+        };
+        let large_call = large_call.take();
         match frame.body {
             Some(Body::CallCancel(cancel)) => requests.cancel(cancel.correlation),
             // Answers that fill the queue show as well that the link works.
             Some(Body::Ping(_)) => drop(tx.try_send(unsolicited(Body::Pong(Pong {})))),
             Some(body) if intake.take(frame.correlation) => {
                 let is_call = matches!(body, Body::CallRequest(_));
-                let answer = send_answer(tx.clone(), frame.correlation, handler(body));
+                let request = account_for(body, large_call, &budget);
+                let answer = send_answer(tx.clone(), frame.correlation, handler(request));
                 requests.spawn(frame.correlation, is_call, answer);
             }
             Some(_) | None => {}
@@ -160,6 +230,38 @@
     requests.cancel_all();
 }
 
+/// Returns the halves of a link after the hello. The read buffer can be replaced, which that of a split stream cannot.
+fn split(stream: FrameStream) -> (AnswerSink, RequestSource) {
+    let parts = stream.into_parts();
+    let (reader, writer) = parts.io.into_split();
+    let mut sink = FramedWrite::with_capacity(writer, FrameCodec::after_hello(), BUFFER_BYTES);
+    sink.set_backpressure_boundary(FLUSH_BYTES);
+    // The peer may have sent frames right behind the hello.
+    let reader = Cursor::new(parts.read_buf.freeze()).chain(reader);
+    let codec = RequestCodec::new(parts.codec);
+    (sink, FramedRead::with_capacity(reader, codec, BUFFER_BYTES))
+}
+
+/// Discards the large call that is announced or partly received.
+fn discard_call(source: &mut RequestSource) {
+    let mut buf = take(source.read_buffer_mut());
+    source.decoder_mut().discard(&mut buf);
+    *source.read_buffer_mut() = buf;
+}
+
+/// Accounts for the body of a call.
+fn account_for(body: Body, large: Option<LargeCall>, budget: &MemoryBudget) -> Result<Body, Refused> {
+    let Body::CallRequest(mut call) = body else {
+        return Ok(body);
+    };
+    let bytes = take(&mut call.body);
+    call.body = match large {
+        Some(large) => large.keep(bytes),
+        None => budget.try_keep(bytes)?,
+    };
+    Ok(Body::CallRequest(call))
+}
+
 /// Returns a frame that is not an answer and has none.
 fn unsolicited(body: Body) -> Box<Frame> {
     Box::new(Frame {
@@ -180,11 +282,7 @@
 
 /// Writes answers until the link fails, or until all have been written after `answers_complete`. Queued answers are
 /// flushed together.
-async fn write_answers(
-    mut sink: SplitSink<FrameStream, Frame>,
-    mut rx: FrameReceiver,
-    answers_complete: Rc<Notify>,
-) {
+async fn write_answers(mut sink: AnswerSink, mut rx: FrameReceiver, answers_complete: Rc<Notify>) {
     loop {
         let next = tokio::select! {
             biased;
--- a/src/memory/budget.rs
+++ b/src/memory/budget.rs
@@ -122,9 +122,18 @@
         if bytes.is_empty() || !self.is_limited() {
             return Ok(bytes);
         }
+        Ok(self.try_reserve(bytes.len())?.keep(bytes))
+    }
+
+    /// Reserves memory for a request that another daemon sends, without waiting: the requests and answers behind it on
+    /// the link would wait as well.
+    ///
+    /// # Errors
+    /// Returns an error if the budget has no room.
+    pub fn try_reserve(&self, bytes: usize) -> Result<Reservation, Refused> {
         let reservation = self.reservation(ReservationKind::Body, None);
-        match reservation.request(bytes.len()) {
-            ReservationState::Held => Ok(reservation.keep(bytes)),
+        match reservation.request(bytes) {
+            ReservationState::Held => Ok(reservation),
             ReservationState::Waiting | ReservationState::Refused => Err(Refused),
         }
     }
