Guards: an entry no longer keeps the memory of the whole request

Non-idempotent calls of the own interface with large bodies, forwarded to the owner of their keys, made the owner's memory grow by the whole request of each call, for as long as the answer is kept: by 122,176 to 122,516 KiB for 200 calls with 500 KB. Nothing accounted for it.

A key is read from a message without a copy, so it shares the memory of the frame with the body. The reservation of the body ends with the body, while the guard keeps the key.

The id of a guard entry now has a key of its own. Calls whose frames are over 64 KiB also get their key and header values in memory of their own when they are received, as the load meter keeps keys for a while too.

--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -38,7 +38,8 @@
             return CallResult::failed(Reason::UnknownKind);
         };
         let id = GuardId {
-            key: owner_key(call, service),
+            // The entry outlives the call by far, and must not keep the request with its body.
+            key: owner_key(call, service).detached(),
             request_id: call.request_id.clone(),
         };
         let digest = Fingerprint::of_request(call);
--- a/src/key/key_bytes.rs
+++ b/src/key/key_bytes.rs
@@ -23,6 +23,12 @@
         Self(bytes.into())
     }
 
+    /// Returns the same key in memory of its own. A key that was read from a message shares the memory of the whole message.
+    #[must_use]
+    pub fn detached(&self) -> Self {
+        Self(Bytes::copy_from_slice(&self.0))
+    }
+
     /// Reads the text form: plain text, or `base64:` followed by the encoded bytes.
     ///
     /// # Errors
--- a/src/link/link_server.rs
+++ b/src/link/link_server.rs
@@ -256,7 +256,14 @@
     };
     let bytes = take(&mut call.body);
     call.body = match large {
-        Some(large) => large.keep(bytes),
+        Some(large) => {
+            // What outlives the body must not keep the frame, whose reservation ends with the body.
+            call.key = Bytes::copy_from_slice(&call.key);
+            for header in &mut call.headers {
+                header.value = Bytes::copy_from_slice(&header.value);
+            }
+            large.keep(bytes)
+        }
         None => budget.try_keep(bytes)?,
     };
     Ok(Body::CallRequest(call))
