--- a/tests/guard_machine.rs
+++ b/tests/guard_machine.rs
@@ -279,6 +279,33 @@
     assert_eq!(copy.entry(&id(1)), Some(&second), "a late entry");
 }
 
+/// Guards against a copy, or an adopted guard, that records more answers than the guard of an owner.
+#[test]
+fn copies_limited() {
+    let limits = GuardLimits {
+        entries: 3,
+        answer_bytes: 6,
+    };
+    let (mut copy, mut adopted) = (Guard::new(limits), Guard::new(limits));
+    let mut owner = guard();
+    for number in 0..3 {
+        begin(&mut owner, number, 0, Ms(1));
+        let entry = owner.finish(&id(number), &answered()).unwrap();
+        copy.apply_copy(entry.clone());
+        adopted.adopt(entry);
+    }
+    for (name, guard) in [("copy", &copy), ("adopted", &adopted)] {
+        let phase = |number| &guard.entry(&id(number)).unwrap().phase;
+        let dropped = GuardPhase::Finished(CallResult::failed(Reason::AnswerNotKept));
+        assert_eq!(
+            phase(0),
+            &dropped,
+            "{name}: the oldest answer is dropped, its id stays"
+        );
+        assert_eq!(phase(2), &GuardPhase::Finished(answered()), "{name}");
+    }
+}
+
 #[test]
 fn limits_enforced() {
     let guard_limits = GuardLimits {
