Guards: copies and adopted guards keep to the limit of recorded answers

Non-idempotent calls of the own interface with large answers made the daemon that has the copy of a guard grow without a bound until the entries expire: by 97,697 to 98,216 KiB for 200 answers of 500 KB, while the owner drops its oldest answers from 32 MiB on.

Only Guard::finish looked at the limit. Copies are made by apply_copy, and the guard of a new owner by adopt, neither of which did.

A resend whose answer was dropped ends as answer-not-kept, as at the owner. The ids stay, so no call runs twice.

--- a/src/call/guard.rs
+++ b/src/call/guard.rs
@@ -172,6 +172,7 @@
         }
         self.sequence = self.sequence.max(entry.sequence);
         self.put(entry);
+        self.drop_oldest_answers();
     }
 
     /// Adds the copy of an entry, unless a newer one is known.
@@ -182,6 +183,7 @@
         if !is_newer_known {
             self.sequence = self.sequence.max(entry.sequence);
             self.put(entry);
+            self.drop_oldest_answers();
         }
     }
 
--- a/src/call/guard_wire.rs
+++ b/src/call/guard_wire.rs
@@ -49,7 +49,8 @@
     /// Converts from the message form. Returns `None` if the digest has a wrong length.
     pub fn from_wire(image: GuardEntryImage, now: Ms) -> Option<Self> {
         let id = GuardId {
-            key: Key::new(image.key),
+            // The id stays when the recorded answer is dropped, and must not keep the message that had both.
+            key: Key::new(image.key).detached(),
             request_id: image.request_id,
         };
         if image.removed {
