--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -10,9 +10,9 @@
         control::{start_control, ControlConfig, ControlHandle, ControlInput},
         edge::{self, DeliveryStop},
         event::Event,
-        link::{serve_links_until, KeyRing, LinkIdentity, Links},
+        link::{serve_links_within, KeyRing, LinkIdentity, Links},
         log_event,
-        memory::{HostGrant, ProcessLimit},
+        memory::{self, HostGrant, ProcessLimit},
         metrics::Metrics,
         settings::Settings,
     },
@@ -52,6 +52,7 @@
 /// # Errors
 /// A key file or an address cannot be used, or the I/O loop or the thread for signals cannot be started.
 pub fn run_with_edges(settings: Settings, log: Logger, edges: Rc<dyn Edges>) -> Result<()> {
+    memory::return_large_blocks();
     let (stop_tx, stop_rx) = watch::channel(false);
     let (reload_tx, reload_rx) = watch::channel(0_u64);
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("handling signals")?;
@@ -207,12 +208,13 @@
     spawn_local(cx.clone().reload_keys(identity.keys.clone(), reload));
     let peer_cx = cx.clone();
     let (links_stop_tx, links_stop) = watch::channel(false);
-    let links_task = spawn_local(serve_links_until(
+    let links_task = spawn_local(serve_links_within(
+        cx.budget.clone(),
         peer_listener,
         identity,
         log.clone(),
         links_stop,
-        move |body| peer_cx.clone().serve_peer(body),
+        move |request| peer_cx.clone().serve_peer(request),
     ));
     spawn_local(cx.clone().send_control_messages(messages));
     spawn_local(cx.clone().maintain_session());
