Forget the transit time of a link that was idle for minutes

Calls over a link that had carried no calls for long lost a part of their time, or all of it: after four hours at a drift of 50 ppm, each of them counted as delayed by 720 ms, so that this was taken off its deadline, and it was held back for 220 ms more, for the next one to two minutes.

Cause: TransitMeter closes its window with the first call after 60 s, however old the window is, and goes on comparing with its shortest transit time. Frames other than calls keep a link open meanwhile.

Evidence: `drift_while_idle_forgotten` fails before (delay 720, hold 220) and passes now. A window that is older than twice its length is dropped: no call was recorded in its last minute, and the clocks may have drifted since.

--- a/src/link/transit_meter.rs
+++ b/src/link/transit_meter.rs
@@ -2,6 +2,8 @@
 
 /// Time after which the shortest transit time is measured anew, so that clocks that drift apart do not count as a delay.
 const WINDOW: Ms = Ms(60_000);
+/// Age at which a window no longer counts.
+const WINDOW_AGE_MAX: Ms = Ms(2 * WINDOW.0);
 /// Time after which a caller that has left must no longer have its call sent to a server.
 const CANCEL_TIME: Ms = Ms(500);
 /// Longest time for which a call is held back, so that a clock that is wrong does not cost a call its whole time.
@@ -37,8 +39,10 @@
     /// Records a call that its sender sent at `sent_at` by its own clock and that arrives at `now`.
     pub fn record(&mut self, sent_at: Ms, now: Ms) -> Transit {
         let difference = i128::from(now.0) - i128::from(sent_at.0);
-        if now >= self.window_began + WINDOW {
-            self.previous = self.shortest.take();
+        let age = now - self.window_began;
+        if age >= WINDOW {
+            // After a long pause, the clocks may have drifted apart by any time.
+            self.previous = self.shortest.take().filter(|_| age < WINDOW_AGE_MAX);
             self.window_began = now;
         }
         let shortest = self.shortest.map_or(difference, |s| s.min(difference));
--- a/tests/transit_delay.rs
+++ b/tests/transit_delay.rs
@@ -77,3 +77,14 @@
     assert_eq!(transit.delay, Ms(700));
     assert_eq!(transit.hold, Ms(200));
 }
+
+/// Guards against a link that was idle for long: the transit time measured before would count the drift of the clocks since
+/// then as a delay, and calls would lose their time.
+#[test]
+fn drift_while_idle_forgotten() {
+    let mut meter = TransitMeter::default();
+    record(&mut meter, 0, 0, 0);
+    // Four hours at 50 ppm.
+    let transit = record(&mut meter, 4 * 3_600_000, 0, 720);
+    assert_eq!(transit, Transit::default());
+}
