--- a/src/memory/allocator.rs
+++ b/src/memory/allocator.rs
@@ -18,17 +18,11 @@
 pub fn return_large_blocks() {
     #[cfg(all(target_os = "linux", target_env = "gnu"))]
     {
-        /// Parameters of `mallopt`, from `malloc.h`.
-        const M_TRIM_THRESHOLD: c_int = -1;
-        const M_MMAP_THRESHOLD: c_int = -3;
-        extern "C" {
-            fn mallopt(param: c_int, value: c_int) -> c_int;
-        }
-        // SAFETY: `mallopt` has this signature in glibc, takes its own lock and changes only settings of the allocator.
+        // SAFETY: `mallopt` takes its own lock and changes only settings of the allocator.
         // If it rejects a value, the default stays in place.
         unsafe {
-            mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES_MIN);
-            mallopt(M_TRIM_THRESHOLD, TRIMMED_BYTES_MIN);
+            libc::mallopt(libc::M_MMAP_THRESHOLD, MAPPED_BYTES_MIN);
+            libc::mallopt(libc::M_TRIM_THRESHOLD, TRIMMED_BYTES_MIN);
         }
     }
 }
