Memory: servers stay in use while callers leave responses unread

Ordinary callers got `no-server` for seconds while a crowd left responses of 300 KB unread: since the kernel takes no more of a response than it sends, responses fill the budget. Heartbeats of servers are small bodies and waited for memory with all others, so that their servers counted as gone. Calls whose responses waited for memory until their deadlines counted against their servers besides.

Small bodies in progress now have a sixteenth of the budget for themselves, large responses leave an eighth free, and a response that waits for memory ends its call as `answer-unread`, which is no sign of its server.

--- a/src/call/reason.rs
+++ b/src/call/reason.rs
@@ -27,6 +27,11 @@
                 }
             }
 
+            /// Returns whether a call that ends for this reason was given up at its deadline while it ran.
+            pub fn is_late(self) -> bool {
+                matches!(self, Self::ServerLate | Self::AnswerUnread)
+            }
+
             /// Returns the outcome of a call that ends for this reason.
             pub fn outcome(self) -> Outcome {
                 match self {
@@ -114,4 +119,6 @@
     StillRunning = "still-running", 504, Unknown;
     /// The deadline passed while the call ran.
     ServerLate = "server-late", 504, Unknown;
+    /// The server answered, but a daemon had no memory for its answer before the deadline.
+    AnswerUnread = "answer-unread", 504, Unknown;
 }
--- a/src/daemon/call_path.rs
+++ b/src/daemon/call_path.rs
@@ -13,7 +13,7 @@
         schema::{CallKind, Service},
         wire::peer::frame::Body,
     },
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -269,6 +269,7 @@
             return CallResult::failed(Reason::DeadlineTooShort);
         }
         let room = self.answer_room();
+        let is_answered = Cell::new(false);
         let request = Call {
             deadline_ms: u32::try_from(time_left.0).unwrap_or(u32::MAX),
             revision: self.state().applied(),
@@ -280,6 +281,7 @@
             match self.links.request(peer_address, Body::CallRequest(request)).await {
                 Ok(Body::CallAnswer(answer)) => {
                     drop(room);
+                    is_answered.set(true);
                     let now = self.clock.now();
                     let delay = now - sent_at - Ms::from(answer.held_ms);
                     self.balancer.borrow_mut().record_delay(peer_address, delay, now);
@@ -292,7 +294,12 @@
         };
         let exchange = timeout((time_left + FORWARD_GRACE).as_duration(), exchange);
         let result = exchange.await;
-        result.unwrap_or_else(|_| CallResult::failed(Reason::ServerLate))
+        result.unwrap_or_else(|_| {
+            CallResult::failed(match is_answered.get() {
+                true => Reason::AnswerUnread,
+                false => Reason::ServerLate,
+            })
+        })
     }
 
     /// Runs a call that another daemon forwarded, whose body its link has accounted for. The call is never forwarded again.
@@ -392,7 +399,10 @@
     fn finish(mut self, result: &CallResult) {
         let overloaded = result.reason == Some(Reason::Overloaded);
         let took = self.cx.clock.now() - self.sent_at;
-        self.signal = Signal::of(result.outcome, overloaded, took);
+        self.signal = match result.reason {
+            Some(Reason::AnswerUnread) => Signal::None,
+            _ => Signal::of(result.outcome, overloaded, took),
+        };
     }
 }
 
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -221,7 +221,7 @@
         if dispatch.service.divided_by_key {
             self.record_busy_time(&call.service, &key, self.clock.now() - sent_at);
         }
-        running.has_ended = reply.result.reason != Some(Reason::ServerLate);
+        running.has_ended = !reply.result.reason.is_some_and(Reason::is_late);
         drop(running);
         log_event!(
             self.log, Event::ServerAttemptEnded;
@@ -268,7 +268,11 @@
             server: server.announced.address.clone(),
         };
         let overloaded = result.reason == Some(Reason::Overloaded);
-        let signal = Signal::of(result.outcome, overloaded, took);
+        let signal = match result.reason {
+            // The server has answered. That the daemon has no memory says nothing of the server.
+            Some(Reason::AnswerUnread) => Signal::None,
+            _ => Signal::of(result.outcome, overloaded, took),
+        };
         let now = self.clock.now();
         if self.local_balancer.borrow_mut().record_end(&target, signal, now) {
             log_event!(
--- a/src/daemon/hedged_attempt.rs
+++ b/src/daemon/hedged_attempt.rs
@@ -230,7 +230,7 @@
     /// Records the response time of a first attempt. An attempt that ended at its deadline counts with the time until
     /// then.
     fn learn(&self, call: &Call, terms: &CallTerms<'_>, result: &CallResult, sent_at: Ms) {
-        if !ends_call(result) && result.reason != Some(Reason::ServerLate) {
+        if !ends_call(result) && !result.reason.is_some_and(Reason::is_late) {
             return;
         }
         let now = self.clock.now();
--- a/src/daemon/kept_answers.rs
+++ b/src/daemon/kept_answers.rs
@@ -163,7 +163,7 @@
             .reserve(usize::try_from(bytes).unwrap_or(usize::MAX))
             .await;
         if reserved.is_err() {
-            return CallResult::failed(Reason::ServerLate);
+            return CallResult::failed(Reason::AnswerUnread);
         }
         let fetch = AnswerFetch {
             id,
--- a/src/daemon/routed_path.rs
+++ b/src/daemon/routed_path.rs
@@ -488,6 +488,7 @@
 fn signal_of(result: &CallResult, took: Ms) -> Signal {
     let overloaded = matches!(result.reason, Some(Reason::Overloaded | Reason::ServerFull));
     match result.outcome {
+        _ if result.reason == Some(Reason::AnswerUnread) => Signal::None,
         Outcome::Answered if result.status >= 500 => Signal::Refused,
         outcome => Signal::of(outcome, overloaded, took),
     }
--- a/src/daemon/time_limit.rs
+++ b/src/daemon/time_limit.rs
@@ -19,7 +19,7 @@
     /// All times are cut to whole milliseconds, also the one at which the call began, so that the call ends up to
     /// [`ROUNDING_MAX`] early. One that has ended long before its limit is not held up.
     pub(super) async fn await_time_limit(&self, result: &CallResult, limit: Ms) {
-        if result.reason == Some(Reason::ServerLate) && limit <= self.clock.now() + ROUNDING_MAX {
+        if result.reason.is_some_and(Reason::is_late) && limit <= self.clock.now() + ROUNDING_MAX {
             while self.clock.now() <= limit {
                 sleep(CLOCK_STEP).await;
             }
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -186,7 +186,8 @@
             .filter
             .borrow_mut()
             .begin(answer_id, &attempt.call.method);
-        let exchange = self.exchange(&mut connection, request, &attempt);
+        let waits_for_memory = Cell::new(false);
+        let exchange = self.exchange(&mut connection, request, &attempt, &waits_for_memory);
         let exchanged = timeout(remaining.as_duration(), exchange).await;
         let has_dropped = connection.filter.borrow().has_dropped();
         if has_dropped {
@@ -209,7 +210,13 @@
                 };
                 failed(failure_reason(connection.meter.close(), reason))
             }
-            Err(_) => failed(failure_reason(connection.meter.close(), Reason::ServerLate)),
+            Err(_) => {
+                let reason = match waits_for_memory.get() {
+                    true => Reason::AnswerUnread,
+                    false => Reason::ServerLate,
+                };
+                failed(failure_reason(connection.meter.close(), reason))
+            }
         }
     }
 
@@ -278,10 +285,12 @@
         connection: &mut Connection,
         request: Request<Full<Bytes>>,
         attempt: &Attempt<'_>,
+        waits_for_memory: &Cell<bool>,
     ) -> Result<ServerReply, Reason> {
         let answer = connection.sender.send_request(request).await;
         let answer = answer.map_err(|_| Reason::ServerLost)?;
-        self.read_answer(connection, answer, attempt).await
+        self.read_answer(connection, answer, attempt, waits_for_memory)
+            .await
     }
 
     /// Reads the answer. It is accepted only if it belongs to this attempt and is complete.
@@ -290,6 +299,7 @@
         connection: &Connection,
         answer: Response<Incoming>,
         attempt: &Attempt<'_>,
+        waits_for_memory: &Cell<bool>,
     ) -> Result<ServerReply, Reason> {
         let (parts, body) = answer.into_parts();
         let head = self.dialect.classify(attempt, &parts);
@@ -297,7 +307,7 @@
             self.no_reuse_until.set(self.clock.now() + NO_REUSE_PERIOD);
             return Err(Reason::BadAnswer);
         }
-        let body = self.read_body(body, attempt).await?;
+        let body = self.read_body(body, attempt, waits_for_memory).await?;
         let announced_timeout = self.dialect.keep_alive_timeout(&parts.headers);
         connection
             .idle_timeout
@@ -324,9 +334,14 @@
         Self { budget, ..self }
     }
 
-    /// Reads a body to its end. Waits while the budget has no room. Fails if all bodies that are being read together
+    /// Reads a body to its end. Waits while the budget has no room, which `waits_for_memory` tells. Fails if all bodies that are being read together
     /// exceed the limit.
-    async fn read_body(&self, mut body: Incoming, attempt: &Attempt<'_>) -> Result<Bytes, Reason> {
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        attempt: &Attempt<'_>,
+        waits_for_memory: &Cell<bool>,
+    ) -> Result<Bytes, Reason> {
         let mut buffered = BufferedBytes {
             total: &self.buffered_bytes,
             bytes: 0,
@@ -341,7 +356,9 @@
         };
         let mut buf = ReservedBuf::new(self.budget.reservation(kind, None), length);
         if self.budget.is_limited() {
+            waits_for_memory.set(true);
             buf.reserve_length().await.map_err(|_| Reason::BadAnswer)?;
+            waits_for_memory.set(false);
         }
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Reason::BadAnswer)?;
@@ -351,7 +368,9 @@
                     return Err(Reason::BadAnswer);
                 }
                 // Responses are not refused memory, but wait for it until the deadline of the call.
+                waits_for_memory.set(true);
                 buf.push(&data).await.map_err(|_| Reason::BadAnswer)?;
+                waits_for_memory.set(false);
             }
         }
         Ok(buf.finish())
--- a/src/memory/ledger.rs
+++ b/src/memory/ledger.rs
@@ -1,8 +1,15 @@
-use {crate::clock::Ms, std::net::IpAddr};
+use {
+    super::{ReservationKind, ReservationState},
+    crate::clock::Ms,
+    std::net::IpAddr,
+};
 
 /// A body of up to this size uses a part of the budget that larger ones leave free, so that ordinary requests are read
 /// while large ones wait.
 pub const SMALL_BYTES: usize = 64 * 1024;
+/// Part of the budget that small bodies in progress get although the rest is held, and twice of which large responses leave
+/// free. Without it, heartbeats of servers would wait for callers that do not read.
+const SMALL_BODIES_FRACTION: usize = 16;
 /// Time for which a reservation waits before anything is refused. Bodies and responses that are in progress usually end
 /// within this time.
 pub const PRESSURE_TIME: Ms = Ms(300);
@@ -16,34 +23,6 @@
 /// wait for others that are not stalled.
 const RATE_AGE_MIN: Ms = Ms(2000);
 
-/// What a reservation is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReservationKind {
-    /// The body of a request that is being received. It may wait and be refused: the request has not run.
-    Body,
-    /// A request that waits or runs, or a response that is complete. It is neither made to wait nor refused.
-    Kept,
-    /// A response that is being read from a server. It may wait and is not refused.
-    Response,
-    /// A response that is being read from a server for another daemon, which fetches it once it has room. It may wait and
-    /// is not refused.
-    ForwardedResponse,
-    /// A response that is being written to a caller. Its bytes are accounted for by another reservation, and its end frees them.
-    /// It may be refused: its connection is then closed.
-    Writing,
-}
-
-/// State of a reservation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReservationState {
-    /// The reservation has what it asked for.
-    Held,
-    /// The reservation waits for more bytes.
-    Waiting,
-    /// The reservation has to end.
-    Refused,
-}
-
 /// One reservation of memory.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
@@ -111,8 +90,8 @@
 /// that make no progress are refused, those of the client that holds most first, and the oldest of them first; if there
 /// are none, a reservation that waits itself, since reservations may wait for each other; if there are none either, the slowest body.
 ///
-/// Large bodies use up to a half of the budget, all bodies up to three quarters, and responses the whole, since a
-/// response that is not read was computed in vain. Those for other daemons use up to a half, since they are held until
+/// Large bodies use up to a half of the budget, all bodies up to three quarters, large responses up to seven eighths, and small
+/// ones the whole, since a response that is not read was computed in vain. Small bodies in progress get a sixteenth in any case. Those for other daemons use up to a half, since they are held until
 /// these have room: daemons that hold responses for each other must have room left to fetch some.
 #[derive(Debug)]
 pub struct Ledger {
@@ -338,16 +317,38 @@
                 return self.response_bytes == entry.bytes;
             }
             ReservationKind::Response => (
-                self.limit,
+                self.response_cap(entry),
                 self.response_bytes - self.forwarded_bytes == entry.bytes,
             ),
-            ReservationKind::ForwardedResponse => (self.limit, self.response_bytes == entry.bytes),
-            ReservationKind::Body if entry.is_small() => (self.limit / 4 * 3, others == 0),
+            ReservationKind::ForwardedResponse => {
+                (self.response_cap(entry), self.response_bytes == entry.bytes)
+            }
+            ReservationKind::Body if entry.is_small() => {
+                let cap = self.limit / 4 * 3;
+                return others == 0 || self.held + entry.wanted <= cap || self.has_small_share(entry);
+            }
             ReservationKind::Body => (self.limit / 2, others == 0),
         };
         is_alone || self.held + entry.wanted <= cap
     }
 
+    fn response_cap(&self, entry: &Entry) -> usize {
+        match entry.is_small() {
+            true => self.limit,
+            false => self.limit - 2 * (self.limit / SMALL_BODIES_FRACTION),
+        }
+    }
+
+    /// Returns whether the bytes that a small body wants fit into the share of small bodies.
+    fn has_small_share(&self, entry: &Entry) -> bool {
+        let small_bodies = self
+            .entries
+            .iter()
+            .filter(|e| e.kind == ReservationKind::Body && e.is_small());
+        let held: usize = small_bodies.map(|e| e.bytes).sum();
+        held + entry.wanted <= self.limit / SMALL_BODIES_FRACTION
+    }
+
     fn grant(&mut self, i: usize, now: Ms) {
         let entry = &mut self.entries[i];
         entry.bytes += entry.wanted;
--- a/tests/memory_refusals.rs
+++ b/tests/memory_refusals.rs
@@ -129,9 +129,13 @@
     while budget.held() < RESPONSE_BYTES {
         thread::sleep(Duration::from_millis(10));
     }
-    // A request that needs memory is answered once the connection that does not read is closed.
+    // Ordinary requests have room, and nobody is closed for them.
     let answered = read_some(&mut send(address, "/", 5, 5));
     assert!(answered.starts_with("HTTP/1.1 200"), "{answered}");
+    assert_eq!(budget.refused(), 0);
+    // A request that needs memory is answered once the connection that does not read is closed.
+    let answered = read_some(&mut send(address, "/", LARGE, LARGE));
+    assert!(answered.starts_with("HTTP/1.1 200"), "{answered}");
     assert_eq!((budget.held(), budget.refused()), (0, 1));
     drop(unread);
 }
