LOST: a caller that resets its connection while its answer is written no longer holds a stop

Since the kernel takes little that is not sent, most of an answer to a slow caller is with the HTTP library. A caller that then closed its connection held it until it counted as stalled, 15 s or the end of the stop.

Cause: the failed write takes the error of the socket, so that the check for a reset behind it finds none, and tokio reports the shutdown of a reset socket as done. A reset that the library reports now ends the connection at once.

--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -209,7 +209,7 @@
         match end {
             ConnectionEnd::InOrder => linger.run().await,
             ConnectionEnd::Early => linger.run_if_undelivered().await,
-            ConnectionEnd::Stalled => {}
+            ConnectionEnd::Lost => {}
         }
         cut_guard.error = error;
     }
@@ -222,8 +222,8 @@
     /// The connection was idle for too long, or it ended before a whole request was received. An answer to an earlier request
     /// may be undelivered.
     Early,
-    /// The caller took no bytes of its answer for long.
-    Stalled,
+    /// The caller took no bytes of its answer for long, or has reset the connection.
+    Lost,
 }
 
 impl ConnectionEnd {
@@ -232,16 +232,22 @@
             Ok(()) => Self::InOrder,
             // The library answers malformed requests itself.
             Err(e) if e.is_parse() => Self::InOrder,
-            Err(e) if is_stalled(e) => Self::Stalled,
+            Err(e) if is_lost(e) => Self::Lost,
             Err(_) => Self::Early,
         }
     }
 }
 
-/// Returns whether the stream of the connection failed because its caller takes no bytes of its answer.
-fn is_stalled(error: &hyper::Error) -> bool {
+/// Returns whether the stream of the connection failed because its caller takes no bytes of its answer, or has reset the
+/// connection. The socket reports a reset only once.
+fn is_lost(error: &hyper::Error) -> bool {
     let source = error.source().and_then(|e| e.downcast_ref::<io::Error>());
-    source.is_some_and(|e| e.kind() == CallerStream::STALL_ERROR)
+    source.is_some_and(|e| {
+        matches!(
+            e.kind(),
+            CallerStream::STALL_ERROR | io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe
+        )
+    })
 }
 
 fn body_length(request: &Request<Incoming>) -> BodyLength {
