review: case 7, a service that is left out once gets two holders of its keys

A version that leaves out a service divided by key, followed by one that names it again, has its keys dealt out anew while the servers still hold them: servers are given keys on which another one is at work, before that one's hold would have run out (OWNER).

State::update_tables (src/control/guard_changes.rs) drops the table of owners with the service, and the empty table that replaces it knows nothing of the holds that were given.

--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -128,10 +128,7 @@
 
     /// Sends a configuration until it is acknowledged, and waits until all daemons are ready.
     pub fn configure(&self, config: &str) -> Result<()> {
-        let operator = SocketAddr::new(IpAddr::V4(self.machines[0].ip), CONTROL_PORT);
-        wait_until("the configuration is acknowledged", || {
-            http::exchange(operator, "POST", "/v1/config/replace", config).is_some_and(|a| a.status == 200)
-        })?;
+        self.replace_config(config)?;
         for machine in &self.machines[self.control_hosts..] {
             let address = SocketAddr::new(IpAddr::V4(machine.ip), READINESS_PORT);
             wait_until("a daemon is ready", || {
@@ -141,6 +138,14 @@
         Ok(())
     }
 
+    /// Sends a configuration until it is acknowledged.
+    pub fn replace_config(&self, config: &str) -> Result<()> {
+        let operator = SocketAddr::new(IpAddr::V4(self.machines[0].ip), CONTROL_PORT);
+        wait_until("the configuration is acknowledged", || {
+            http::exchange(operator, "POST", "/v1/config/replace", config).is_some_and(|a| a.status == 200)
+        })
+    }
+
     /// Returns the address of the machine beside the server with this number, counted from 0.
     pub fn ip(&self, server: usize) -> Ipv4Addr {
         self.machines[self.control_hosts + server].ip
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -3,7 +3,10 @@
 
 mod fleet;
 mod http;
+mod json;
+mod keyed_server;
 mod record;
+mod returned_service;
 mod server;
 mod slow_reader;
 mod socket;
@@ -24,6 +27,7 @@
         record.line(format_args!("case {number}, disruption: {}", if has_trouble { "yes" } else { "no" }));
         let broken = match number.as_str() {
             "6" => slow_reader::run(&record, has_trouble),
+            "7" => returned_service::run(&record, has_trouble),
             _ => Err("there is no such case".into()),
         };
         record.line(match &broken {
