review: case 7, a ping of another writer without the lists of keys (OWNER)

A ping in a state, a service and with a real server's address, but without `holds` and `freed`, gives the keys of that server to others while it is up, holds them and is at work on some.

At fault: BeatBody (platform/src/heartbeat_message.rs) takes missing lists for empty ones; find_or_add_server (src/daemon/heartbeat.rs) then takes the sender for a later process at the address, and State::set_servers (src/control/state.rs) frees the ranges of the replaced one at once.

The stand-ins of cases 6 and 7 now share keyed_case.rs.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -2,8 +2,10 @@
 //! case could not run.
 
 mod fleet;
+mod foreign_ping;
 mod http;
 mod json;
+mod keyed_case;
 mod keyed_server;
 mod record;
 mod returned_service;
@@ -24,6 +26,7 @@
         record.line(format_args!("case {number}, disruption: {}", if has_trouble { "yes" } else { "no" }));
         let broken = match number.as_str() {
             "6" => returned_service::run(&record, has_trouble),
+            "7" => foreign_ping::run(&record, has_trouble),
             _ => Err("there is no such case".into()),
         };
         record.line(match &broken {
--- a/review/harness-2/src/returned_service.rs
+++ b/review/harness-2/src/returned_service.rs
@@ -2,108 +2,26 @@
 
 use {
     crate::{
-        fleet::{wait_until, Fleet},
-        http::read_message,
-        keyed_server::{check_overlaps, servers, start, KeyedConfig},
+        fleet::Fleet,
+        keyed_case::{self, config, CALM},
         record::Record,
     },
-    std::{
-        io::{self, BufReader, Write},
-        net::{SocketAddr, TcpStream},
-        sync::atomic::{AtomicBool, AtomicU64, Ordering},
-        thread::{self, sleep},
-        time::Duration,
-    },
+    std::{thread::sleep, time::Duration},
 };
 
-const SERVERS: usize = 4;
-/// Number of servers that are there when the service is configured first.
-const FIRST_SERVERS: usize = 2;
-const CLIENTS: u64 = 32;
 /// Number of times that the service is left out.
 const ROUNDS: u64 = 5;
 /// Time between two configurations. The site's list of troubles has 0.33 s for `config_storm` and 1.2 s for `config_race`.
 const GAP: Duration = Duration::from_millis(800);
-const CALM: Duration = Duration::from_secs(6);
-
-/// Returns a configuration with the divided service, or without it and its route.
-fn config(version: u64, has_keyed: bool) -> String {
-    let timeout = 4000 + version;
-    let (route, service) = match has_keyed {
-        true => (
-            format!(
-                r#"{{"resourceType":"routes","metadata":{{"name":"r-ucty"}},"spec":{{"hostname":"ucty.example","pathPrefix":"/ucty/","routeType":"idempotent","timeout":"{timeout}ms","targetLatency":"2000ms","priority":2,"service":"ucty","attempts":2}}}},"#
-            ),
-            r#"{"resourceType":"services","metadata":{"name":"ucty"},"spec":{"healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false,"sharded":true,"warm":"2s","grants":"heartbeat"}},"#,
-        ),
-        false => Default::default(),
-    };
-    format!(
-        r#"{{"version":"{version:08x}","resources":[{route}{service}
-{{"resourceType":"routes","metadata":{{"name":"r-portal"}},"spec":{{"hostname":"portal.example","pathPrefix":"/stav/","routeType":"idempotent","timeout":"{timeout}ms","targetLatency":"400ms","priority":2,"service":"portal","attempts":2}}}},
-{{"resourceType":"services","metadata":{{"name":"portal"}},"spec":{{"healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false}}}},
-{{"resourceType":"limits","metadata":{{}},"spec":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}]}}"#
-    )
-}
+/// Time that the servers work on a request.
+const WORK: Duration = Duration::from_millis(1500);
 
 /// Returns how often the rule was broken.
 pub fn run(record: &Record, has_trouble: bool) -> Result<u32, String> {
-    let fleet = Fleet::start(3, &["ucty"; SERVERS], 260)?;
-    let configs = (0..SERVERS).map(|i| KeyedConfig {
-        ip: fleet.ip(i),
-        heartbeats: fleet.heartbeats(i),
-        service: "ucty".into(),
-        instance: format!("i-ucty-{i}"),
-        slots: 12,
-        queue: 48,
-        work: Duration::from_millis(1500),
-    });
-    let servers = servers(configs);
-    let all_held = || servers.iter().map(|s| s.held_keys()).sum::<u64>() == 65_536;
-    start(&servers, 0..FIRST_SERVERS, record)?;
-    fleet.configure(&config(1, true))?;
-    wait_until("all keys are held", all_held)?;
-    // The other servers join, as when a service grows.
-    start(&servers, FIRST_SERVERS..SERVERS, record)?;
-    sleep(CALM);
-    wait_until("all keys are held", all_held)?;
-    let daemons: Vec<SocketAddr> = (0..SERVERS).map(|i| fleet.callers(i)).collect();
-    let (ends, answered) = (AtomicBool::new(false), AtomicU64::new(0));
-    let result = thread::scope(|scope| {
-        for client in 0..CLIENTS {
-            let (ends, answered, daemon) = (&ends, &answered, daemons[client as usize % SERVERS]);
-            scope.spawn(move || {
-                for number in 0.. {
-                    if ends.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    let id = client << 32 | number;
-                    let key = id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 48;
-                    if call(daemon, id, key).is_ok_and(|status| status == 200) {
-                        answered.fetch_add(1, Ordering::SeqCst);
-                    } else {
-                        sleep(Duration::from_millis(50));
-                    }
-                }
-            });
-        }
-        let result = change_configurations(&fleet, record, has_trouble);
-        ends.store(true, Ordering::SeqCst);
-        result
-    });
-    result?;
-    check_overlaps(&servers, record);
-    let ran: u64 = servers.iter().map(|s| s.ran()).sum();
-    let answered = answered.into_inner();
-    record.line(format_args!("the servers began {ran} requests, {answered} were answered with 200"));
-    match answered {
-        0..200 => Err(format!("only {answered} requests were served")),
-        _ => Ok(record.breaks()),
-    }
+    keyed_case::run(record, WORK, |fleet, _| change_configurations(fleet, record, has_trouble))
 }
 
 fn change_configurations(fleet: &Fleet, record: &Record, has_trouble: bool) -> Result<(), String> {
-    sleep(CALM);
     for round in 0..ROUNDS {
         for (version, has_keyed) in [(2 * round + 2, !has_trouble), (2 * round + 3, true)] {
             let what = if has_keyed { "with" } else { "without" };
@@ -116,14 +34,3 @@
     }
     Ok(())
 }
-
-/// Makes one call, and returns its status.
-fn call(daemon: SocketAddr, id: u64, key: u64) -> io::Result<u16> {
-    let stream = TcpStream::connect(daemon)?;
-    stream.set_read_timeout(Some(Duration::from_secs(6)))?;
-    let head = format!(
-        "GET /ucty/{key} HTTP/1.1\r\nhost: ucty.example\r\nx-attempt-id: {id:016x}\r\nx-shard-key: {key}\r\nx-request-deadline: 5000\r\nconnection: close\r\n\r\n"
-    );
-    (&stream).write_all(head.as_bytes())?;
-    Ok(read_message(&mut BufReader::new(&stream))?.map_or(0, |answer| answer.status))
-}
