--- a/review/harness-2/src/keyed_case.rs
+++ b/review/harness-2/src/keyed_case.rs
@@ -22,6 +22,8 @@
 const CLIENTS: u64 = 32;
 /// Time without any disturbance.
 pub const CALM: Duration = Duration::from_secs(6);
+/// Time by which the clients' first tries lie apart, and the next ones after a refusal.
+const RETRY_DELAY: Duration = Duration::from_millis(45);
 /// Number of answers below which a run shows nothing.
 const ANSWERED_MIN: u64 = 200;
 
@@ -75,6 +77,7 @@
         for client in 0..CLIENTS {
             let (ends, answered, daemon) = (&ends, &answered, daemons[client as usize % SERVERS]);
             scope.spawn(move || {
+                sleep(RETRY_DELAY * client as u32);
                 for number in 0.. {
                     if ends.load(Ordering::SeqCst) {
                         return;
@@ -84,7 +87,7 @@
                     if call(daemon, id, key).is_ok_and(|status| status == 200) {
                         answered.fetch_add(1, Ordering::SeqCst);
                     } else {
-                        sleep(Duration::from_millis(50));
+                        sleep(RETRY_DELAY * (client as u32 + 1));
                     }
                 }
             });
