OWNER: a service that a schema leaves out keeps its owners and guards on record

What callers and servers saw: a configuration leaves out a service that is divided by key (or declares it undivided), and the next one names it again.

Cause: State::update_tables dropped the range table with the service, and added an empty one when a later schema named it. A hold outlives the table under which it was given. The guard table went with it, so that a resent call could run again.

Evidence: in the log of the leader before the fix, the command (CF5006) is followed after 3 ms by 96 assignments with the reason "the range is new", without a lost server, an ended session or a range given up in between. That rules out a missing wait and wrong answers to heartbeats.

No other server can own a range meanwhile, so no wait is needed. Lost sessions and servers vacate retired ranges too. The tables are forgotten once no range has an owner and the longest deadline and answer_kept_ms have passed (ForgetService). CF5009 to CF5011 log it.

--- a/src/control/change_events.rs
+++ b/src/control/change_events.rs
@@ -2,7 +2,9 @@
     super::{Applied, State},
     crate::{
         event::Event,
-        log_event, split,
+        log_event,
+        schema::Service,
+        split,
         wire::control::{change, command_answer, operator_command, Change, CommandAnswer},
     },
     slog::Logger,
@@ -55,12 +57,49 @@
         | Applied::SuspectsCleared
         | Applied::ServersSet(_)
         | Applied::ServerLeft(_)
+        | Applied::ServiceForgotten(_)
         | Applied::RangeReleased { .. }
         | Applied::PatchBaseMismatch
         | Applied::Ignored(_) => {}
     }
 }
 
+/// Returns the retired services with their division, for [`log_retirements`].
+pub(super) fn retired_names(state: &State) -> Vec<(String, bool)> {
+    let retired = state.retired_services().iter();
+    retired
+        .map(|r| (r.ranges.service.clone(), r.divided_by_key))
+        .collect()
+}
+
+/// Logs which services the last change has retired, brought back or forgotten. `before` are the services that were
+/// retired before it.
+pub(super) fn log_retirements(log: &Logger, state: &State, before: &[(String, bool)]) {
+    for retired in state
+        .retired_services()
+        .iter()
+        .filter(|r| r.retired_at == state.applied())
+    {
+        log_event!(
+            log, Event::ServiceRetired;
+            "service" => &retired.ranges.service, "divided_by_key" => retired.divided_by_key,
+            "ranges" => retired.ranges.ranges().len(), "owned" => retired.owned_count()
+        );
+    }
+    let after = retired_names(state);
+    for (service, divided_by_key) in before.iter().filter(|name| !after.contains(name)) {
+        let is_named = |s: &Service| s.divided_by_key == *divided_by_key;
+        match state.schema().service(service).is_some_and(is_named) {
+            true => {
+                log_event!(log, Event::ServiceRestored; "service" => service, "divided_by_key" => divided_by_key);
+            }
+            false => {
+                log_event!(log, Event::ServiceForgotten; "service" => service, "divided_by_key" => divided_by_key);
+            }
+        }
+    }
+}
+
 /// Logs the start or end of an evacuation, unless the command changed nothing.
 fn log_evacuation(log: &Logger, state: &State, change: &Change) {
     let Some(change::Body::OperatorCommand(command)) = &change.body else {
--- a/src/control/command_changes.rs
+++ b/src/control/command_changes.rs
@@ -70,7 +70,7 @@
         }
         let result = match &command.body {
             Some(operator_command::Body::ApplySchema(json)) => {
-                self.apply_schema(PackedText::pack(json.as_bytes()))
+                self.apply_schema(index, PackedText::pack(json.as_bytes()))
             }
             Some(operator_command::Body::Drain(drain)) => self.add_drain(drain),
             Some(operator_command::Body::Undrain(drain)) => self.remove_drain(drain),
@@ -108,7 +108,7 @@
         let text = PackedText::from_bytes(versioned.packed_schema.clone());
         let is_newer = versioned.version > self.schema_version;
         let checked = match is_newer {
-            true => self.apply_schema(text).map(drop),
+            true => self.apply_schema(index, text).map(drop),
             false => read_schema(&text).map(drop),
         };
         if let Err(refused) = checked {
@@ -122,9 +122,9 @@
         answer(command_answer::Body::Accepted(self.revision.to_wire()))
     }
 
-    /// Puts a schema in force. A service that stays divided by key keeps its ranges and owners; the boundaries in
-    /// the schema apply only to a service that is newly divided.
-    fn apply_schema(&mut self, text: PackedText) -> Result<Effect, Refused> {
+    /// Puts a schema in force. A service that stays divided by key, or was before, keeps its ranges and owners; the
+    /// boundaries in the schema apply only to a service that is newly divided.
+    fn apply_schema(&mut self, index: u64, text: PackedText) -> Result<Effect, Refused> {
         let schema = read_schema(&text)?;
         if !self.schema.cluster.is_empty() && schema.cluster != self.schema.cluster {
             return Err(refused("the schema is for another cluster", "cluster"));
@@ -132,7 +132,7 @@
         if self.is_split_fixed() && schema.split != self.schema.split {
             return Err(refused("the split has been started and stays as it is", "split"));
         }
-        self.update_tables(&schema);
+        self.update_tables(index, &schema);
         for service in schema.services.iter().filter(|s| s.divided_by_key) {
             if let Some(table) = self.table_mut(&service.name) {
                 let longest = service.longest_deadline().max(schema.longest_timeout);
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -311,7 +311,8 @@
         }
     }
 
-    /// Adds the changes of the placer: assignments, releases and joins of ranges, and the next step of the split.
+    /// Adds the changes of the placer (assignments, releases and joins of ranges, and the next step of the split), and
+    /// drops the tables of retired services.
     fn plan_placement(&mut self, batch: &mut Batch) {
         let now = self.config.clock.now();
         let Some(view) = &mut self.view else { return };
@@ -321,7 +322,13 @@
         let releases = wanted.releases.into_iter().map(change::Body::ReleaseRange);
         let joins = wanted.joins.into_iter().map(change::Body::JoinRanges);
         let step = wanted.split_step.map(change::Body::SplitStep);
-        let bodies = assignments.chain(releases).chain(joins).chain(step);
+        let forgotten = view.forgettable(&self.state, now);
+        let forgotten = forgotten.into_iter().map(change::Body::ForgetService);
+        let bodies = assignments
+            .chain(releases)
+            .chain(joins)
+            .chain(step)
+            .chain(forgotten);
         batch.extend(bodies.map(|body| (body, Waiter::None)));
     }
 
@@ -389,6 +396,7 @@
         let change = record.change.clone().unwrap_or_default();
         let base = PatchBase::of(&self.state);
         let revision = self.state.revision();
+        let retired = change_events::retired_names(&self.state);
         let applied = self.state.apply(entry.index, &change);
         if self.state.revision() != revision {
             self.configurations_since_snapshot += 1;
@@ -397,6 +405,7 @@
         if let Some(view) = &mut self.view {
             view.record(&self.state, entry.index, &applied, now);
             change_events::log_applied(&self.config.log, &self.state, &applied, &change);
+            change_events::log_retirements(&self.config.log, &self.state, &retired);
         }
         self.proposals
             .answer_committed(entry.index, entry.term, &change, &applied, &self.state);
--- a/src/control/guard_changes.rs
+++ b/src/control/guard_changes.rs
@@ -32,19 +32,13 @@
         Applied::GuardReady(ready.epoch)
     }
 
-    /// Creates and removes tables so that they match a new schema. A service that changes between divided and
-    /// undivided by key gets new tables, without owners and guards.
-    pub(super) fn update_tables(&mut self, schema: &Schema) {
-        let old_schema = self.schema.clone();
-        let is_kept = |name: &str| match (old_schema.service(name), schema.service(name)) {
-            (Some(old), Some(new)) => old.divided_by_key == new.divided_by_key,
-            _ => false,
-        };
-        self.range_tables.retain(|t| is_kept(&t.service));
-        self.guard_tables.retain(|t| is_kept(&t.service));
+    /// Creates and retires tables so that they match a new schema. A service that changes between divided and undivided
+    /// by key gets new tables, unless it had such tables before.
+    pub(super) fn update_tables(&mut self, index: u64, schema: &Schema) {
+        self.retire_services(index, schema);
         let needs_table = |s: &&Service| s.divided_by_key || s.calls.iter().any(|kind| !kind.idempotent);
         for service in schema.services.iter().filter(needs_table) {
-            if self.table(&service.name).is_none() {
+            if self.table(&service.name).is_none() && !self.restore_service(service) {
                 self.add_table(service);
             }
         }
@@ -58,8 +52,13 @@
         } else {
             RangeTable::new(&service.name, &request_id_boundaries())
         };
-        self.range_tables.push(table);
+        self.put_tables(table, GuardTable::new(&service.name));
+    }
+
+    /// Puts the tables of a service in force.
+    pub(super) fn put_tables(&mut self, ranges: RangeTable, guards: GuardTable) {
+        self.range_tables.push(ranges);
         self.range_tables.sort_by(|a, b| a.service.cmp(&b.service));
-        self.guard_tables.push(GuardTable::new(&service.name));
+        self.guard_tables.push(guards);
     }
 }
--- a/src/control/guard_table.rs
+++ b/src/control/guard_table.rs
@@ -80,6 +80,11 @@
         &self.spans[self.position(key)]
     }
 
+    /// Returns whether no guard was ever reported.
+    pub fn is_unused(&self) -> bool {
+        self.spans.iter().all(|span| span.epoch == 0)
+    }
+
     /// Returns the table as it is stored in a snapshot.
     pub fn to_image(&self) -> ServiceGuardImage {
         let spans = self.spans.iter().map(|span| GuardSpanImage {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod ownership_changes;
 mod proposals;
 mod range_table;
+mod retired_service;
 mod revision;
 mod schema_patch;
 mod session;
@@ -38,6 +39,7 @@
     guard_table::{request_id_boundaries, GuardSpan, GuardTable},
     member_plan::{next_member_change, Offer},
     range_table::{Owner, Range, RangeTable, Release, Vacancy},
+    retired_service::RetiredService,
     revision::{Revision, RevisionTextError},
     session::{Server, Session},
     start::{start_control, ControlConfig, ControlError},
--- a/src/control/ownership_changes.rs
+++ b/src/control/ownership_changes.rs
@@ -1,7 +1,6 @@
 use {
     super::{Applied, Owner, Range, RangeTable, Release, Server, Session, State, Vacancy},
     crate::{
-        clock::Ms,
         key::{Key, KeyRange},
         wire::control::{AssignRange, JoinRanges, RangeReleased, ReleaseRange},
     },
@@ -151,59 +150,51 @@
     /// Removes the owner from all ranges of a session that has ended. `is_idle` means that none of its calls is
     /// running.
     pub(super) fn vacate_session(&mut self, index: u64, session: &Session, is_idle: bool) {
-        for service_index in 0..self.range_tables.len() {
-            let name = self.range_tables[service_index].service.clone();
-            let wait = |owner: &Owner| {
-                let server = session.server(&name, &owner.server);
-                match server {
-                    _ if is_idle => None,
-                    Some(server) => self.takeover_wait(server),
-                    None => Some(self.range_tables[service_index].longest_deadline),
-                }
-            };
-            let waits: Vec<(String, Option<Ms>)> =
-                owners_in_session(&self.range_tables[service_index], session.id)
-                    .into_iter()
-                    .map(|owner| (owner.server.clone(), wait(owner)))
-                    .collect();
-            self.range_tables[service_index].vacate(|owner| {
+        self.vacate_tables(|table, checks_fencing| {
+            let (service, longest_deadline) = (table.service.clone(), table.longest_deadline);
+            table.vacate(|owner| {
                 if owner.session != session.id {
                     return None;
                 }
-                let wait = waits.iter().find(|(server, _)| *server == owner.server);
-                Some(wait.and_then(|(_, wait)| wait.map(|wait| Vacancy { index, wait })))
+                let wait = match session.server(&service, &owner.server) {
+                    _ if is_idle => None,
+                    Some(server) if server.checks_fencing && checks_fencing => None,
+                    Some(_) | None => Some(longest_deadline),
+                };
+                Some(wait.map(|wait| Vacancy { index, wait }))
             });
-        }
-        self.cancel_orphaned_releases();
+        });
     }
 
     /// Removes the owner from all ranges of a server that is gone. `has_ended` means that its process has certainly
     /// ended.
     pub(super) fn vacate_server(&mut self, index: u64, session: u64, server: &Server, has_ended: bool) {
-        let wait = if has_ended {
-            None
-        } else {
-            self.takeover_wait(server)
-        };
-        let vacancy = wait.map(|wait| Vacancy { index, wait });
-        if let Some(table) = self.table_mut(&server.service) {
+        self.vacate_tables(|table, checks_fencing| {
+            if table.service != server.service {
+                return;
+            }
+            let has_no_calls = has_ended || (server.checks_fencing && checks_fencing);
+            let wait = (!has_no_calls).then_some(table.longest_deadline);
+            let vacancy = wait.map(|wait| Vacancy { index, wait });
             table.vacate(|owner| {
                 let is_owner = owner.session == session && owner.server == server.address;
                 is_owner.then_some(vacancy)
             });
-        }
-        self.cancel_orphaned_releases();
+        });
     }
 
-    /// Returns how long the next owner of a range of `server` must wait, since calls to the last owner may still be
-    /// running. Returns `None` if no wait is needed, because the server refuses calls of an ownership that has
-    /// ended.
-    fn takeover_wait(&self, server: &Server) -> Option<Ms> {
-        let service = self.schema.service(&server.service);
-        if server.checks_fencing && service.is_some_and(|s| s.checks_fencing) {
-            return None;
+    /// Calls `vacate` for all tables, in force and retired, and says whether the schema declares that the servers of the
+    /// service check fencing epochs. Such a server refuses calls of an ownership that has ended, so the next owner need
+    /// not wait for them.
+    fn vacate_tables(&mut self, mut vacate: impl FnMut(&mut RangeTable, bool)) {
+        for table in &mut self.range_tables {
+            let service = self.schema.service(&table.service);
+            vacate(table, service.is_some_and(|s| s.checks_fencing));
         }
-        Some(self.table(&server.service)?.longest_deadline)
+        for retired in &mut self.retired_services {
+            vacate(&mut retired.ranges, retired.checks_fencing);
+        }
+        self.cancel_orphaned_releases();
     }
 
     /// Cancels planned moves whose target is gone. The owner keeps the range, or is granted it again.
@@ -223,17 +214,6 @@
     }
 }
 
-/// Returns one owner for each server of `session` that has ranges.
-fn owners_in_session(table: &RangeTable, session: u64) -> Vec<&Owner> {
-    let mut owners: Vec<&Owner> = Vec::new();
-    for owner in table.ranges().iter().filter_map(|range| range.owner.as_ref()) {
-        if owner.session == session && !owners.iter().any(|known| known.server == owner.server) {
-            owners.push(owner);
-        }
-    }
-    owners
-}
-
 /// Returns the span from `start` to `end`, or without an upper bound if `end` is `None`.
 pub(super) fn key_range(start: &bytes::Bytes, end: Option<&bytes::Bytes>) -> KeyRange {
     KeyRange {
--- a/src/control/split_changes.rs
+++ b/src/control/split_changes.rs
@@ -39,7 +39,11 @@
         let mut second = self.clone();
         second.sessions.clear();
         // The owners have sessions in the first cell only.
-        for table in &mut second.range_tables {
+        let retired = second
+            .retired_services
+            .iter_mut()
+            .map(|retired| &mut retired.ranges);
+        for table in second.range_tables.iter_mut().chain(retired) {
             table.vacate(|_| Some(None));
         }
         second.split.is_second_cell = true;
@@ -126,7 +130,10 @@
             return;
         };
         for span in split.first.spans.iter().chain(&split.second.spans) {
-            if let Some(table) = self.table_mut(&span.service) {
+            let retired = self.retired_services.iter_mut().filter(|r| r.divided_by_key);
+            let retired = retired.map(|retired| &mut retired.ranges);
+            let tables = self.range_tables.iter_mut().chain(retired);
+            for table in tables.filter(|table| table.service == span.service) {
                 table.isolate(&span.range);
             }
         }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        answers::Answers, Departures, GuardTable, Owner, RangeTable, Revision, Server, Session, SuspectList,
-        Vacancy,
+        answers::Answers, Departures, GuardTable, Owner, RangeTable, RetiredService, Revision, Server,
+        Session, SuspectList, Vacancy,
     },
     crate::{
         call::Fingerprint,
@@ -28,6 +28,8 @@
     pub(super) schema_source: PackedText,
     pub(super) sessions: Vec<Session>,
     pub(super) range_tables: Vec<RangeTable>,
+    /// Sorted by service and division.
+    pub(super) retired_services: Vec<RetiredService>,
     pub(super) answers: Answers,
     pub(super) drains: Vec<Drain>,
     pub(super) guard_tables: Vec<GuardTable>,
@@ -85,6 +87,8 @@
     SuspectsCleared,
     /// The departure of a server was recorded, which the session with this id lists, if any does.
     ServerLeft(Option<u64>),
+    /// The tables of the retired service with this name were dropped.
+    ServiceForgotten(String),
     /// The split has entered this stage.
     SplitStaged(SplitStage),
     /// An operator's command was decided.
@@ -207,6 +211,7 @@
                 Applied::Command(self.operator_command(index, change.proposed_at_ms, command))
             }
             Some(change::Body::SplitStep(step)) => self.split_step(index, step),
+            Some(change::Body::ForgetService(forget)) => self.forget_service(forget),
             None => Applied::Ignored("the change is empty"),
         }
     }
--- a/src/control/state_image.rs
+++ b/src/control/state_image.rs
@@ -1,15 +1,16 @@
 use {
     super::{
         answers::{Answers, Horizon},
-        Departures, GuardTable, Owner, Range, RangeTable, Release, Revision, Session, State, SuspectList,
-        Vacancy,
+        Departures, GuardTable, Owner, Range, RangeTable, Release, RetiredService, Revision, Session, State,
+        SuspectList, Vacancy,
     },
     crate::{
         clock::Ms,
         key::Key,
         schema::{PackedText, Schema},
         wire::control::{
-            OwnerImage, RangeImage, ReleaseImage, ServiceImage, SessionImage, StateImage, VacancyImage,
+            OwnerImage, RangeImage, ReleaseImage, RetiredServiceImage, ServiceImage, SessionImage,
+            StateImage, VacancyImage,
         },
     },
     prost::Message,
@@ -25,11 +26,6 @@
             servers: s.servers.clone(),
             servers_number: s.servers_number,
         });
-        let services = self.range_tables.iter().map(|t| ServiceImage {
-            name: t.service.clone(),
-            ranges: t.ranges().iter().map(range_image).collect(),
-            longest_deadline_ms: t.longest_deadline.0,
-        });
         let image = StateImage {
             applied: self.applied,
             revision: Some(self.revision.to_wire()),
@@ -38,7 +34,8 @@
             schema_version: self.schema_version,
             packed_source: self.schema_source.as_bytes().clone(),
             sessions: sessions.collect(),
-            services: services.collect(),
+            services: self.range_tables.iter().map(service_image).collect(),
+            retired_services: self.retired_services.iter().map(retired_image).collect(),
             answered: self.answers.records().to_vec(),
             answers_horizon_ms: self.answers.horizon().made_at.0,
             answers_horizon_base: self.answers.horizon().base,
@@ -72,12 +69,10 @@
                 servers_number: session.servers_number,
             });
         }
-        let tables = image.services.into_iter().map(|service| {
-            let ranges = service.ranges.into_iter().map(range_from_image).collect();
-            let mut table = RangeTable::from_ranges(&service.name, ranges);
-            table.longest_deadline = Ms(service.longest_deadline_ms);
-            table
-        });
+        let mut retired_services = Vec::with_capacity(image.retired_services.len());
+        for retired in image.retired_services {
+            retired_services.push(retired_from_image(retired)?);
+        }
         Some(Self {
             applied: image.applied,
             revision: image
@@ -90,7 +85,8 @@
             schema_version: image.schema_version,
             schema_source: PackedText::from_bytes(image.packed_source),
             sessions,
-            range_tables: tables.collect(),
+            range_tables: image.services.into_iter().map(service_from_image).collect(),
+            retired_services,
             answers: Answers::from_records(
                 image.answered,
                 Horizon {
@@ -108,6 +104,43 @@
     }
 }
 
+fn service_image(table: &RangeTable) -> ServiceImage {
+    ServiceImage {
+        name: table.service.clone(),
+        ranges: table.ranges().iter().map(range_image).collect(),
+        longest_deadline_ms: table.longest_deadline.0,
+    }
+}
+
+fn service_from_image(image: ServiceImage) -> RangeTable {
+    let ranges = image.ranges.into_iter().map(range_from_image).collect();
+    let mut table = RangeTable::from_ranges(&image.name, ranges);
+    table.longest_deadline = Ms(image.longest_deadline_ms);
+    table
+}
+
+fn retired_image(retired: &RetiredService) -> RetiredServiceImage {
+    RetiredServiceImage {
+        retired_at: retired.retired_at,
+        divided_by_key: retired.divided_by_key,
+        checks_fencing: retired.checks_fencing,
+        retention_ms: retired.retention.0,
+        ranges: Some(service_image(&retired.ranges)),
+        guards: Some(retired.guards.to_image()),
+    }
+}
+
+fn retired_from_image(image: RetiredServiceImage) -> Option<RetiredService> {
+    Some(RetiredService {
+        retired_at: image.retired_at,
+        divided_by_key: image.divided_by_key,
+        checks_fencing: image.checks_fencing,
+        retention: Ms(image.retention_ms),
+        ranges: service_from_image(image.ranges?),
+        guards: GuardTable::from_image(image.guards?),
+    })
+}
+
 fn range_image(range: &Range) -> RangeImage {
     let owner = range.owner.as_ref().map(|o| OwnerImage {
         session: o.session,
--- a/src/daemon/guard_task.rs
+++ b/src/daemon/guard_task.rs
@@ -6,7 +6,7 @@
     crate::{
         call::{Guard, GuardChange, GuardEntry, GuardLimits, Role, Tenure},
         clock::Ms,
-        control::{GuardSpan, State},
+        control::{GuardSpan, GuardTable, State},
         event::Event,
         key::{Key, KeyRange},
         log_event,
@@ -381,11 +381,11 @@
     fn drop_old_tenures(&self) {
         let state = self.state();
         self.tenures.borrow_mut().retain(|tenure| {
-            let Some(guards) = state.guard_table(&tenure.service) else {
-                return state.applied() == 0;
+            let is_current = |guards: &GuardTable| {
+                let parts = guards.parts(&tenure.span);
+                parts.iter().any(|(_, record)| record.epoch <= tenure.epoch)
             };
-            let parts = guards.parts(&tenure.span);
-            parts.iter().any(|(_, record)| record.epoch <= tenure.epoch)
+            state.applied() == 0 || state.known_guard_tables(&tenure.service).any(is_current)
         });
     }
 }
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -209,6 +209,12 @@
     ConfigurationSent = "CF5007", Info, "configuration sent";
     /// The control role cannot use its disk and will try again.
     ControlSuspended = "CF5008", Warning, "control role suspended";
+    /// A schema no longer names a service, or divides it differently. Its owners are remembered.
+    ServiceRetired = "CF5009", Info, "service retired";
+    /// A schema names a service as before it was retired. Its owners are in force again.
+    ServiceRestored = "CF5010", Info, "service restored";
+    /// The last owners of a retired service were forgotten.
+    ServiceForgotten = "CF5011", Info, "service forgotten";
     /// The control role could not start with its data folder.
     ControlRefused = "CF5101", Error, "control role refused its data folder";
     /// The first members of a new cell were written.
--- a/src/grant/changed_spans.rs
+++ b/src/grant/changed_spans.rs
@@ -68,6 +68,7 @@
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
             | Applied::ServerLeft(None)
+            | Applied::ServiceForgotten(_)
             | Applied::PatchBaseMismatch
             | Applied::Ignored(_) => {}
         }
--- a/src/lease/leader_view.rs
+++ b/src/lease/leader_view.rs
@@ -1,11 +1,11 @@
 use {
-    super::{Renewal, SessionViews, TakeoverWaits},
+    super::{Renewal, RetentionWaits, SessionViews, TakeoverWaits},
     crate::{
         clock::Ms,
         control::{Applied, Session, State},
         settings::LeaseSettings,
         wire::{
-            control::{AssignRange, EndSession},
+            control::{AssignRange, EndSession, ForgetService},
             peer::{InForceAnswer, Renew, RenewAnswer},
         },
     },
@@ -16,6 +16,7 @@
 pub struct LeaderView {
     sessions: SessionViews,
     waits: TakeoverWaits,
+    retention_waits: RetentionWaits,
 }
 
 impl LeaderView {
@@ -27,6 +28,7 @@
         Self {
             sessions,
             waits: TakeoverWaits::new(timing, state.applied(), now),
+            retention_waits: RetentionWaits::new(timing),
         }
     }
 
@@ -51,6 +53,7 @@
             | Applied::CrashCounted(_)
             | Applied::SuspectsCleared
             | Applied::ServerLeft(_)
+            | Applied::ServiceForgotten(_)
             | Applied::SplitStaged(_)
             | Applied::PatchBaseMismatch
             | Applied::Ignored(_) => {}
@@ -93,6 +96,11 @@
         self.waits.allowed(state, assignments, now)
     }
 
+    /// Returns the changes that drop the tables of retired services which are no longer needed at `now`.
+    pub fn forgettable(&mut self, state: &State, now: Ms) -> Vec<ForgetService> {
+        self.retention_waits.expired(state, now)
+    }
+
     /// Returns the hosts that have not reported yet that they applied `index`.
     pub fn in_force(&self, state: &State, index: u64) -> InForceAnswer {
         let behind = self.sessions.sessions_behind(index).into_iter();
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -4,6 +4,7 @@
 mod daemon_lease;
 mod evacuation_gate;
 mod leader_view;
+mod retention_waits;
 mod session_views;
 mod sleep_detector;
 mod takeover_waits;
@@ -13,6 +14,7 @@
     daemon_lease::DaemonLease,
     evacuation_gate::{CallStage, EvacuationGate, GateChange, LastEvacuation},
     leader_view::LeaderView,
+    retention_waits::RetentionWaits,
     session_views::{Renewal, SessionViews},
     sleep_detector::{ClockVerdict, SleepDetector},
     takeover_waits::TakeoverWaits,
--- a/src/lease/takeover_waits.rs
+++ b/src/lease/takeover_waits.rs
@@ -37,7 +37,7 @@
             let vacancies = state.vacancies_within(assignment);
             let has_passed = vacancies
                 .iter()
-                .all(|v| self.committed_at(v.index) + self.stretch_for_drift(v.wait) <= now);
+                .all(|v| self.committed_at(v.index) + stretch_for_drift(self.timing, v.wait) <= now);
             has_passed
         });
         assignments
@@ -52,17 +52,12 @@
         found.map_or(Ms::MAX, |i| self.committed[i].1)
     }
 
-    /// Returns the time by the leader's clock after which `wait` has passed on every other clock within the drift.
-    fn stretch_for_drift(&self, wait: Ms) -> Ms {
-        let fast = (self.timing.ttl + self.timing.drift).0;
-        let slow = (self.timing.ttl - self.timing.drift).0.max(1);
-        Ms((wait.0 * fast).div_ceil(slow))
-    }
-
     /// Moves the floor to the last change for which every possible wait has passed, and removes the changes up to it.
     fn forget_passed(&mut self, state: &State, now: Ms) {
-        let longest = state.range_tables().iter().map(|t| t.longest_deadline).max();
-        let longest = self.stretch_for_drift(longest.unwrap_or_default());
+        let retired = state.retired_services().iter().map(|retired| &retired.ranges);
+        let tables = state.range_tables().iter().chain(retired);
+        let longest = tables.map(|t| t.longest_deadline).max();
+        let longest = stretch_for_drift(self.timing, longest.unwrap_or_default());
         let passed = self.committed.partition_point(|(_, at)| *at + longest <= now);
         if let Some(last) = self.committed[..passed].last() {
             self.floor = *last;
@@ -70,3 +65,10 @@
         self.committed.drain(..passed);
     }
 }
+
+/// Returns the time by the leader's clock after which `wait` has passed on every other clock within the drift.
+pub(super) fn stretch_for_drift(timing: LeaseSettings, wait: Ms) -> Ms {
+    let fast = (timing.ttl + timing.drift).0;
+    let slow = (timing.ttl - timing.drift).0.max(1);
+    Ms((wait.0 * fast).div_ceil(slow))
+}
--- a/src/split/progress.rs
+++ b/src/split/progress.rs
@@ -1,7 +1,7 @@
 use {
     super::sides,
     crate::{
-        control::{RangeTable, Session, State},
+        control::{Range, RangeTable, Session, State},
         placement::Side,
         schema::Split,
     },
@@ -29,7 +29,13 @@
             .iter()
             .filter(|t| state.is_divided(&t.service))
         {
-            progress.count_table(state, split, table);
+            progress.ranges += table.ranges().len();
+            progress.unowned += table.ranges().iter().filter(|r| r.owner.is_none()).count();
+            progress.misplaced += misplaced_count(state, split, table);
+        }
+        // Their servers may still hold the ranges.
+        for retired in state.retired_services().iter().filter(|r| r.divided_by_key) {
+            progress.misplaced += misplaced_count(state, split, &retired.ranges);
         }
         let second_sessions = state
             .sessions()
@@ -38,21 +44,20 @@
         progress.second_sessions = second_sessions.count();
         progress
     }
+}
 
-    fn count_table(&mut self, state: &State, split: &Split, table: &RangeTable) {
-        self.ranges += table.ranges().len();
-        for (position, range) in table.ranges().iter().enumerate() {
-            let Some(owner) = &range.owner else {
-                self.unowned += 1;
-                continue;
-            };
-            let keys = sides::side_of_keys(split, &table.service, &table.span(position));
-            let server = state.session(owner.session).map(|s| side_of_session(split, s));
-            if keys.is_none() || keys != server {
-                self.misplaced += 1;
-            }
-        }
-    }
+/// Returns the number of owned ranges that have keys of both halves or whose server is not known to belong to their
+/// half.
+fn misplaced_count(state: &State, split: &Split, table: &RangeTable) -> usize {
+    let is_misplaced = |(position, range): &(usize, &Range)| {
+        let Some(owner) = &range.owner else {
+            return false;
+        };
+        let keys = sides::side_of_keys(split, &table.service, &table.span(*position));
+        let server = state.session(owner.session).map(|s| side_of_session(split, s));
+        keys.is_none() || keys != server
+    };
+    table.ranges().iter().enumerate().filter(is_misplaced).count()
 }
 
 /// Returns the half of the host of a session.
--- a/tests/support/state_fixture.rs
+++ b/tests/support/state_fixture.rs
@@ -162,6 +162,16 @@
         count
     }
 
+    /// Drops the tables of retired services that are not needed any more, and returns their number.
+    pub fn forget(&mut self) -> usize {
+        let forgettable = self.view.forgettable(&self.state, self.now);
+        let count = forgettable.len();
+        for forget in forgettable {
+            self.commit(change::Body::ForgetService(forget));
+        }
+        count
+    }
+
     /// Starts the planned move of the range that starts at `start` to the server of a host.
     pub fn release(&mut self, start: &str, to_host: u64) -> Applied {
         let table = self.state.table(SERVICE).unwrap();
