MIXED: answers with an invalid status end as bad-answer

What callers saw: a server that answers 101 without being asked for another protocol, or with a status above 599, had that passed on with its stamp. After an informational response with a body, callers waited until their deadline. Status 000 itself did not reach them: the HTTP library refuses it, and the call ends as 502.

Cause: ServerClient took any status that the library returns. A message of another daemon without a status would have become a 502 with the headers of the server.

Fix: an answer has a status from 200 to 599. Everything else ends the call as bad-answer, for both dialects and for messages of other daemons. An informational response with a body fails the connection at once, because the library would take the body for the head of the answer.

Seen failing before, on the code of: outcome_fits_what_server_did: another protocol: Ok(""), not Err(BadAnswer) status_in_message: 0: (Answered, None, 1), not (Unknown, BadAnswer, 0) odd_statuses::answered_as_failures: idempotent, daemon 0, GET, "HTTP/1.1 101 Switching Protocols": 101, not 502 The rows with status 000 passed before, too. All pass now.

--- a/src/call/call_result.rs
+++ b/src/call/call_result.rs
@@ -5,8 +5,18 @@
         wire::peer::{self as wire, Header, ServerLoad},
     },
     bytes::Bytes,
+    std::ops::RangeInclusive,
 };
 
+/// Status codes of answers. The codes below are those of informational responses, which precede an answer, and of 101,
+/// which changes the protocol. RFC 9110, section 15, declares all others invalid.
+const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Returns whether an answer may have this status code.
+pub fn is_answer_status(status: u16) -> bool {
+    ANSWER_STATUSES.contains(&status)
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallResult {
@@ -65,9 +75,13 @@
         }
     }
 
-    /// Converts from the message form.
+    /// Converts from the message form. An answer whose status code is invalid becomes a failure.
     pub fn from_wire(answer: wire::CallAnswer) -> Self {
         let outcome = Outcome::from_wire(answer.outcome());
+        let is_valid = u16::try_from(answer.status).is_ok_and(is_answer_status);
+        if outcome == Outcome::Answered && !is_valid {
+            return Self::failed(Reason::BadAnswer);
+        }
         let fallback = (outcome != Outcome::Answered).then_some(Reason::PeerLost);
         Self {
             outcome,
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -23,7 +23,7 @@
 mod work_pace;
 
 pub use {
-    call_result::CallResult,
+    call_result::{is_answer_status, CallResult},
     fingerprint::Fingerprint,
     guard::{Guard, GuardDecision, GuardEntry, GuardId, GuardLimits, GuardPhase},
     guard_wire::GuardChange,
--- a/src/edge/answer_filter.rs
+++ b/src/edge/answer_filter.rs
@@ -38,6 +38,7 @@
     /// Whether answers to requests without a body in the answer, i.e. HEAD requests, may arrive.
     has_sent_head_request: bool,
     has_dropped: bool,
+    is_malformed: bool,
 }
 
 impl AnswerFilter {
@@ -54,6 +55,7 @@
         id.clone_into(&mut self.id);
         self.has_sent_head_request |= method == "HEAD";
         self.has_dropped = false;
+        self.is_malformed = false;
         // The length in an answer to HEAD is not that of its body, so that its end cannot be found.
         self.part = match self.has_sent_head_request {
             true => Part::Passed,
@@ -67,6 +69,11 @@
         self.has_dropped
     }
 
+    /// Returns whether the server has sent what the HTTP library would wait behind, although no answer can follow.
+    pub fn is_malformed(&self) -> bool {
+        self.is_malformed
+    }
+
     /// Returns whether all received bytes are passed on as they are.
     pub fn is_idle(&self) -> bool {
         self.part == Part::Passed && self.passed.is_empty()
@@ -74,7 +81,7 @@
 
     /// Examines received bytes.
     pub fn receive(&mut self, mut bytes: &[u8]) {
-        while !bytes.is_empty() {
+        while !bytes.is_empty() && !self.is_malformed {
             if self.part == Part::Passed {
                 self.passed.extend_from_slice(bytes);
                 return;
@@ -127,6 +134,7 @@
                 self.passed.append(&mut self.head);
                 self.await_head();
             }
+            AnswerOf::Malformed => self.is_malformed = true,
             AnswerOf::Running => self.end_input(),
         }
     }
@@ -141,6 +149,8 @@
     Other(BodyLength),
     /// None yet: an informational response, which precedes the answer.
     Interim,
+    /// None: an informational response with a body. The HTTP library ignores it and takes the body for the next head.
+    Malformed,
 }
 
 impl AnswerOf {
@@ -162,7 +172,9 @@
             }
         }
         let body = match (status, is_chunked) {
-            (Some(100..=199), _) => return Self::Interim,
+            (Some(101), _) => return Self::Running,
+            (Some(100..=199), false) if length.unwrap_or(0) == 0 => return Self::Interim,
+            (Some(100..=199), _) => return Self::Malformed,
             (Some(204 | 304), _) => Some(BodyLength::Exact(0)),
             (_, true) => Some(BodyLength::Chunked),
             (_, false) => length.map(BodyLength::Exact),
--- a/src/edge/counted_stream.rs
+++ b/src/edge/counted_stream.rs
@@ -114,6 +114,9 @@
                 buf.put_slice(&passed);
                 return Poll::Ready(Ok(()));
             }
+            if self.filter.borrow().is_malformed() {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
             let mut bytes = [0; HEAD_READ_BYTES];
             let mut read = ReadBuf::new(&mut bytes);
             ready!(Pin::new(&mut self.stream).poll_read(cx, read.unfilled()))?;
--- a/src/edge/server_client.rs
+++ b/src/edge/server_client.rs
@@ -6,7 +6,7 @@
         server_dialect::{AnswerHead, ServerDialect, ServerNotice},
     },
     crate::{
-        call::{Call, CallResult, Outcome, Reason},
+        call::{is_answer_status, Call, CallResult, Outcome, Reason},
         clock::{Clock, Ms},
         lease::DaemonLease,
         memory::{MemoryBudget, ReservationKind, ReservedBuf},
@@ -190,6 +190,7 @@
         let exchange = self.exchange(&mut connection, request, &attempt, &waits_for_memory);
         let exchanged = timeout(remaining.as_duration(), exchange).await;
         let has_dropped = connection.filter.borrow().has_dropped();
+        let is_malformed = connection.filter.borrow().is_malformed();
         if has_dropped {
             self.no_reuse_until.set(self.clock.now() + NO_REUSE_PERIOD);
         }
@@ -203,9 +204,9 @@
                 reply
             }
             Ok(Err(reason)) => {
-                // The server went on to answer, but not to this call.
+                // The server went on to answer, but not to this call or not by the protocol.
                 let reason = match reason {
-                    Reason::ServerLost if has_dropped => Reason::BadAnswer,
+                    Reason::ServerLost if has_dropped || is_malformed => Reason::BadAnswer,
                     reason => reason,
                 };
                 failed(failure_reason(connection.meter.close(), reason))
@@ -302,7 +303,10 @@
         waits_for_memory: &Cell<bool>,
     ) -> Result<ServerReply, Reason> {
         let (parts, body) = answer.into_parts();
-        let head = self.dialect.classify(attempt, &parts);
+        let head = match is_answer_status(parts.status.as_u16()) {
+            true => self.dialect.classify(attempt, &parts),
+            false => AnswerHead::Foreign,
+        };
         if head == AnswerHead::Foreign {
             self.no_reuse_until.set(self.clock.now() + NO_REUSE_PERIOD);
             return Err(Reason::BadAnswer);
--- a/tests/server_answers.rs
+++ b/tests/server_answers.rs
@@ -5,11 +5,12 @@
 use {
     bytes::Bytes,
     clementinefold::{
-        call::{Call, Outcome, Reason},
+        call::{Call, CallResult, Outcome, Reason},
         clock::{Clock, Ms},
         edge::{Attempt, FoldDialect, ServerClient, ServerLimits, ServerReply},
         lease::DaemonLease,
         settings::LeaseSettings,
+        wire::peer::{CallAnswer, Header},
     },
     std::{future::Future, rc::Rc, thread, time::Duration},
     support::{good_answer, FakeServer, Script},
@@ -118,6 +119,23 @@
         Script::SendThenClose("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother"),
         Err(Reason::BadAnswer),
     ),
+    row("status 000", Script::Send("HTTP/1.1 000 oops\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("status 000 without a reason", Script::Send("HTTP/1.1 000\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("status 000 in HTTP/1.0", Script::SendThenClose("HTTP/1.0 000 oops\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("early hints before status 000", Script::Send("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 oops\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("half a status 000", Script::SendThenClose("HTTP/1.1 00"), Err(Reason::ServerLost)),
+    row("status 099", Script::Send("HTTP/1.1 099 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("status of two digits", Script::Send("HTTP/1.1 20 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("status of four digits", Script::Send("HTTP/1.1 0200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("status with a sign", Script::Send("HTTP/1.1 +200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::ServerLost)),
+    row("another protocol", Script::Send("HTTP/1.1 101 Switching Protocols\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::BadAnswer)),
+    row("another protocol with an upgrade", Script::Send("HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\nfold-call: CALL\r\ntransfer-encoding: chunked\r\n\r\n"), Err(Reason::BadAnswer)),
+    row("informational response with a body", Script::Send("HTTP/1.1 150 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::BadAnswer)),
+    row("informational response in chunks", Script::Send("HTTP/1.1 199 odd\r\nfold-call: CALL\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"), Err(Reason::BadAnswer)),
+    row("informational response without a body", Script::Send("HTTP/1.1 150 odd\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Ok("hello")),
+    row("status 599", Script::Send("HTTP/1.1 599 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Ok("hello")),
+    row("status 600", Script::Send("HTTP/1.1 600 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::BadAnswer)),
+    row("status 999", Script::Send("HTTP/1.1 999 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello"), Err(Reason::BadAnswer)),
     row("garbage", Script::SendThenClose("\u{1}\u{2} what is this\r\n\r\n"), Err(Reason::ServerLost)),
     row("body too large", Script::Large(ANSWER_BYTES + 1), Err(Reason::BadAnswer)),
     row("closed before an answer", Script::Close, Err(Reason::ServerLost)),
@@ -294,6 +312,68 @@
     });
 }
 
+/// Guards against a status that no server can have given, in the message of another daemon, which would be answered
+/// with the headers of the server.
+#[test]
+fn status_in_message() {
+    for (status, is_answer) in [
+        (0, false),
+        (99, false),
+        (101, false),
+        (200, true),
+        (599, true),
+        (600, false),
+        (70_000, false),
+    ] {
+        let message = CallAnswer {
+            outcome: Outcome::Answered.to_wire().into(),
+            status,
+            headers: vec![Header {
+                name: "x-response-stamp".into(),
+                value: Bytes::from("1"),
+            }],
+            body: Bytes::from("hello"),
+            ..CallAnswer::default()
+        };
+        let result = CallResult::from_wire(message);
+        let expected = match is_answer {
+            true => (Outcome::Answered, None, 1),
+            false => (Outcome::Unknown, Some(Reason::BadAnswer), 0),
+        };
+        assert_eq!(
+            (result.outcome, result.reason, result.headers.len()),
+            expected,
+            "{status}"
+        );
+    }
+}
+
+/// The heads of answers to HEAD are not examined before the HTTP library reads them.
+#[test]
+fn status_in_head_answer() {
+    let rows = [
+        (
+            "HTTP/1.1 000 oops\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\n",
+            Reason::ServerLost,
+        ),
+        ("HTTP/1.1 101 odd\r\nfold-call: CALL\r\n\r\n", Reason::BadAnswer),
+        (
+            "HTTP/1.1 999 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\n",
+            Reason::BadAnswer,
+        ),
+    ];
+    for (head, reason) in rows {
+        let server = FakeServer::start(vec![Script::Send(head)]);
+        run(async {
+            let client = client(&server.address, valid_lease(&Clock::System));
+            let first = send_as(&client, "first", "HEAD").await;
+            assert_eq!(first.result.reason, Some(reason), "{head}");
+            let next = send(&client, "second").await;
+            assert_eq!(next.result.body, good_answer("second"), "{head}");
+        });
+    }
+}
+
 #[test]
 fn unreachable_server() {
     run(async {
