OWNER: a range that is owned again is released only once its calls end

What could happen: a schema leaves a service out, its server is told to give a range up and its lease ends while calls still run there. The next schema names the service again, and the range is moved at once. Its daemon found no grant to revoke, and reported the release although calls of the range were running. With servers that do not check fencing epochs, the next owner then ran calls of the same keys beside them.

Cause: GrantTable reported the release of a span without a grant at once. Until now, such a span could not have running calls.

planned_moves::release_of_dropped_span failed before with a report instead of no action.

--- a/src/grant/grant_table.rs
+++ b/src/grant/grant_table.rs
@@ -278,12 +278,13 @@
             entry.phase = GrantPhase::Granting;
             Some(GrantAction::Grant { span, epoch })
         }
-        (GrantGoal::Release(_), GrantPhase::Held | GrantPhase::Unknown) if is_busy(&span) => None,
+        (GrantGoal::Release(release), GrantPhase::Reported(reported)) if release == reported => None,
+        // Calls may also run in a span that was dropped before, and is owned again.
+        (GrantGoal::Release(_), _) if is_busy(&span) => None,
         (GrantGoal::Release(_) | GrantGoal::Drop, GrantPhase::Held | GrantPhase::Unknown) => {
             entry.phase = GrantPhase::Revoking;
             Some(GrantAction::Revoke { span, epoch })
         }
-        (GrantGoal::Release(release), GrantPhase::Reported(reported)) if release == reported => None,
         (GrantGoal::Release(release), GrantPhase::Absent | GrantPhase::Reported(_)) => {
             entry.phase = GrantPhase::Reporting(release);
             Some(GrantAction::Report { span, epoch, release })
--- a/tests/lease_world/leader_actor.rs
+++ b/tests/lease_world/leader_actor.rs
@@ -31,14 +31,19 @@
             log: Vec::new(),
             timing,
         };
+        leader.apply_schema(schema, now);
+        assert_eq!(leader.state.range_tables().len(), 1);
+        leader
+    }
+
+    pub fn apply_schema(&mut self, schema: &str, now: Ms) {
         let command = OperatorCommand {
-            command_id: "1-a".into(),
-            base: Some(leader.state.revision().to_wire()),
+            command_id: format!("1-{}", self.state.applied()),
+            base: Some(self.state.revision().to_wire()),
             body: Some(operator_command::Body::ApplySchema(schema.into())),
         };
-        leader.commit(change::Body::OperatorCommand(command), now);
-        assert_eq!(leader.state.range_tables().len(), 1);
-        leader
+        let applied = self.commit(change::Body::OperatorCommand(command), now);
+        assert_eq!(self.state.revision().index, self.state.applied(), "{applied:?}");
     }
 
     /// Replaces the leader by a new one, which knows only the replicated state.
--- a/tests/lease_world/world.rs
+++ b/tests/lease_world/world.rs
@@ -67,6 +67,8 @@
     now: i64,
     leader: LeaderActor,
     leader_frozen_until: i64,
+    /// Time at which the service is named again, while the schema leaves it out.
+    absent_until: Option<i64>,
     daemons: Vec<DaemonActor>,
     servers: Vec<ServerActor>,
     leases_end_at: [Ms; DAEMONS],
@@ -103,18 +105,14 @@
         let timing = LeaseSettings::default();
         let mut rng = SmallRng::seed_from_u64(seed);
         let speeds = std::array::from_fn(|_| 1000 + rng.random_range(-config.drift..=config.drift));
-        let schema = format!(
-            r#"{{"cluster": "test", "services": [{{"name": "ledger", "divided_by_key": true,
-                "boundaries": ["m"], "checks_fencing": {}, "calls": [{{"name": "read", "method": "GET",
-                "path": "/", "idempotent": true, "deadline_ms": {DEADLINE_MS}, "max_deadline_ms": {DEADLINE_MS}}}]}}]}}"#,
-            config.checks_fencing
-        );
+        let schema = schema("ledger", true, config.checks_fencing);
         Self {
             config,
             rng,
             now: 0,
             leader: LeaderActor::new(timing, &schema, Ms(1_000_000)),
             leader_frozen_until: 0,
+            absent_until: None,
             daemons: (0..DAEMONS)
                 .map(|number| DaemonActor::new(number, timing, config.checks_fencing))
                 .collect(),
@@ -146,7 +144,7 @@
         }
     }
 
-    /// Occasionally freezes an actor, elects another leader or starts a move.
+    /// Occasionally freezes an actor, elects another leader, starts a move, or leaves the service out of the schema.
     fn inject_faults(&mut self) {
         let length = self.rng.random_range(20..1500);
         let actor = self.rng.random_range(0..DAEMONS);
@@ -165,8 +163,21 @@
                 let now = self.clock(DAEMONS);
                 self.leader.start_move(&key, actor, now);
             }
+            10 | 11 if self.absent_until.is_none() => {
+                let absent = [("other", true), ("ledger", false)][actor % 2];
+                let schema = schema(absent.0, absent.1, self.config.checks_fencing);
+                let now = self.clock(DAEMONS);
+                self.leader.apply_schema(&schema, now);
+                self.absent_until = Some(self.now + length);
+            }
             _ => {}
         }
+        if self.absent_until.is_some_and(|until| until <= self.now) {
+            let schema = schema("ledger", true, self.config.checks_fencing);
+            let now = self.clock(DAEMONS);
+            self.leader.apply_schema(&schema, now);
+            self.absent_until = None;
+        }
     }
 
     /// Sends a message that may be delayed, duplicated or lost.
@@ -435,6 +446,19 @@
     }
 }
 
+/// Returns a schema with one service.
+fn schema(name: &str, divided_by_key: bool, checks_fencing: bool) -> String {
+    let division = match divided_by_key {
+        true => r#""divided_by_key": true, "boundaries": ["m"],"#,
+        false => "",
+    };
+    format!(
+        r#"{{"cluster": "test", "services": [{{"name": "{name}", {division} "checks_fencing": {checks_fencing},
+            "calls": [{{"name": "read", "method": "GET", "path": "/", "idempotent": true,
+                "deadline_ms": {DEADLINE_MS}, "max_deadline_ms": {DEADLINE_MS}}}]}}]}}"#
+    )
+}
+
 fn key(i: usize) -> Key {
     Key::new(KEYS[i].as_bytes().to_vec())
 }
--- a/tests/planned_moves.rs
+++ b/tests/planned_moves.rs
@@ -246,6 +246,19 @@
     assert_eq!(daemon.run_to_completion(&mut f), ["revoke", "report"]);
 }
 
+/// Guards against a range that goes to its next owner while calls run at a server which had to drop it before, e.g.
+/// because the schema left its service out.
+#[test]
+fn release_of_dropped_span() {
+    let (mut f, mut daemon) = range_on_host_1();
+    daemon.grants.drop_all();
+    daemon.grants.forget_dropped(f.now, f.now);
+    assert!(daemon.grants.is_empty(), "the server's lease has ended");
+    start_move(&mut f, &mut daemon, 2);
+    assert_eq!(daemon.grants.next_actions(|_| true), [], "calls are running");
+    assert_eq!(daemon.run_to_completion(&mut f), ["report"]);
+}
+
 #[test]
 fn second_release_is_ignored() {
     let (mut f, mut daemon) = range_on_host_1();
