OWNER: ranges of a service that becomes undivided count as revoked only when leases end

What could happen: a schema declares a service undivided, and the next one divides it by key again and moves a range. Servers that take orders were never told to give their ranges up, but their daemon had counted the ranges as revoked at once, so that the next owner could be granted a range which the last one held for up to 600 ms more.

Cause: orders for an undivided service are not sent, because its ranges are ranges of request ids, which servers do not know; an order to revoke a range of keys from before was dropped, too, and taken for confirmed.

Fix: such a revoke waits until the service takes orders again, and is then sent, or until the leases of the server have ended.

--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -145,14 +145,21 @@
     }
 
     /// Sends an order about a range to a server. Orders for an undivided service are not sent: its ranges are ranges of
-    /// request ids, which servers do not know.
+    /// request ids, which servers do not know. If the service was divided by key before, the server may hold ranges of
+    /// keys until its leases end, and a range counts as revoked only then.
     async fn give_order(&self, server: &LocalServer, order: Order) -> Result<(), OrderError> {
-        let schema = self.state().schema().clone();
-        let service = schema.service(&server.announced.service);
-        if service.is_some_and(|s| !s.divided_by_key) {
-            return Ok(());
+        loop {
+            let schema = self.state().schema().clone();
+            let service = schema.service(&server.announced.service);
+            if service.is_none_or(|s| s.divided_by_key) {
+                return server.orders.give(order).await;
+            }
+            let is_revoke = matches!(order, Order::Revoke { .. });
+            if !is_revoke || server.orders.leases_end_at() <= self.clock.now() {
+                return Ok(());
+            }
+            sleep(RELEASE_CHECK_INTERVAL).await;
         }
-        server.orders.give(order).await
     }
 
     async fn grant(&self, server: &Rc<LocalServer>, span: &KeyRange, epoch: u64) -> bool {
