MIXED: informational responses are examined after HEAD requests, too

The filter passed all bytes of a connection on once a HEAD request had been sent there, since the end of an answer to HEAD cannot be told from its length. But an informational response has no end to find: its head is examined now, so that one with a body ends the call as bad-answer there, too. A copy of another answer is still passed on and fails the call.

server_answers::status_in_head_answer failed before: ServerLost, not BadAnswer.

--- a/src/edge/answer_filter.rs
+++ b/src/edge/answer_filter.rs
@@ -56,11 +56,7 @@
         self.has_sent_head_request |= method == "HEAD";
         self.has_dropped = false;
         self.is_malformed = false;
-        // The length in an answer to HEAD is not that of its body, so that its end cannot be found.
-        self.part = match self.has_sent_head_request {
-            true => Part::Passed,
-            false => Part::Head,
-        };
+        self.part = Part::Head;
         self.scanner = MessageScanner::default();
     }
 
@@ -124,6 +120,8 @@
 
     fn end_head(&mut self) {
         match AnswerOf::read(&self.head, self.id_header, &self.id) {
+            // The length in an answer to HEAD is not that of its body, so that its end cannot be found.
+            AnswerOf::Other(_) if self.has_sent_head_request => self.end_input(),
             AnswerOf::Other(length) => {
                 self.head.clear();
                 self.has_dropped = true;
--- a/tests/left_out_service.rs
+++ b/tests/left_out_service.rs
@@ -94,7 +94,9 @@
 #[test]
 fn revoked_once_leases_end() {
     let cluster = start_ledger(true);
-    wait_until("both ranges are granted", WAIT_TIMEOUT, || serves_all(&cluster, 0));
+    wait_until("both ranges are granted", WAIT_TIMEOUT, || {
+        serves_all(&cluster, 0)
+    });
     let owner = owner_of(&cluster, KEYS[0]).unwrap();
     let host = &cluster.hosts[cluster.servers[owner].plan.host].name;
     let revoked = || cluster.log(host).matches("CF4008").count();
--- a/tests/server_answers.rs
+++ b/tests/server_answers.rs
@@ -348,7 +348,7 @@
     }
 }
 
-/// The heads of answers to HEAD are not examined before the HTTP library reads them.
+/// Guards against a caller that waits until its deadline for the answer to a HEAD request, or gets an invalid one.
 #[test]
 fn status_in_head_answer() {
     let rows = [
@@ -361,6 +361,10 @@
             "HTTP/1.1 999 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\n",
             Reason::BadAnswer,
         ),
+        (
+            "HTTP/1.1 150 odd\r\nfold-call: CALL\r\ncontent-length: 5\r\n\r\nhello",
+            Reason::BadAnswer,
+        ),
     ];
     for (head, reason) in rows {
         let server = FakeServer::start(vec![Script::Send(head)]);
