Guards: a copy is placed again when its daemon was restarted unnoticed

Cause: the owner of a guard compared the peer address of the daemon with the copy to the addresses of live sessions. An owner that learns of the end of a session and of the next one of the same daemon at once sees no change, but the new process has no copy. Its answer kept: false ended each call, and had no other effect.

Fix: the owner remembers the process that got the copy, and has the copy placed anew if another process has the session, or on kept: false (CF2104).

at_most_once::copy_holder_restarted failed before: "the call ends: condition not met within 30s".

--- a/src/call/tenure.rs
+++ b/src/call/tenure.rs
@@ -10,6 +10,8 @@
     Owner {
         /// Peer address of the daemon with the copy; empty if there is none.
         holder: String,
+        /// Number of the daemon process with the copy. A later process at the same address does not have it.
+        holder_process: u64,
         /// Whether the copy is complete and the control hosts have committed this.
         ready: bool,
     },
--- a/src/daemon/guard_task.rs
+++ b/src/daemon/guard_task.rs
@@ -6,7 +6,7 @@
     crate::{
         call::{Guard, GuardChange, GuardEntry, GuardLimits, Role, Tenure},
         clock::Ms,
-        control::{GuardSpan, GuardTable, State},
+        control::{GuardSpan, GuardTable, Session, State},
         event::Event,
         key::{Key, KeyRange},
         log_event,
@@ -89,7 +89,11 @@
                 let mut tenures = self.tenures.borrow_mut();
                 let tenure = tenures.get(&table.service, &range.start, owner.epoch);
                 let is_in_place = match tenure.map(|t| &t.role) {
-                    Some(Role::Owner { holder, ready }) => *ready && self.is_suitable_holder(&state, holder),
+                    Some(Role::Owner {
+                        holder,
+                        holder_process,
+                        ready,
+                    }) => *ready && self.is_suitable_holder(&state, holder, *holder_process),
                     Some(Role::Copy { .. }) | None => false,
                 };
                 if !is_in_place && range.release.is_none() {
@@ -104,30 +108,34 @@
         required
     }
 
-    /// Returns whether `holder` is suitable for a copy: a live daemon of another failure domain, if there is one.
-    fn is_suitable_holder(&self, state: &State, holder: &str) -> bool {
+    /// Returns whether the process at `holder` is suitable for a copy: a live daemon of another failure domain, if there
+    /// is one.
+    fn is_suitable_holder(&self, state: &State, holder: &str, process: u64) -> bool {
         let candidates = self.holder_candidates(state);
         if holder.is_empty() {
             return candidates.is_empty();
         }
-        candidates.iter().any(|address| address == holder)
+        candidates
+            .iter()
+            .any(|(address, other)| address == holder && *other == process)
     }
 
-    /// Returns the peer addresses of the daemons that may keep copies of this daemon's guards. Daemons of the same
-    /// failure domain are candidates only if there are no others.
-    fn holder_candidates(&self, state: &State) -> Vec<String> {
+    /// Returns the peer addresses and the processes of the daemons that may keep copies of this daemon's guards. Daemons
+    /// of the same failure domain are candidates only if there are no others.
+    fn holder_candidates(&self, state: &State) -> Vec<(String, u64)> {
         let others = || {
             state
                 .sessions()
                 .iter()
                 .filter(|s| s.open.host != self.settings.host)
         };
-        let elsewhere: Vec<String> = others()
+        let candidate = |s: &Session| (s.open.peer_address.clone(), s.open.process);
+        let elsewhere: Vec<(String, u64)> = others()
             .filter(|s| s.open.failure_domain != self.settings.failure_domain)
-            .map(|s| s.open.peer_address.clone())
+            .map(candidate)
             .collect();
         if elsewhere.is_empty() {
-            others().map(|s| s.open.peer_address.clone()).collect()
+            others().map(candidate).collect()
         } else {
             elsewhere
         }
@@ -160,6 +168,7 @@
                 epoch: required.epoch,
                 role: Role::Owner {
                     holder: String::new(),
+                    holder_process: 0,
                     ready: false,
                 },
                 sealed: Vec::new(),
@@ -200,7 +209,7 @@
         });
         let mut tenures = self.tenures.borrow_mut();
         let tenure = tenures.get(&required.service, &required.span.start, required.epoch);
-        if let Some(Role::Owner { holder, ready }) = tenure.map(|t| &mut t.role) {
+        if let Some(Role::Owner { holder, ready, .. }) = tenure.map(|t| &mut t.role) {
             *ready = is_recorded && holder == holder_address;
             log_event!(
                 self.log, Event::GuardReady;
@@ -215,8 +224,8 @@
     /// Returns `None` if the transfer fails.
     async fn place_copy(&self, required: &RequiredGuard) -> Option<String> {
         let candidates = self.holder_candidates(&self.state());
-        let holder = match candidates.len() {
-            0 => String::new(),
+        let (holder, holder_process) = match candidates.len() {
+            0 => Default::default(),
             count => candidates[self.rng.borrow_mut().random_range(0..count)].clone(),
         };
         let (span, entries, hole_ms) = {
@@ -225,6 +234,7 @@
             // The results of calls that end from now on are copied to the new holder.
             tenure.role = Role::Owner {
                 holder: holder.clone(),
+                holder_process,
                 ready: false,
             };
             let now = self.clock.now();
@@ -325,7 +335,7 @@
                     FetchOutcome::NotHeld => break,
                     FetchOutcome::Unreachable => {}
                 }
-                let is_live = |s: &crate::control::Session| s.open.peer_address == *address;
+                let is_live = |s: &Session| s.open.peer_address == *address;
                 if !self.state().sessions().iter().any(is_live) {
                     break;
                 }
--- a/src/daemon/guarded_call.rs
+++ b/src/daemon/guarded_call.rs
@@ -236,7 +236,11 @@
         }
         let request = self.links.request(&address, Body::GuardCopy(copy));
         match timeout(time_left.as_duration(), request).await {
-            Ok(Ok(Body::GuardCopyAnswer(answer))) => answer.kept,
+            Ok(Ok(Body::GuardCopyAnswer(answer))) if answer.kept => true,
+            Ok(Ok(Body::GuardCopyAnswer(_))) => {
+                self.mark_copy_lost(admitted, &address);
+                false
+            }
             Ok(Ok(_) | Err(_)) | Err(_) => {
                 self.guard_copy_failed.notify_one();
                 false
@@ -244,6 +248,24 @@
         }
     }
 
+    /// Records that the daemon at `address` does not keep the copy of the guard, so that a new one is placed. It may have
+    /// been restarted, which this daemon does not know yet.
+    fn mark_copy_lost(&self, admitted: &AdmittedCall, address: &str) {
+        let mut tenures = self.tenures.borrow_mut();
+        let tenure = tenures.get(&admitted.call.service, &admitted.id.key, admitted.epoch);
+        let Some(tenure) = tenure else { return };
+        if let Role::Owner { holder, ready, .. } = &mut tenure.role {
+            if holder == address && *ready {
+                *ready = false;
+                log_event!(
+                    self.log, Event::GuardCopyFailed;
+                    "service" => &tenure.service, "range" => tenure.span.to_string(), "copy" => address
+                );
+            }
+        }
+        self.guard_copy_failed.notify_one();
+    }
+
     /// Records the result of a call in the guard and in its copy, or forgets a call that did not run. Wakes the resends
     /// that wait for the call.
     fn record_result(self: &Rc<Self>, admitted: &AdmittedCall, result: &CallResult) {
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -15,8 +15,13 @@
 const SERVICES: [&str; 2] = ["ledger", "orders"];
 
 fn cluster(hosts: usize, work_ms: u32) -> Cluster {
+    cluster_with(hosts, work_ms, json!({}))
+}
+
+fn cluster_with(hosts: usize, work_ms: u32, lease: Value) -> Cluster {
     let mut cluster = Cluster::start(&ClusterPlan {
         hosts,
+        lease,
         services: SERVICES.map(str::to_owned).to_vec(),
         ..ClusterPlan::default()
     });
@@ -292,6 +297,31 @@
     assert_eq!(runs(&cluster, "once"), 1);
 }
 
+/// Guards against calls that end as not run for good, because the daemon with the copy of their guard was restarted and
+/// the owner learnt of the end of its session and of the next one at once. The restarted daemon has no copy.
+#[test]
+fn copy_holder_restarted() {
+    // The owner is frozen for less than its lease.
+    let lease = json!({ "ttl_ms": 3000, "renew_ms": 500, "drift_ms": 100, "election_ms": 300, "config_lag_ms": 4000 });
+    let mut cluster = cluster_with(3, 5, lease);
+    cluster.signal_host(1, Signal::STOP);
+    assert!(cluster.stop_host(2), "the daemon stops in order");
+    cluster.start_host(2);
+    wait_until("the daemon has a session again", WAIT_TIMEOUT, || {
+        cluster.log("host-3").matches("CF4001").count() == 2
+    });
+    cluster.signal_host(1, Signal::CONT);
+    for service in SERVICES {
+        // They reach all ranges of request ids.
+        for number in 0..60 {
+            let id = format!("{number}-{service}");
+            let answer = pay_until_run(&cluster, 0, service, &id);
+            assert_eq!(answer.outcome, "answered", "{id}: {answer:?}");
+            assert_eq!(runs(&cluster, &id), 1, "{id}");
+        }
+    }
+}
+
 #[test]
 fn owner_frozen_and_resumed() {
     let mut cluster = cluster(3, 5);
--- a/tests/tenure_parts.rs
+++ b/tests/tenure_parts.rs
@@ -32,6 +32,7 @@
 
 fn owner() -> Tenure {
     tenure(Role::Owner {
+        holder_process: 0,
         holder: String::new(),
         ready: true,
     })
