--- /dev/null
+++ b/review/harness-3/src/cases.rs
@@ -0,0 +1,339 @@
+//! The cases.
+
+use crate::{
+    client,
+    fleet::{wait_until, Fleet},
+    record,
+    server::{self, Config, Row, Server},
+};
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+const START: Duration = Duration::from_secs(30);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Returns a configuration with one route for each service, which is sharded or not.
+fn config(version: u32, services: &[(&str, bool)]) -> String {
+    let mut resources = Vec::new();
+    for (name, is_sharded) in services {
+        resources.push(format!(
+            r#"{{"resourceType":"routes","metadata":{{"name":"r-{name}"}},"spec":{{"hostname":"shop.example","pathPrefix":"/{name}/","routeType":"idempotent","timeout":"5000ms","targetLatency":"1500ms","priority":1,"service":"{name}","attempts":2}}}}"#
+        ));
+        let sharded = if *is_sharded { r#","sharded":true,"warm":"2s","grants":"heartbeat""# } else { "" };
+        resources.push(format!(
+            r#"{{"resourceType":"services","metadata":{{"name":"{name}"}},"spec":{{"healthPath":"/health","maxConnections":80,"protocol":"h1","tls":false{sharded}}}}}"#
+        ));
+    }
+    resources.push(
+        r#"{"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}"#
+            .to_owned(),
+    );
+    format!(r#"{{"version":"{version:08x}","resources":[{}]}}"#, resources.join(","))
+}
+
+fn configure(fleet: &Fleet, services: &[(&str, bool)]) {
+    let acknowledged = fleet.order("POST /v1/config/replace", &config(1, services));
+    assert!(acknowledged, "the configuration is acknowledged");
+    let sides = fleet.hosts.len() - fleet.core;
+    wait_until("all daemons are ready", START, || (0..sides).all(|n| fleet.is_ready(n)));
+}
+
+/// Runs `work` in a thread until the returned flag is cleared.
+fn repeat(work: impl Fn(u64) + Send + 'static) -> Arc<AtomicBool> {
+    let goes_on = Arc::new(AtomicBool::new(true));
+    let flag = goes_on.clone();
+    thread::spawn(move || {
+        let mut n = 0;
+        while flag.load(Ordering::SeqCst) {
+            work(n);
+            n += 1;
+        }
+    });
+    goes_on
+}
+
+/// A key of a row, which differs from call to call.
+fn key_of(row: &Row, n: u64) -> u16 {
+    let count = u64::from(row.last - row.first) + 1;
+    row.first + u16::try_from(n.wrapping_mul(7919) % count).unwrap()
+}
+
+/// Two servers that hold keys; the first one is emptied. While it is still at work on rows that it was told to release, a
+/// ping of another writer arrives, without the fields `holds` and `freed`.
+pub fn foreign_ping(trouble: bool) -> Vec<String> {
+    let mut fleet = Fleet::new(3, &[("desk", "z1"), ("desk", "z2")], &["z1", "z2", "z3"]);
+    fleet.start_all();
+    server::start_watch();
+    let servers = [("i-first", 0), ("i-second", 1)].map(|(id, n)| {
+        let config = Config {
+            id,
+            service: "desk",
+            is_sharded: true,
+            daemon: fleet.pings(n),
+            address: None,
+        };
+        Server::start(&config, true)
+    });
+    configure(&fleet, &[("desk", true)]);
+    let [first, second] = &servers;
+    wait_until("both servers hold their share of all keys", START, || {
+        first.held_keys() + second.held_keys() == 65_536 && first.rows().len() >= 30 && second.rows().len() >= 30
+    });
+    let outbound = fleet.outbound(1);
+    let short = repeat(move |n| {
+        thread::spawn(move || client::get(outbound, "/desk/30", Some((n * 7919 % 65_536) as u16), ms(3000)));
+        thread::sleep(ms(60));
+    });
+    let busy = first.clone();
+    let long = repeat(move |n| {
+        let rows = busy.rows();
+        if !rows.is_empty() {
+            let row = rows[(n as usize * 5) % rows.len()];
+            thread::spawn(move || client::get(outbound, "/desk/1800", Some(key_of(&row, n)), ms(5000)));
+        }
+        thread::sleep(ms(220));
+    });
+    thread::sleep(ms(3000));
+    record!("the first server is to leave: it reports draining");
+    first.set_draining();
+    let end = Instant::now() + ms(12_000);
+    let mut foreign = 0;
+    let mut next = Instant::now();
+    while Instant::now() < end && server::violations().is_empty() && first.held_keys() > 0 {
+        if trouble && foreign < 3 && Instant::now() >= next && first.rows_at_work() > 0 {
+            let (born, sequence) = first.born_and_sequence();
+            let body = format!(
+                r#"{{"address":"{}","born":{born},"info":{{"service":"desk","version":"v1","zone":"z1","slots":12}},"status":{{"state":"draining","sequence":{},"warmupLeft":"0ms"}}}}"#,
+                first.address,
+                sequence + 1
+            );
+            first.deliver(&body, "the ping of another writer, without holds and freed,");
+            foreign += 1;
+            next = Instant::now() + ms(1000);
+        }
+        thread::sleep(ms(5));
+    }
+    thread::sleep(ms(1000));
+    short.store(false, Ordering::SeqCst);
+    long.store(false, Ordering::SeqCst);
+    thread::sleep(ms(300));
+    server::violations()
+}
+
+/// Two servers that hold keys, and a third one that joins, so that the first one is to release some of its keys. Its
+/// daemon is killed and comes back. The first ping that reaches the new process is one that the server sent at its start,
+/// before it held anything.
+pub fn late_ping(trouble: bool) -> Vec<String> {
+    let sides = [("desk", "z1"), ("desk", "z2"), ("desk", "z3")];
+    let mut fleet = Fleet::new(3, &sides, &["z1", "z2", "z3"]);
+    fleet.start_all();
+    server::start_watch();
+    let server = |id, n, pings| {
+        let config = Config {
+            id,
+            service: "desk",
+            is_sharded: true,
+            daemon: fleet.pings(n),
+            address: None,
+        };
+        Server::start(&config, pings)
+    };
+    let first = server("i-first", 0, false);
+    let late = first.take_ping();
+    record!("the first ping of i-first is on its way: {late}");
+    if !trouble {
+        first.deliver(&late, "the first ping, in time,");
+    }
+    thread::sleep(ms(300));
+    first.set_pings(true);
+    let second = server("i-second", 1, true);
+    configure(&fleet, &[("desk", true)]);
+    wait_until("both servers hold their share of all keys", START, || {
+        first.held_keys() + second.held_keys() == 65_536 && first.rows().len() == 48 && second.rows().len() == 48
+    });
+    first.set_pings(false);
+    thread::sleep(ms(900));
+    let start = Instant::now();
+    assert!(first.ping(), "the ping is acknowledged");
+    record!("the daemon of i-first is killed");
+    fleet.kill(0 + fleet.core);
+    let third_config = Config {
+        id: "i-third",
+        service: "desk",
+        is_sharded: true,
+        daemon: fleet.pings(2),
+        address: None,
+    };
+    let third = Server::start(&third_config, true);
+    sleep_until(start + server::HEARTBEAT);
+    first.ping();
+    fleet.start(0 + fleet.core);
+    let next_ping = start + server::HEARTBEAT * 2;
+    while !fleet.is_ready(0) && Instant::now() < next_ping {
+        thread::sleep(ms(5));
+    }
+    record!("the daemon of i-first is back");
+    let rows = first.rows();
+    let outbound = fleet.outbound(1);
+    for n in 0..12_usize {
+        let row = rows[n * 4 % rows.len()];
+        thread::spawn(move || client::get(outbound, "/desk/1600", Some(key_of(&row, n as u64)), ms(5000)));
+    }
+    let at_work = || first.runs().iter().filter(|r| r.ended.is_none()).count();
+    while at_work() < 6 && Instant::now() < next_ping - ms(100) {
+        thread::sleep(ms(2));
+    }
+    record!("i-first is at work on {} requests", at_work());
+    if trouble {
+        first.deliver(&late, "the first ping, late,");
+    }
+    sleep_until(next_ping);
+    first.ping();
+    first.set_pings(true);
+    let end = Instant::now() + ms(6000);
+    while Instant::now() < end {
+        thread::sleep(ms(20));
+    }
+    record!("the servers hold {}, {} and {} keys", first.held_keys(), second.held_keys(), third.held_keys());
+    server::violations()
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// A server leaves, starts again under the same id, and soon leaves again. The first ping of its second life arrives
+/// seconds late, after the deregistration.
+pub fn wrong_life(trouble: bool) -> Vec<String> {
+    let drain = ms(2000);
+    let mut fleet = Fleet::new(3, &[("till", "z1"), ("till", "z1")], &["z1", "z2", "z3"]);
+    fleet.start_all();
+    let config = |n: usize, id, address| Config {
+        id,
+        service: "till",
+        is_sharded: false,
+        daemon: fleet.pings(n),
+        address,
+    };
+    let life = Server::start(&config(0, "i-first", None), true);
+    let _second = Server::start(&config(1, "i-second", None), true);
+    configure(&fleet, &[("till", false)]);
+    let outbound = fleet.outbound(1);
+    let calls = repeat(move |_| {
+        thread::spawn(move || client::get(outbound, "/till/200", None, ms(3000)));
+        thread::sleep(ms(25));
+    });
+    wait_until("the first server gets requests", START, || life.arrivals().len() > 20);
+    wait_until("its deregistration is acknowledged", START, || life.deregister());
+    thread::sleep(drain + ms(300));
+    life.end();
+    thread::sleep(ms(500));
+    let life = Server::start(&config(0, "i-first", Some(life.address)), false);
+    let ping = life.take_ping();
+    record!("the first ping of the second life is on its way");
+    if !trouble {
+        life.deliver(&ping, "the first ping, in time,");
+    }
+    thread::sleep(ms(600));
+    wait_until("the deregistration of the second life is acknowledged", START, || life.deregister());
+    let acknowledged = Instant::now();
+    thread::sleep(ms(2400));
+    if trouble {
+        life.deliver(&ping, "the first ping, late,");
+    }
+    sleep_until(acknowledged + drain + ms(4000));
+    let late = life.arrivals().iter().filter(|at| **at > acknowledged + drain).count();
+    life.end();
+    calls.store(false, Ordering::SeqCst);
+    thread::sleep(ms(300));
+    record!("{late} requests reached the second life later than 2000 ms after the acknowledgement");
+    match late {
+        0 => Vec::new(),
+        n => vec![format!(
+            "DRAIN: {n} requests reached i-first later than 2000 ms after its deregistration was acknowledged"
+        )],
+    }
+}
+
+/// All servers of one domain crash at once while they run a request that many clients send. Later, all processes of the
+/// system are killed and come back.
+pub fn popular_request(trouble: bool) -> Vec<String> {
+    let recover = ms(15_000);
+    let sides = [("board", "z1"), ("board", "z1"), ("board", "z2"), ("board", "z2")];
+    let mut fleet = Fleet::new(3, &sides, &["z1", "z2", "z3"]);
+    fleet.start_all();
+    let names = ["i-first", "i-second", "i-third", "i-fourth"];
+    let config = |n: usize, address| Config {
+        id: names[n],
+        service: "board",
+        is_sharded: false,
+        daemon: fleet.pings(n),
+        address,
+    };
+    let servers: Vec<Server> = (0..4).map(|n| Server::start(&config(n, None), true)).collect();
+    let configs: Vec<Config> = servers.iter().enumerate().map(|(n, s)| config(n, Some(s.address))).collect();
+    configure(&fleet, &[("board", false)]);
+    let outbound: Vec<_> = (0..4).map(|n| fleet.outbound(n)).collect();
+    let calls = repeat(move |n| {
+        let to = outbound[(n % 4) as usize];
+        // The rates of three currencies.
+        let path = format!("/board/rate-{}/150", n % 3);
+        thread::spawn(move || client::get(to, &path, None, ms(1500)));
+        thread::sleep(ms(5));
+    });
+    thread::sleep(ms(10_000));
+    if trouble {
+        record!("all servers of one domain crash");
+        servers[..2].iter().for_each(Server::end);
+        thread::sleep(ms(4500));
+        for config in &configs[..2] {
+            Server::start(config, true);
+        }
+    } else {
+        thread::sleep(ms(4500));
+    }
+    thread::sleep(ms(5000));
+    record!("the final fault: all processes are killed");
+    let fault = Instant::now();
+    for i in 0..fleet.hosts.len() {
+        fleet.signal(i, crate::fleet::SIGKILL);
+    }
+    for i in 0..fleet.hosts.len() {
+        fleet.wait_end(i);
+    }
+    thread::sleep(ms(700));
+    fleet.start_all();
+    let back = Instant::now();
+    sleep_until(back + recover + ms(10_000));
+    calls.store(false, Ordering::SeqCst);
+    thread::sleep(ms(1600));
+    let sent = client::sent();
+    let share = |what: &str, is_counted: &dyn Fn(Instant) -> bool| {
+        let of: Vec<_> = sent.iter().filter(|s| is_counted(s.at)).collect();
+        let served = of.iter().filter(|s| s.status == 200).count();
+        record!("{what}: {served} of {} requests were served", of.len());
+        served as f64 / of.len().max(1) as f64
+    };
+    let before = share("before the final fault", &|at| at < fault);
+    let after = share("later than 15 s after the processes were back", &|at| {
+        at > back + recover && at < back + recover + ms(10_000)
+    });
+    assert!(before >= 0.25, "a quarter is served before the final fault");
+    if after >= 0.25 {
+        return Vec::new();
+    }
+    vec![format!(
+        "RECOVER: {:.1}% of the requests were served later than 15 s after the final fault, {:.1}% before it",
+        after * 100.0,
+        before * 100.0
+    )]
+}
