review: a daemon grants keys that its own removal of the server has freed (OWNER)

A daemon removes a server whose pings are late, and the keys are given to another server. Until the daemon has learnt of that itself, the next ping of the server is answered with all its former keys. A control host that is frozen makes that last for up to a second.

At fault: answer_heartbeat in src/daemon/heartbeat.rs does not wait for the state that includes the last list of servers which the daemon has published.

--- a/review/harness-3/src/cases.rs
+++ b/review/harness-3/src/cases.rs
@@ -264,6 +264,94 @@
     }
 }
 
+/// The pings of a server are late for four seconds, so that its daemon removes it. The control host from which that daemon
+/// learns of changes stands still at that time. The server's next ping arrives in time.
+pub fn removed_server(trouble: bool) -> Vec<String> {
+    let mut fleet = Fleet::new(3, &[("desk", "z1"), ("desk", "z2")], &["z1", "z2", "z3"]);
+    fleet.start_all();
+    server::start_watch();
+    configure(&fleet, &[("desk", true)]);
+    let side = fleet.side(0);
+    // The daemon picks the control host that it watches at its start. It is to be another one than the leader.
+    let mut watched = fleet.leader();
+    for version in 2..20 {
+        let acknowledged = fleet.order("POST /v1/config/replace", &config(version, &[("desk", true)]));
+        assert!(acknowledged, "the configuration is acknowledged");
+        let host = || {
+            let lines = fleet.log(side, "CF4111");
+            let line = lines.iter().rev().find(|l| l.get("version").is_some_and(|v| v.num() == f64::from(version)));
+            line.and_then(|l| l.get("host")).map(|h| h.str().to_owned())
+        };
+        wait_until("the configuration has arrived", START, || host().is_some());
+        let host = host().unwrap_or_default();
+        watched = (0..fleet.core)
+            .find(|i| host.starts_with(&format!("{}:", fleet.hosts[*i].ip)))
+            .expect("a control host sent it");
+        record!("{} leads, the first daemon watches {}", fleet.hosts[fleet.leader()].name, fleet.hosts[watched].name);
+        if watched != fleet.leader() {
+            break;
+        }
+        fleet.kill(side);
+        fleet.start(side);
+        wait_until("the daemon is ready", START, || fleet.is_ready(0));
+    }
+    assert_ne!(watched, fleet.leader(), "the daemon watches another host than the leader");
+    let servers = [("i-first", 0), ("i-second", 1)].map(|(id, n)| {
+        let config = Config {
+            id,
+            service: "desk",
+            is_sharded: true,
+            daemon: fleet.pings(n),
+            address: None,
+        };
+        Server::start(&config, true)
+    });
+    let [first, second] = &servers;
+    wait_until("both servers hold their share of all keys", START, || {
+        first.held_keys() + second.held_keys() == 65_536 && first.rows().len() == 48 && second.rows().len() == 48
+    });
+    let rows = first.rows();
+    thread::sleep(ms(1000));
+    first.set_pings(false);
+    thread::sleep(ms(900));
+    let start = Instant::now();
+    assert!(first.ping(), "the ping is acknowledged");
+    if trouble {
+        for n in 1..=4_u32 {
+            let first = first.clone();
+            thread::spawn(move || {
+                sleep_until(start + server::HEARTBEAT * n);
+                let ping = first.take_ping();
+                record!("a ping of i-first is on its way");
+                thread::sleep(ms(4500));
+                first.deliver(&ping, "a ping, late,");
+            });
+        }
+        sleep_until(start + ms(3450));
+        fleet.signal(watched, crate::fleet::SIGSTOP);
+        let is_removed = || fleet.log(side, "CF4005").iter().any(|l| l.get("server").is_some_and(|s| s.str() == first.address.to_string()));
+        wait_until("the daemon has removed the server", ms(3000), is_removed);
+        thread::sleep(ms(60));
+    } else {
+        first.set_pings(true);
+        sleep_until(start + ms(4000));
+    }
+    first.ping();
+    let outbound = fleet.outbound(0);
+    for n in 0..12_usize {
+        let row = rows[n * 4 % rows.len()];
+        thread::spawn(move || client::get(outbound, "/desk/1200", Some(key_of(&row, n as u64)), ms(4000)));
+    }
+    thread::sleep(server::HEARTBEAT);
+    first.set_pings(true);
+    sleep_until(start + ms(6450));
+    if trouble {
+        fleet.signal(watched, crate::fleet::SIGCONT);
+    }
+    sleep_until(start + ms(10_000));
+    server::violations()
+}
+
 /// All servers of one domain crash at once while they run a request that many clients send. Later, all processes of the
 /// system are killed and come back.
 pub fn popular_request(trouble: bool) -> Vec<String> {
--- a/review/harness-3/src/fleet.rs
+++ b/review/harness-3/src/fleet.rs
@@ -22,7 +22,8 @@
 }
 
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 const OUTBOUND: u16 = 8304;
 const READINESS: u16 = 8302;
@@ -222,6 +223,23 @@
         answer.is_some_and(|a| a.status() == 200)
     }
 
+    /// Returns the lines of a host's log with this event.
+    pub fn log(&self, i: usize, event: &str) -> Vec<Json> {
+        let text = fs::read_to_string(self.dir.join(format!("{}.log", self.hosts[i].name))).unwrap_or_default();
+        let event = format!("\"event\":\"{event}\"");
+        let lines = text.lines().filter(|line| line.contains(&event));
+        lines.filter_map(Json::parse).collect()
+    }
+
+    /// Returns the control host that became leader last.
+    pub fn leader(&self) -> usize {
+        let term = |i: usize| {
+            let lines = self.log(i, "CF5103");
+            lines.iter().filter_map(|l| l.get("term")).map(|t| t.num() as u64).max()
+        };
+        (0..self.core).max_by_key(|i| term(*i)).unwrap_or_default()
+    }
+
     /// Sends an order of the operator to one control host after another until it is acknowledged.
     pub fn order(&self, head: &str, body: &str) -> bool {
         for i in 0..40 {
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -34,6 +34,7 @@
         "foreign-ping" => cases::foreign_ping,
         "late-ping" => cases::late_ping,
         "wrong-life" => cases::wrong_life,
+        "removed-server" => cases::removed_server,
         "popular-request" => cases::popular_request,
         other => {
             eprintln!("no case {other}");
