review: drop the case that review/7 shows, and renumber the others

The other cases move up: 11 (removed server), 12 (late ping), 13 (earlier life), 14 (popular request).

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 case=target/review-3/release/review-case
 [ -x "$case" ] && [ -x target/release/clementine-platform ] || exit 2
-exec "$case" foreign-ping review/11/record.txt
+exec "$case" removed-server review/11/record.txt
--- a/review/harness-3/src/cases.rs
+++ b/review/harness-3/src/cases.rs
@@ -67,68 +67,6 @@
     row.first + u16::try_from(n.wrapping_mul(7919) % count).unwrap()
 }
 
-/// Two servers that hold keys; the first one is emptied. While it is still at work on rows that it was told to release, a
-/// ping of another writer arrives, without the fields `holds` and `freed`.
-pub fn foreign_ping(trouble: bool) -> Vec<String> {
-    let mut fleet = Fleet::new(3, &[("desk", "z1"), ("desk", "z2")], &["z1", "z2", "z3"]);
-    fleet.start_all();
-    server::start_watch();
-    let servers = [("i-first", 0), ("i-second", 1)].map(|(id, n)| {
-        let config = Config {
-            id,
-            service: "desk",
-            is_sharded: true,
-            daemon: fleet.pings(n),
-            address: None,
-        };
-        Server::start(&config, true)
-    });
-    configure(&fleet, &[("desk", true)]);
-    let [first, second] = &servers;
-    wait_until("both servers hold their share of all keys", START, || {
-        first.held_keys() + second.held_keys() == 65_536 && first.rows().len() >= 30 && second.rows().len() >= 30
-    });
-    let outbound = fleet.outbound(1);
-    let short = repeat(move |n| {
-        thread::spawn(move || client::get(outbound, "/desk/30", Some((n * 7919 % 65_536) as u16), ms(3000)));
-        thread::sleep(ms(60));
-    });
-    let busy = first.clone();
-    let long = repeat(move |n| {
-        let rows = busy.rows();
-        if !rows.is_empty() {
-            let row = rows[(n as usize * 5) % rows.len()];
-            thread::spawn(move || client::get(outbound, "/desk/1800", Some(key_of(&row, n)), ms(5000)));
-        }
-        thread::sleep(ms(220));
-    });
-    thread::sleep(ms(3000));
-    record!("the first server is to leave: it reports draining");
-    first.set_draining();
-    let end = Instant::now() + ms(12_000);
-    let mut foreign = 0;
-    let mut next = Instant::now();
-    while Instant::now() < end && server::violations().is_empty() && first.held_keys() > 0 {
-        if trouble && foreign < 3 && Instant::now() >= next && first.rows_at_work() > 0 {
-            let (born, sequence) = first.born_and_sequence();
-            let body = format!(
-                r#"{{"address":"{}","born":{born},"info":{{"service":"desk","version":"v1","zone":"z1","slots":12}},"status":{{"state":"draining","sequence":{},"warmupLeft":"0ms"}}}}"#,
-                first.address,
-                sequence + 1
-            );
-            first.deliver(&body, "the ping of another writer, without holds and freed,");
-            foreign += 1;
-            next = Instant::now() + ms(1000);
-        }
-        thread::sleep(ms(5));
-    }
-    thread::sleep(ms(1000));
-    short.store(false, Ordering::SeqCst);
-    long.store(false, Ordering::SeqCst);
-    thread::sleep(ms(300));
-    server::violations()
-}
-
 /// Two servers that hold keys, and a third one that joins, so that the first one is to release some of its keys. Its
 /// daemon is killed and comes back. The first ping that reaches the new process is one that the server sent at its start,
 /// before it held anything.
@@ -165,7 +103,7 @@
     let start = Instant::now();
     assert!(first.ping(), "the ping is acknowledged");
     record!("the daemon of i-first is killed");
-    fleet.kill(0 + fleet.core);
+    fleet.kill(fleet.side(0));
     let third_config = Config {
         id: "i-third",
         service: "desk",
@@ -176,7 +114,7 @@
     let third = Server::start(&third_config, true);
     sleep_until(start + server::HEARTBEAT);
     first.ping();
-    fleet.start(0 + fleet.core);
+    fleet.start(fleet.side(0));
     let next_ping = start + server::HEARTBEAT * 2;
     while !fleet.is_ready(0) && Instant::now() < next_ping {
         thread::sleep(ms(5));
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -31,7 +31,6 @@
         exit(2);
     });
     let case = match name.as_str() {
-        "foreign-ping" => cases::foreign_ping,
         "late-ping" => cases::late_ping,
         "wrong-life" => cases::wrong_life,
         "removed-server" => cases::removed_server,
--- a/review/harness-3/src/server.rs
+++ b/review/harness-3/src/server.rs
@@ -52,7 +52,6 @@
     is_up: bool,
     born: u64,
     sequence: u64,
-    is_draining: bool,
     rows: Vec<Row>,
     until: Option<Instant>,
     /// Rows that an answer left out while a request ran there, with the ends of their holds.
@@ -131,9 +130,8 @@
         let rows = self.rows.iter().chain(self.left.iter().map(|(r, _)| r));
         let rows: Vec<String> = rows.map(|r| format!("[{},{},{}]", r.first, r.last, r.fence)).collect();
         let freed: Vec<String> = self.freed.iter().map(|(a, b, t)| format!("[{a},{b},\"{t}\"]")).collect();
-        let state = if self.is_draining { "draining" } else { "ready" };
         let body = format!(
-            r#"{{"address":"{address}","born":{},"info":{{"service":"{}","version":"v1","zone":"z1","slots":12}},"status":{{"state":"{state}","sequence":{},"warmupLeft":"0ms"}},"holds":[{}],"freed":[{}]}}"#,
+            r#"{{"address":"{address}","born":{},"info":{{"service":"{}","version":"v1","zone":"z1","slots":12}},"status":{{"state":"ready","sequence":{},"warmupLeft":"0ms"}},"holds":[{}],"freed":[{}]}}"#,
             self.born,
             self.service,
             self.sequence,
@@ -322,7 +320,6 @@
                 is_up: true,
                 born,
                 sequence: 0,
-                is_draining: false,
                 rows: Vec::new(),
                 until: None,
                 left: Vec::new(),
@@ -390,10 +387,6 @@
         self.pings.store(pings, Ordering::SeqCst);
     }
 
-    pub fn set_draining(&self) {
-        world().lives[self.n].is_draining = true;
-    }
-
     pub fn held_keys(&self) -> u32 {
         let world = world();
         let life = &world.lives[self.n];
@@ -405,11 +398,6 @@
         world().lives[self.n].rows.clone()
     }
 
-    /// Returns how many rows were left out of an answer while a request ran there.
-    pub fn rows_at_work(&self) -> usize {
-        world().lives[self.n].left.len()
-    }
-
     pub fn runs(&self) -> Vec<Run> {
         world().lives[self.n].runs.clone()
     }
@@ -418,11 +406,6 @@
         world().lives[self.n].arrivals.clone()
     }
 
-    pub fn born_and_sequence(&self) -> (u64, u64) {
-        let world = world();
-        (world.lives[self.n].born, world.lives[self.n].sequence)
-    }
-
     /// Returns a ping as it is sent now. Whoever takes it may deliver it late.
     pub fn take_ping(&self) -> String {
         let (body, _) = world().lives[self.n].ping_body(self.address, Instant::now());
@@ -478,7 +461,7 @@
 
     /// Deregisters the server with its start, as all that it says of itself. Returns whether that was acknowledged.
     pub fn deregister(&self) -> bool {
-        let (born, _) = self.born_and_sequence();
+        let born = world().lives[self.n].born;
         let head = format!(
             "POST /v1/instances/{}/deregister HTTP/1.1\r\nhost: d\r\ncontent-type: application/json",
             self.id
