--- a/review/harness-3/src/cases.rs
+++ b/review/harness-3/src/cases.rs
@@ -294,10 +294,10 @@
 /// system are killed and come back.
 pub fn popular_request(trouble: bool) -> Vec<String> {
     let recover = ms(15_000);
-    let sides = [("board", "z1"), ("board", "z1"), ("board", "z2"), ("board", "z2")];
+    let sides = ["z1", "z1", "z2", "z2", "z3", "z3"].map(|zone| ("board", zone));
     let mut fleet = Fleet::new(3, &sides, &["z1", "z2", "z3"]);
     fleet.start_all();
-    let names = ["i-first", "i-second", "i-third", "i-fourth"];
+    let names = ["i-first", "i-second", "i-third", "i-fourth", "i-fifth", "i-sixth"];
     let config = |n: usize, address| Config {
         id: names[n],
         service: "board",
@@ -305,16 +305,16 @@
         daemon: fleet.pings(n),
         address,
     };
-    let servers: Vec<Server> = (0..4).map(|n| Server::start(&config(n, None), true)).collect();
+    let servers: Vec<Server> = (0..6).map(|n| Server::start(&config(n, None), true)).collect();
     let configs: Vec<Config> = servers.iter().enumerate().map(|(n, s)| config(n, Some(s.address))).collect();
     configure(&fleet, &[("board", false)]);
-    let outbound: Vec<_> = (0..4).map(|n| fleet.outbound(n)).collect();
+    let outbound: Vec<_> = (0..6).map(|n| fleet.outbound(n)).collect();
     let calls = repeat(move |n| {
-        let to = outbound[(n % 4) as usize];
-        // The rates of three currencies.
-        let path = format!("/board/rate-{}/150", n % 3);
+        let to = outbound[(n % 6) as usize];
+        // The rates of two currencies.
+        let path = format!("/board/rate-{}/150", n / 6 % 2);
         thread::spawn(move || client::get(to, &path, None, ms(1500)));
-        thread::sleep(ms(5));
+        thread::sleep(ms(3));
     });
     thread::sleep(ms(10_000));
     if trouble {
--- a/review/harness-3/src/server.rs
+++ b/review/harness-3/src/server.rs
@@ -41,7 +41,6 @@
 pub struct Run {
     pub attempt: String,
     pub key: Option<u16>,
-    pub begun: Instant,
     pub ended: Option<Instant>,
 }
 
@@ -503,7 +502,6 @@
                     life.runs.push(Run {
                         attempt: attempt.clone(),
                         key: key.filter(|_| self.is_sharded),
-                        begun: now,
                         ended: None,
                     });
                     life.runs.len() - 1
