Log when a list of servers is committed and when the grants of a server change

The logs could not tell whether the daemon's state lacked the removal, the list was not committed, or the keys moved for another reason: no line named the log index of a list or the state behind an answer.

CF4121 names the list and its log index, CF4122 the state and the newest list in it by which the answer to a heartbeat was made. One line a list and one line a change of grants; no logic changes.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -288,10 +288,21 @@
             );
         }
         let wanted = wanted_holds(&state, session, &server.announced);
+        let before = hold_table.borrow().summary();
         let (holds, released) =
             hold_table
                 .borrow_mut()
                 .heartbeat(&heartbeat.holds, heartbeat.freed.clone(), wanted, hold, now);
+        let (spans, epoch) = hold_table.borrow().summary();
+        if (spans, epoch) != before {
+            let session = session.and_then(|id| state.session(id));
+            log_event!(
+                self.log, Event::HoldsChanged;
+                "service" => &server.announced.service, "server" => &server.announced.address,
+                "spans" => spans, "epoch" => epoch, "number" => session.map(|s| s.servers_number),
+                "applied" => state.applied()
+            );
+        }
         for release in released {
             spawn_local(self.clone().report_release(server.clone(), release));
         }
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -186,11 +186,16 @@
                     number,
                     process: self.process,
                 };
-                let committed = self.propose(change::Body::SetServers(set)).await.is_some();
-                if committed {
+                let answer = self.propose(change::Body::SetServers(set)).await;
+                if let Some(answer) = &answer {
+                    log_event!(
+                        self.log, Event::ServersListed;
+                        "session" => session, "number" => number, "index" => answer.index,
+                        "servers" => wanted.1.len(), "ended" => wanted.2.len()
+                    );
                     self.forget_unlisted_servers(&wanted.1, &wanted.2);
                 }
-                published = committed.then_some(wanted);
+                published = answer.is_some().then_some(wanted);
             }
             if published.is_some() && self.lost_servers.borrow().is_empty() {
                 self.servers_changed.notified().await;
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -192,6 +192,10 @@
     DomainEvacuated = "CF4119", Warning, "failure domain evacuated";
     /// The evacuation of this host's failure domain has ended.
     DomainRestored = "CF4120", Info, "failure domain restored";
+    /// A list of local servers is in the replicated state.
+    ServersListed = "CF4121", Info, "servers listed";
+    /// The spans in the answers to the heartbeats of a server have changed.
+    HoldsChanged = "CF4122", Info, "holds changed";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
--- a/src/grant/hold_table.rs
+++ b/src/grant/hold_table.rs
@@ -144,6 +144,13 @@
         self.offered.as_ref().map_or(0, Vec::len)
     }
 
+    /// Returns the number of spans in the answer to the last heartbeat and their highest epoch, which are zero if there
+    /// are none.
+    pub fn summary(&self) -> (usize, u64) {
+        let epochs = self.offered.iter().flatten().map(|h| h.epoch);
+        (self.held_count(), epochs.max().unwrap_or_default())
+    }
+
     fn released(&self, hold: &Hold) -> Option<Released> {
         let token = self.freed.iter().rev().find(|f| f.span.overlaps(&hold.span));
         Some(Released {
