Grant keys only by a state that has every list of servers without the server

Callers saw two servers that hold the same keys for over half a second, or a server at work on keys that another one was given.

Cause: a daemon that has removed a silent server answers its next heartbeat by the replicated state that it has, which may lack the daemon's own list without the server. Evidence (CF4121, CF4122): the list was committed at index 257, the leader assigned the keys to the other server at 258 to 305, and the heartbeat was answered with 48 spans by the state at index 256.

Change: a server remembers the number of the first list that names it since its daemon added it, and gets grants only by a state that has this list or a later one. The state keeps the number of the last list, and ignores lists with lower numbers, so this works whether earlier lists are committed, on their way or lost. It holds for heartbeats and for orders. CF4123 tells of grants that are withheld.

--- a/benches/ownership.rs
+++ b/benches/ownership.rs
@@ -12,7 +12,7 @@
     clementinefold::{
         clock::Ms,
         control::State,
-        grant::{wanted_within, GrantTable},
+        grant::{wanted_within, GrantTable, GrantTarget},
         key::KeyRange,
         lease::LeaderView,
         settings::LeaseSettings,
@@ -392,25 +392,24 @@
     drop(decoded);
     let server = state.sessions()[50].servers[0].clone();
     let session = state.sessions()[50].id;
+    let target = GrantTarget {
+        session: Some(session),
+        server: &server,
+        listed_in: Some(0),
+    };
     let mut grants = GrantTable::default();
     let all_keys = KeyRange::default();
-    let wanted = wanted_within(&state, Some(session), &server, &all_keys);
+    let wanted = wanted_within(&state, &target, &all_keys);
     grants.reconcile(&all_keys, &wanted);
     let reconcile_started = Instant::now();
     for _ in 0..20 {
-        grants.reconcile(
-            &all_keys,
-            &black_box(wanted_within(&state, Some(session), &server, &all_keys)),
-        );
+        grants.reconcile(&all_keys, &black_box(wanted_within(&state, &target, &all_keys)));
     }
     let reconcile_all = reconcile_started.elapsed() / 20;
     let span = wanted[wanted.len() / 2].span.clone();
     let reconcile_started = Instant::now();
     for _ in 0..200 {
-        grants.reconcile(
-            &span,
-            &black_box(wanted_within(&state, Some(session), &server, &span)),
-        );
+        grants.reconcile(&span, &black_box(wanted_within(&state, &target, &span)));
     }
     let reconcile_one = reconcile_started.elapsed() / 200;
     let changes_started = Instant::now();
--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -103,6 +103,8 @@
     pub lost_servers: RefCell<Vec<LostServer>>,
     /// Local servers that have announced that they leave, including lost ones.
     pub left_servers: RefCell<LeftServers>,
+    /// Number of the last list of servers that this process has sent, or 0 if it has sent none.
+    pub last_list: Cell<u64>,
     /// Notified when the list of local servers has changed.
     pub servers_changed: Notify,
     /// Notified when the time until which a local server is cold may have changed.
@@ -215,6 +217,7 @@
             servers: RefCell::default(),
             lost_servers: RefCell::default(),
             left_servers: RefCell::default(),
+            last_list: Cell::new(0),
             servers_changed: Notify::new(),
             warmups_changed: Notify::new(),
             leader: RefCell::new(leader),
--- a/src/daemon/grant_task.rs
+++ b/src/daemon/grant_task.rs
@@ -93,7 +93,7 @@
         for span in spans {
             grants.reconcile(
                 &span,
-                &grant::wanted_within(&state, session, &server.announced, &span),
+                &grant::wanted_within(&state, &server.grant_target(session), &span),
             );
         }
     }
--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -239,6 +239,7 @@
             crash_report: Mutex::default(),
             is_crash_counted: Cell::new(true),
             orders: GrantDelivery::Fetched(Rc::new(RefCell::new(HoldTable::default()))),
+            listed_in: Cell::new(self.listed_in_of_new_server()),
             last_announce: Cell::new(self.clock.now()),
             last_heartbeat: Cell::default(),
             notice: Cell::default(),
@@ -270,9 +271,19 @@
         };
         let now = self.clock.now();
         let state = self.state();
-        // A state from before this process took over the session may be out of date.
-        let is_current = state.applied() >= self.session_start_index.get();
-        let session = self.session.get().filter(|_| is_current);
+        let session = self.session.get();
+        // A state from before this process took over the session may be out of date, and so is one that lacks a list of
+        // this process without the server.
+        let is_current = state.applied() >= self.session_start_index.get()
+            && server.grant_target(session).is_known(&state);
+        if session.is_some() && !is_current {
+            log_event!(
+                self.log, Event::GrantsWithheld;
+                "service" => &server.announced.service, "server" => &server.announced.address,
+                "number" => server.listed_in.get(), "applied" => state.applied()
+            );
+        }
+        let session = session.filter(|_| is_current);
         let hold = match session {
             Some(_) => Ms(self.lease.remaining(now).min(HOLD_MAX).0 * HOLD_PERCENT / 100),
             None => Ms::ZERO,
@@ -287,7 +298,7 @@
                 "sequence" => heartbeat.sequence
             );
         }
-        let wanted = wanted_holds(&state, session, &server.announced);
+        let wanted = wanted_holds(&state, &server.grant_target(session));
         let before = hold_table.borrow().summary();
         let (holds, released) =
             hold_table
--- a/src/daemon/local_server.rs
+++ b/src/daemon/local_server.rs
@@ -6,7 +6,7 @@
         control::Server,
         edge::{Order, OrderError, ServerClient, ServerNotice, ServerOrders},
         event::RateLimit,
-        grant::{GrantTable, HoldTable},
+        grant::{GrantTable, GrantTarget, HoldTable},
         key::{Key, KeyRange},
     },
     std::{
@@ -87,6 +87,8 @@
     pub is_crash_counted: Cell<bool>,
     /// Shared with the predecessor, so that orders to it precede those to this process.
     pub orders: GrantDelivery,
+    /// Number of the first list of servers that names this server, see [`GrantTarget::listed_in`].
+    pub listed_in: Cell<Option<u64>>,
     pub last_announce: Cell<Ms>,
     /// Start of the process in ms since the Unix epoch, and number of its last heartbeat. Both are zero if unknown.
     pub last_heartbeat: Cell<(u64, u64)>,
@@ -125,6 +127,21 @@
         }
     }
 
+    /// Returns what decisions on the grants of this server need. `session` is the one of the daemon.
+    pub fn grant_target(&self, session: Option<u64>) -> GrantTarget<'_> {
+        GrantTarget {
+            session,
+            server: &self.announced,
+            listed_in: self.listed_in.get(),
+        }
+    }
+
+    /// Returns whether the next list of servers has to be sent for this server to be named. While there is a predecessor, that
+    /// one is named in its place.
+    pub fn awaits_listing(&self) -> bool {
+        self.listed_in.get().is_none() && self.predecessor.borrow().is_none()
+    }
+
     /// Returns whether the server fetches its grants with its heartbeats.
     pub fn fetches_grants(&self) -> bool {
         matches!(self.orders, GrantDelivery::Fetched(_))
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -118,6 +118,7 @@
                 Some(orders) => orders,
                 None => self.start_orders(&announced.address).map_err(|e| e.to_string())?,
             },
+            listed_in: Cell::new(self.listed_in_of_new_server()),
             last_announce: Cell::new(now),
             last_heartbeat: Cell::default(),
             notice: Cell::default(),
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -165,7 +165,6 @@
     /// Publishes the list of local servers to the replicated state whenever it changes.
     pub async fn publish_servers(self: Rc<Self>) {
         let mut published = None;
-        let mut number = 0;
         let mut adopted = None;
         loop {
             if self.fetches_grants && adopted != self.session.get() {
@@ -173,12 +172,13 @@
                 continue;
             }
             let wanted = (self.session.get(), self.announced_servers(), self.ended_servers());
-            if published.as_ref() != Some(&wanted) {
+            let awaits_listing = self.servers.borrow().iter().any(|s| s.awaits_listing());
+            if published.as_ref() != Some(&wanted) || awaits_listing {
                 let (Some(session), servers, ended) = wanted.clone() else {
                     self.servers_changed.notified().await;
                     continue;
                 };
-                number += 1;
+                let number = self.number_list();
                 let set = SetServers {
                     session,
                     servers,
@@ -205,6 +205,22 @@
         }
     }
 
+    /// Returns the number of the next list of servers, which the servers that it is the first to name keep.
+    fn number_list(&self) -> u64 {
+        let number = self.last_list.get() + 1;
+        self.last_list.set(number);
+        for server in self.servers.borrow().iter().filter(|s| s.awaits_listing()) {
+            server.listed_in.set(Some(number));
+        }
+        number
+    }
+
+    /// Returns [`LocalServer::listed_in`] of a server that is added now. Only lists of this process can be on their way
+    /// without it, since lists of earlier processes have no effect after this one has opened or taken over the session.
+    pub(super) fn listed_in_of_new_server(&self) -> Option<u64> {
+        (self.last_list.get() == 0).then_some(0)
+    }
+
     /// Forgets the lost servers that are no longer in the replicated state, after `servers` and `ended` were committed.
     fn forget_unlisted_servers(&self, servers: &[Server], ended: &[String]) {
         self.lost_servers.borrow_mut().retain(|lost| {
--- a/src/event/event_code.rs
+++ b/src/event/event_code.rs
@@ -196,6 +196,8 @@
     ServersListed = "CF4121", Info, "servers listed";
     /// The spans in the answers to the heartbeats of a server have changed.
     HoldsChanged = "CF4122", Info, "holds changed";
+    /// A heartbeat was answered without grants, since the state does not show yet what the server owns.
+    GrantsWithheld = "CF4123", Info, "grants withheld";
 
     /// The control role has opened its log.
     ControlStarted = "CF5001", Info, "control role started";
--- a/src/grant/changed_spans.rs
+++ b/src/grant/changed_spans.rs
@@ -1,7 +1,7 @@
 use {
-    super::GrantGoal,
+    super::{GrantGoal, GrantTarget},
     crate::{
-        control::{Applied, Server, State},
+        control::{Applied, State},
         key::KeyRange,
     },
 };
@@ -99,31 +99,18 @@
     }
 }
 
-/// Returns the parts of `span` that `server` behind `session` should own by the replicated state.
-///
-/// A new server process gets nothing that was assigned to the previous process at its address.
-pub fn wanted_within(
-    state: &State,
-    session: Option<u64>,
-    server: &Server,
-    span: &KeyRange,
-) -> Vec<WantedSpan> {
+/// Returns the parts of `span` that a server should own by the replicated state. There are none while the state lacks a
+/// list of servers that may have ended its ownerships.
+pub fn wanted_within(state: &State, target: &GrantTarget<'_>, span: &KeyRange) -> Vec<WantedSpan> {
     let mut wanted = Vec::new();
-    let Some(session) = session.and_then(|id| state.session(id)) else {
+    let Some((session, table)) = target.listed(state) else {
         return wanted;
     };
-    let listed = session.server(&server.service, &server.address);
-    let Some(table) = state.table(&server.service) else {
-        return wanted;
-    };
-    if listed.is_none_or(|listed| listed.incarnation != server.incarnation) {
-        return wanted;
-    }
     for (position, range) in table.overlapping(span) {
         let Some(owner) = &range.owner else {
             continue;
         };
-        if owner.session != session.id || owner.server != server.address {
+        if owner.session != session.id || owner.server != target.server.address {
             continue;
         }
         let release = range.release.as_ref().map(|r| GrantGoal::Release(r.index));
--- a/src/grant/hold_table.rs
+++ b/src/grant/hold_table.rs
@@ -1,7 +1,10 @@
-use crate::{
-    clock::Ms,
-    control::{Server, State},
-    key::{Key, KeyRange},
+use {
+    super::GrantTarget,
+    crate::{
+        clock::Ms,
+        control::{Owner, State},
+        key::{Key, KeyRange},
+    },
 };
 
 /// Longest time by the daemon's clock that a hold may last on a server whose clock runs slow, in percent of the hold.
@@ -162,23 +165,16 @@
     }
 }
 
-/// Returns the spans that `server` behind `session` should hold by the replicated state, sorted by key.
-pub fn wanted_holds(state: &State, session: Option<u64>, server: &Server) -> Vec<Hold> {
-    let Some(session) = session.and_then(|id| state.session(id)) else {
+/// Returns the spans that a server should hold by the replicated state, sorted by key. There are none while the state lacks
+/// a list of servers that may have ended its ownerships.
+pub fn wanted_holds(state: &State, target: &GrantTarget<'_>) -> Vec<Hold> {
+    let Some((session, table)) = target.listed(state) else {
         return Vec::new();
     };
-    let listed = session.server(&server.service, &server.address);
-    let Some(table) = state.table(&server.service) else {
-        return Vec::new();
-    };
-    // A new server process gets nothing that was assigned to the previous process at its address.
-    if listed.is_none_or(|listed| listed.incarnation != server.incarnation) {
-        return Vec::new();
-    }
     let mut holds = Vec::new();
     for (position, range) in table.ranges().iter().enumerate() {
         let owner = range.owner.as_ref();
-        let is_own = |o: &&crate::control::Owner| o.session == session.id && o.server == server.address;
+        let is_own = |o: &&Owner| o.session == session.id && o.server == target.server.address;
         if let Some(owner) = owner.filter(is_own) {
             holds.push(Hold {
                 span: table.span(position),
--- a/tests/lease_world/daemon_actor.rs
+++ b/tests/lease_world/daemon_actor.rs
@@ -1,7 +1,7 @@
 use clementinefold::{
     clock::Ms,
     control::{Server, State},
-    grant::{self, ChangedSpans, GrantAction, GrantTable},
+    grant::{self, ChangedSpans, GrantAction, GrantTable, GrantTarget},
     key::{Key, KeyRange},
     lease::{ClockVerdict, DaemonLease, SleepDetector},
     settings::LeaseSettings,
@@ -138,8 +138,14 @@
         if changed_spans.releases {
             spans.extend(self.grants.releasing_spans());
         }
+        let server = self.server();
+        let target = GrantTarget {
+            session: self.session,
+            server: &server,
+            listed_in: Some(0),
+        };
         for span in spans {
-            let wanted = grant::wanted_within(&self.state, self.session, &self.server(), &span);
+            let wanted = grant::wanted_within(&self.state, &target, &span);
             self.grants.reconcile(&span, &wanted);
         }
         self.grants.forget_dropped(leases_end_at, now);
--- a/tests/planned_moves.rs
+++ b/tests/planned_moves.rs
@@ -7,9 +7,9 @@
 use {
     clementinefold::{
         control::{Applied, Owner},
-        grant::{self, ChangedSpans, GrantAction, GrantTable},
+        grant::{self, ChangedSpans, GrantAction, GrantTable, GrantTarget},
         key::KeyRange,
-        wire::control::{change, operator_command::Body, MoveSpan, RangeReleased, SetServers},
+        wire::control::{change, operator_command::Body, MoveSpan, RangeReleased, Server, SetServers},
     },
     state_fixture::{accepted, key, refused, server, Fixture, SERVICE},
 };
@@ -20,6 +20,15 @@
     session: u64,
 }
 
+/// Returns a server that all lists of its daemon have named.
+fn target(session: u64, server: &Server) -> GrantTarget<'_> {
+    GrantTarget {
+        session: Some(session),
+        server,
+        listed_in: Some(0),
+    }
+}
+
 impl Daemon {
     fn follow(&mut self, f: &Fixture, changed_spans: &ChangedSpans) {
         let mut spans: Vec<KeyRange> = changed_spans.spans.iter().map(|(_, span)| span.clone()).collect();
@@ -30,7 +39,7 @@
             spans.extend(self.grants.releasing_spans());
         }
         for span in spans {
-            let wanted = grant::wanted_within(&f.state, Some(self.session), &server(1, true), &span);
+            let wanted = grant::wanted_within(&f.state, &target(self.session, &server(1, true)), &span);
             self.grants.reconcile(&span, &wanted);
         }
     }
@@ -296,11 +305,12 @@
 fn restarted_server_inherits_no_range() {
     // The new process has announced itself to the daemon, but the state still lists the old one.
     let (f, daemon) = range_on_host_1();
-    let restarted = clementinefold::wire::control::Server {
+    let restarted = Server {
         incarnation: "second-1".into(),
         ..server(1, true)
     };
-    let wanted = grant::wanted_within(&f.state, Some(daemon.session), &restarted, &KeyRange::default());
+    let target = target(daemon.session, &restarted);
+    let wanted = grant::wanted_within(&f.state, &target, &KeyRange::default());
     assert_eq!(wanted, [], "the new process gets no grant of the old one");
     // A grant for the old process may have reached the new one before it announced itself.
     let mut grants = daemon.grants.after_restart();
