Keep the grants of a removed server that comes back

Cause: a daemon that replaces a server by the same process, since it had fallen silent or announces other properties, started with an empty table of grants. A planned move was then reported as complete without an order to revoke the span, which the server held until its lease ended.

Change: the new entry takes over the grants as ones that the server may hold, so that they are revoked before they are reported. lease_schedules now removes servers from their lists for a while.

--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -104,6 +104,11 @@
             }
             return Ok(());
         }
+        if let Some(lost) = self.lost_server(&announced) {
+            // The process is the same, and may still hold what it was granted before it was removed.
+            grants = lost.grants.take().after_removal();
+            predecessor = lost.predecessor.take();
+        }
         let limits = ServerLimits {
             answer_bytes: self.settings.caller_limits.answer_bytes,
             idle_connections: announced.slots.min(announced.connections.saturating_sub(1)) as usize,
@@ -162,6 +167,18 @@
         Ok(())
     }
 
+    /// Returns the server as it was before this daemon removed it, if it is the same process and still known.
+    fn lost_server(&self, announced: &Server) -> Option<Rc<LocalServer>> {
+        let lost = self.lost_servers.borrow();
+        let is_same = |known: &Server| {
+            known.incarnation == announced.incarnation
+                && known.service == announced.service
+                && known.address == announced.address
+        };
+        let found = lost.iter().find(|lost| is_same(&lost.server.announced));
+        found.map(|lost| lost.server.clone())
+    }
+
     /// Starts the delivery of orders to a server. Leases that were sent to earlier processes at its address are taken
     /// into account.
     fn start_orders(&self, address: &str) -> io::Result<GrantDelivery> {
--- a/src/grant/grant_table.rs
+++ b/src/grant/grant_table.rs
@@ -62,6 +62,20 @@
         self
     }
 
+    /// Returns the table for the same process after it was removed and has come back. It may still hold every span that it
+    /// held or was ordered to hold.
+    pub fn after_removal(mut self) -> Self {
+        for entry in &mut self.entries {
+            entry.phase = match entry.phase {
+                GrantPhase::Absent | GrantPhase::Reporting(_) | GrantPhase::Reported(_) => GrantPhase::Absent,
+                GrantPhase::Granting | GrantPhase::Held | GrantPhase::Revoking | GrantPhase::Unknown => {
+                    GrantPhase::Unknown
+                }
+            };
+        }
+        self
+    }
+
     /// Returns whether the server may still hold a span that it must drop.
     pub fn has_spans_to_drop(&self) -> bool {
         self.entries.iter().any(|e| e.goal == GrantGoal::Drop)
--- a/tests/lease_world/daemon_actor.rs
+++ b/tests/lease_world/daemon_actor.rs
@@ -21,6 +21,14 @@
     pub process: u64,
     pub state: State,
     pub grants: GrantTable,
+    /// Whether the daemon has removed its server, which has not announced itself again.
+    pub is_server_removed: bool,
+    /// Number of the removals. Orders from before the last one say nothing about the grants.
+    pub removals: u64,
+    /// Number of the last list of servers that was sent.
+    last_list: u64,
+    /// Number of the first list that names the server again.
+    listed_in: Option<u64>,
     pub frozen_until: i64,
     pub next_step: Ms,
     pub next_renewal: Ms,
@@ -40,6 +48,10 @@
             process: number as u64,
             state: State::default(),
             grants: GrantTable::default(),
+            is_server_removed: false,
+            removals: 0,
+            last_list: 0,
+            listed_in: Some(0),
             frozen_until: 0,
             next_step: Ms::ZERO,
             next_renewal: Ms::ZERO,
@@ -92,12 +104,52 @@
         }
     }
 
-    pub fn servers(&self, session: u64) -> SetServers {
-        SetServers {
+    /// Removes the server, as if it had fallen silent.
+    pub fn remove_server(&mut self) {
+        self.is_server_removed = true;
+        self.removals += 1;
+    }
+
+    /// Adds the server again, the same process as before.
+    pub fn restore_server(&mut self) {
+        self.is_server_removed = false;
+        self.listed_in = None;
+        self.grants = std::mem::take(&mut self.grants).after_removal();
+        self.changed_spans = ChangedSpans::everything();
+    }
+
+    /// Returns the next list of servers, unless `state` of the leader has an equal one and no list is on its way. A server
+    /// that was removed is listed until its leases have ended.
+    pub fn next_list(
+        &mut self,
+        session: u64,
+        state: &State,
+        leases_end_at: Ms,
+        now: Ms,
+    ) -> Option<SetServers> {
+        let may_hold = !self.is_server_removed || now < leases_end_at;
+        let servers = match may_hold {
+            true => vec![Server {
+                leaving: self.is_server_removed,
+                ..self.server()
+            }],
+            false => Vec::new(),
+        };
+        let known = state.session(session)?;
+        let awaits_listing = !self.is_server_removed && self.listed_in.is_none();
+        if known.servers == servers && known.servers_number == self.last_list && !awaits_listing {
+            return None;
+        }
+        self.last_list += 1;
+        if awaits_listing {
+            self.listed_in = Some(self.last_list);
+        }
+        Some(SetServers {
             session,
-            servers: vec![self.server()],
+            servers,
+            number: self.last_list,
             ..SetServers::default()
-        }
+        })
     }
 
     fn server(&self) -> Server {
@@ -138,11 +190,14 @@
         if changed_spans.releases {
             spans.extend(self.grants.releasing_spans());
         }
+        if self.is_server_removed {
+            return Vec::new();
+        }
         let server = self.server();
         let target = GrantTarget {
             session: self.session,
             server: &server,
-            listed_in: Some(0),
+            listed_in: self.listed_in,
         };
         for span in spans {
             let wanted = grant::wanted_within(&self.state, &target, &span);
@@ -156,7 +211,10 @@
     pub fn may_dispatch(&self, key: &Key, now: Ms) -> Option<u64> {
         let owner = self.state.table("ledger")?.range_of(key).owner.as_ref()?;
         let is_own = Some(owner.session) == self.session && owner.server == self.address;
-        let may = is_own && self.lease.is_valid(now) && self.grants.is_held(key, owner.epoch);
+        let may = is_own
+            && !self.is_server_removed
+            && self.lease.is_valid(now)
+            && self.grants.is_held(key, owner.epoch);
         may.then_some(owner.epoch)
     }
 }
--- a/tests/lease_world/world.rs
+++ b/tests/lease_world/world.rs
@@ -52,10 +52,11 @@
     Renew(usize, Renew),
     Renewed(usize, RenewAnswer),
     Changes(usize, Vec<Committed>),
-    Released(usize, GrantAction, RangeReleased),
-    Order(usize, GrantAction, Ms),
+    Released(usize, u64, GrantAction, RangeReleased),
+    /// The number after that of the server is that of the removals before the order.
+    Order(usize, u64, GrantAction, Ms),
     Extend(usize, Ms),
-    Confirmed(usize, GrantAction, bool),
+    Confirmed(usize, u64, GrantAction, bool),
     GrantsLost(usize),
     Call(usize, Key, u64, i64),
 }
@@ -69,6 +70,8 @@
     leader_frozen_until: i64,
     /// Time at which the service is named again, while the schema leaves it out.
     absent_until: Option<i64>,
+    /// Times at which removed servers announce themselves again.
+    removed_until: [Option<i64>; DAEMONS],
     daemons: Vec<DaemonActor>,
     servers: Vec<ServerActor>,
     leases_end_at: [Ms; DAEMONS],
@@ -113,6 +116,7 @@
             leader: LeaderActor::new(timing, &schema, Ms(1_000_000)),
             leader_frozen_until: 0,
             absent_until: None,
+            removed_until: [None; DAEMONS],
             daemons: (0..DAEMONS)
                 .map(|number| DaemonActor::new(number, timing, config.checks_fencing))
                 .collect(),
@@ -144,7 +148,8 @@
         }
     }
 
-    /// Occasionally freezes an actor, elects another leader, starts a move, or leaves the service out of the schema.
+    /// Occasionally freezes an actor, elects another leader, starts a move, removes a server from its daemon's list, or
+    /// leaves the service out of the schema.
     fn inject_faults(&mut self) {
         let length = self.rng.random_range(20..1500);
         let actor = self.rng.random_range(0..DAEMONS);
@@ -170,8 +175,18 @@
                 self.leader.apply_schema(&schema, now);
                 self.absent_until = Some(self.now + length);
             }
+            12..=14 if self.removed_until[actor].is_none() => {
+                self.daemons[actor].remove_server();
+                self.removed_until[actor] = Some(self.now + length);
+            }
             _ => {}
         }
+        for (daemon, until) in self.daemons.iter_mut().zip(&mut self.removed_until) {
+            if self.now >= daemon.frozen_until && until.is_some_and(|until| until <= self.now) {
+                daemon.restore_server();
+                *until = None;
+            }
+        }
         if self.absent_until.is_some_and(|until| until <= self.now) {
             let schema = schema("ledger", true, self.config.checks_fencing);
             let now = self.clock(DAEMONS);
@@ -243,14 +258,18 @@
                 self.daemons[d].handle_renewal_answer(&answer, now);
             }
             Msg::Changes(d, changes) => self.daemons[d].apply(&changes),
-            Msg::Released(d, action, released) => {
+            Msg::Released(d, removals, action, released) => {
                 self.leader
                     .commit(change::Body::RangeReleased(released), leader_now);
-                self.send(Msg::Confirmed(d, action, true));
+                self.send(Msg::Confirmed(d, removals, action, true));
+            }
+            Msg::Confirmed(d, removals, action, confirmed) => {
+                if removals == self.daemons[d].removals {
+                    self.daemons[d].grants.complete(&action, confirmed);
+                }
             }
-            Msg::Confirmed(d, action, confirmed) => self.daemons[d].grants.complete(&action, confirmed),
             Msg::GrantsLost(d) => self.daemons[d].grants.mark_all_lost(),
-            Msg::Order(s, action, until) => self.handle_order(s, action, until),
+            Msg::Order(s, removals, action, until) => self.handle_order(s, removals, action, until),
             Msg::Extend(s, until) => {
                 let now = self.clock(s);
                 if !self.servers[s].ownership.extend(until, now) {
@@ -261,7 +280,7 @@
         }
     }
 
-    fn handle_order(&mut self, s: usize, action: GrantAction, until: Ms) {
+    fn handle_order(&mut self, s: usize, removals: u64, action: GrantAction, until: Ms) {
         let now = self.clock(s);
         let confirmed = match &action {
             GrantAction::Grant { span, epoch } => self.servers[s].grant(span, *epoch, until, now),
@@ -270,14 +289,14 @@
                 if self.servers[s].is_busy(span, self.now) {
                     // The revoke is confirmed once no call of the span runs.
                     self.messages
-                        .push((self.now + STEP_MS, Msg::Order(s, action, until)));
+                        .push((self.now + STEP_MS, Msg::Order(s, removals, action, until)));
                     return;
                 }
                 true
             }
             GrantAction::Report { .. } => false,
         };
-        self.send_local(Msg::Confirmed(s, action, confirmed));
+        self.send_local(Msg::Confirmed(s, removals, action, confirmed));
     }
 
     fn handle_call(&mut self, s: usize, key: Key, epoch: u64, ends_at: i64) {
@@ -340,10 +359,10 @@
             Some(session) => {
                 let renew = self.daemons[d].renewal(session, now);
                 self.send(Msg::Renew(d, renew));
-                let servers = self.daemons[d].servers(session);
-                let listed = self.leader.state.session(session);
-                if listed.is_some_and(|s| s.servers.is_empty()) {
-                    self.send(Msg::Servers(servers));
+                let leases_end_at = self.leases_end_at[d];
+                let list = self.daemons[d].next_list(session, &self.leader.state, leases_end_at, now);
+                if let Some(list) = list {
+                    self.send(Msg::Servers(list));
                 }
             }
             None => {
@@ -354,6 +373,7 @@
     }
 
     fn start(&mut self, d: usize, action: GrantAction, now: Ms) {
+        let removals = self.daemons[d].removals;
         if let GrantAction::Report { span, epoch, release } = &action {
             let released = RangeReleased {
                 service: "ledger".into(),
@@ -364,19 +384,19 @@
             };
             // If the report is lost, it fails after 400 ms and is sent again.
             self.messages
-                .push((self.now + 400, Msg::Confirmed(d, action.clone(), false)));
-            self.send(Msg::Released(d, action, released));
+                .push((self.now + 400, Msg::Confirmed(d, removals, action.clone(), false)));
+            self.send(Msg::Released(d, removals, action, released));
             return;
         }
         let until = self.daemons[d].lease.ends_at();
         if matches!(action, GrantAction::Grant { .. }) {
             if until <= now {
-                self.send_local(Msg::Confirmed(d, action, false));
+                self.send_local(Msg::Confirmed(d, removals, action, false));
                 return;
             }
             self.leases_end_at[d] = self.leases_end_at[d].max(until);
         }
-        self.send_local(Msg::Order(d, action, until));
+        self.send_local(Msg::Order(d, removals, action, until));
     }
 
     /// Sends a call. Its daemon may be frozen between its last check of the lease and the first byte that it sends.
--- a/tests/planned_moves.rs
+++ b/tests/planned_moves.rs
@@ -268,6 +268,16 @@
     assert_eq!(daemon.run_to_completion(&mut f), ["report"]);
 }
 
+/// Guards against a range that goes to its next owner while a server holds it that its daemon had removed for a while.
+#[test]
+fn release_after_removal() {
+    let (mut f, mut daemon) = range_on_host_1();
+    daemon.grants = daemon.grants.after_removal();
+    assert!(!daemon.is_serving(&f), "the grant is not confirmed any more");
+    start_move(&mut f, &mut daemon, 2);
+    assert_eq!(daemon.run_to_completion(&mut f), ["revoke", "report"]);
+}
+
 #[test]
 fn second_release_is_ignored() {
     let (mut f, mut daemon) = range_on_host_1();
--- a/tests/support/scripted_control.rs
+++ b/tests/support/scripted_control.rs
@@ -7,11 +7,16 @@
     crate::fake_control::serve_control,
     clementinefold::{
         control::{Applied, State},
+        schema::PackedText,
         wire::{
-            control::{change, AssignRange, Change, Committed, OpenSession, Server, SetServers},
+            control::{
+                change, operator_command, AssignRange, Change, Committed, OpenSession, OperatorCommand,
+                ReleaseRange, Server, SetServers, VersionedSchema,
+            },
             peer::{frame::Body, OpenSessionAnswer, Propose, ProposeAnswer, RenewAnswer, WatchAnswer},
         },
     },
+    serde_json::json,
     std::{
         future::pending,
         net::SocketAddr,
@@ -44,8 +49,8 @@
     /// Log index up to which daemons are sent the changes.
     sent_until: u64,
     list_handling: ListHandling,
-    /// All lists of servers that were proposed, in order.
-    lists: Vec<SetServers>,
+    /// All changes that daemons have proposed, in order.
+    proposed: Vec<change::Body>,
     /// Lists that are not committed yet.
     delayed: Vec<SetServers>,
 }
@@ -67,10 +72,10 @@
 
     /// Handles a proposal. Returns its log index, or `None` if it is not answered.
     fn propose(&mut self, body: change::Body) -> Option<u64> {
+        self.proposed.push(body.clone());
         let change::Body::SetServers(list) = &body else {
             return Some(self.commit(body).0);
         };
-        self.lists.push(list.clone());
         match self.list_handling {
             ListHandling::Commit => Some(self.commit(body).0),
             ListHandling::LoseAnswers => {
@@ -98,14 +103,15 @@
 }
 
 impl ScriptedControl {
-    /// Starts a control host that commits everything and sends it to all daemons.
+    /// Starts a control host that commits everything and sends it to all daemons. The schema has the service `desk`, which is
+    /// divided by key and has one range.
     pub fn start() -> Self {
         let shared = Arc::new(Mutex::new(Shared {
             state: State::default(),
             changes: Vec::new(),
             sent_until: u64::MAX,
             list_handling: ListHandling::Commit,
-            lists: Vec::new(),
+            proposed: Vec::new(),
             delayed: Vec::new(),
         }));
         let (tx, rx) = mpsc::channel();
@@ -118,10 +124,12 @@
                 pending::<()>().await;
             });
         });
-        Self {
+        let control = Self {
             shared,
             address: rx.recv().unwrap(),
-        }
+        };
+        control.commit(change::Body::OperatorCommand(schema_command()));
+        control
     }
 
     fn lock(&self) -> MutexGuard<'_, Shared> {
@@ -166,6 +174,20 @@
         }
     }
 
+    /// Starts the planned move of all keys from the owner with this epoch.
+    pub fn release_all(&self, epoch: u64, to_session: u64, to_server: &Server) {
+        let release = ReleaseRange {
+            service: to_server.service.clone(),
+            epoch,
+            to_session,
+            to_server: to_server.address.clone(),
+            reason: "test".into(),
+            ..ReleaseRange::default()
+        };
+        let applied = self.commit(change::Body::ReleaseRange(release));
+        assert!(matches!(applied, Applied::ReleaseStarted { .. }), "{applied:?}");
+    }
+
     /// Takes all keys from the servers of another session.
     pub fn vacate(&self, session: u64) {
         self.commit(change::Body::SetServers(SetServers {
@@ -206,7 +228,17 @@
 
     /// Returns the last list of servers that was proposed.
     pub fn last_list(&self) -> Option<SetServers> {
-        self.lock().lists.last().cloned()
+        let list_of = |body: &change::Body| match body {
+            change::Body::SetServers(list) => Some(list.clone()),
+            _ => None,
+        };
+        self.lock().proposed.iter().rev().find_map(list_of)
+    }
+
+    /// Returns whether a daemon has reported a range as given up.
+    pub fn has_release_report(&self) -> bool {
+        let is_report = |body: &change::Body| matches!(body, change::Body::RangeReleased(_));
+        self.lock().proposed.iter().any(is_report)
     }
 
     /// Returns the session of a host and its servers as committed.
@@ -217,6 +249,25 @@
     }
 }
 
+fn schema_command() -> OperatorCommand {
+    let schema = json!({
+        "cluster": "test",
+        "services": [{ "name": "desk", "divided_by_key": true, "checks_fencing": true }],
+        "routes": [{
+            "name": "r", "host": "one", "path_prefix": "/", "timeout_ms": 900, "attempts": 1,
+            "targets": [{ "service": "desk", "weight": 1 }]
+        }]
+    });
+    OperatorCommand {
+        body: Some(operator_command::Body::ReplaceSchema(VersionedSchema {
+            version: 1,
+            packed_schema: PackedText::pack(schema.to_string().as_bytes()).as_bytes().clone(),
+            ..VersionedSchema::default()
+        })),
+        ..OperatorCommand::default()
+    }
+}
+
 async fn answer(shared: Arc<Mutex<Shared>>, body: Body) -> Option<Body> {
     match body {
         Body::Watch(watch) => {
