Take keys as released only if the heartbeat is known to follow the hold

Callers saw a server at work on keys that were given to another one, with 0.6 to 1.1 s of its hold left.

Cause: a new process of a daemon knows neither the sequence numbers of the heartbeats nor the answers of its predecessor. It took a late heartbeat, sent before the server held the keys, for their release. Evidence: CF4109 right after the late heartbeat, then CF5005 with the reason "planned move".

Change: while holds from before the table may last (3 s after the adoption), a span counts as released only if this process has seen it reported or has offered it. The same holds for servers that are added before the first list of the process. The last sequence number of a removed server is kept, so that an earlier heartbeat does not bring it back.

--- a/src/daemon/daemon_cx.rs
+++ b/src/daemon/daemon_cx.rs
@@ -5,6 +5,7 @@
         large_answers::LargeAnswers,
         left_servers::LeftServers,
         local_server::{LocalServer, LostServer},
+        removed_heartbeats::RemovedHeartbeats,
     },
     crate::{
         call::{HedgePolicy, RetryBudget, Tenures},
@@ -103,6 +104,8 @@
     pub lost_servers: RefCell<Vec<LostServer>>,
     /// Local servers that have announced that they leave, including lost ones.
     pub left_servers: RefCell<LeftServers>,
+    /// Last heartbeats of the local servers that this daemon has removed.
+    pub removed_heartbeats: RefCell<RemovedHeartbeats>,
     /// Number of the last list of servers that this process has sent, or 0 if it has sent none.
     pub last_list: Cell<u64>,
     /// Notified when the list of local servers has changed.
@@ -217,6 +220,7 @@
             servers: RefCell::default(),
             lost_servers: RefCell::default(),
             left_servers: RefCell::default(),
+            removed_heartbeats: RefCell::default(),
             last_list: Cell::new(0),
             servers_changed: Notify::new(),
             warmups_changed: Notify::new(),
--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -155,6 +155,11 @@
     /// Returns the server that sent a heartbeat, and adds it first if it is new.
     fn find_or_add_server(self: &Rc<Self>, heartbeat: &Heartbeat) -> Result<Rc<LocalServer>, &'static str> {
         let incarnation = incarnation(heartbeat);
+        let removed = self.removed_heartbeats.borrow();
+        if removed.is_late(&incarnation, heartbeat.sequence) {
+            return Err("a later heartbeat was received before the server was removed");
+        }
+        drop(removed);
         let address = heartbeat.address.to_string();
         let known = self
             .servers
@@ -208,7 +213,9 @@
             "incarnation" => &announced.incarnation, "slots" => announced.slots
         );
         let warmup = WarmupState::reported(heartbeat.warmup_left, self.clock.now());
+        let earlier_holds_end = self.earlier_holds_end(&announced);
         let server = self.new_fetching_server(announced, warmup);
+        server.orders.record_lease_end(earlier_holds_end);
         server.is_crash_counted.set(predecessor.is_none());
         if let Some(predecessor) = predecessor {
             let (cx, server) = (self.clone(), server.clone());
@@ -227,6 +234,16 @@
         server
     }
 
+    /// Returns the latest end of the holds that were given to a server before it is added: by an earlier process of this
+    /// daemon right before it ended, or before this process removed the server.
+    fn earlier_holds_end(&self, announced: &Server) -> Ms {
+        if self.last_list.get() == 0 {
+            return self.clock.now() + HOLD_MAX;
+        }
+        let lost = self.lost_server(announced);
+        lost.map_or(Ms::ZERO, |lost| lost.orders.leases_end_at())
+    }
+
     fn new_fetching_server(&self, announced: Server, warmup: WarmupState) -> Rc<LocalServer> {
         let limits = ServerLimits {
             answer_bytes: self.settings.caller_limits.answer_bytes,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -25,6 +25,7 @@
 mod node;
 mod operator_handler;
 mod peer_handler;
+mod removed_heartbeats;
 mod route_limits;
 mod routed_path;
 mod run;
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -168,7 +168,7 @@
     }
 
     /// Returns the server as it was before this daemon removed it, if it is the same process and still known.
-    fn lost_server(&self, announced: &Server) -> Option<Rc<LocalServer>> {
+    pub(super) fn lost_server(&self, announced: &Server) -> Option<Rc<LocalServer>> {
         let lost = self.lost_servers.borrow();
         let is_same = |known: &Server| {
             known.incarnation == announced.incarnation
@@ -259,6 +259,12 @@
         if self.servers.borrow().len() == count {
             return false;
         }
+        let (started_ms, sequence) = lost.last_heartbeat.get();
+        // Without its start, a process can't be told from the next one with its name, which begins to count again.
+        if started_ms != 0 {
+            let mut removed = self.removed_heartbeats.borrow_mut();
+            removed.record(&lost.announced.incarnation, sequence, self.clock.now());
+        }
         log_event!(
             self.log, Event::ServerLost;
             "service" => &lost.announced.service, "server" => &lost.announced.address, "reason" => reason
--- a/src/grant/hold_table.rs
+++ b/src/grant/hold_table.rs
@@ -57,13 +57,18 @@
 /// What one server holds, for a server that fetches its grants with its heartbeats.
 ///
 /// Such a server holds exactly the spans in the answer to its last heartbeat, for the time given there. So a span is
-/// free once an answer has left it out and a later heartbeat no longer reports it, or once the last hold has ended.
+/// free once an answer has left it out and a later heartbeat no longer reports it, or once the last hold has ended. Of
+/// holds that were given before the table existed, only the end is known, and not which heartbeats were sent before them.
 #[derive(Clone, Debug, Default)]
 pub struct HoldTable {
     /// Spans in the last answer, sorted by start, or `None` if no heartbeat has been answered yet.
     offered: Option<Vec<Hold>>,
     /// End of the longest hold given so far, by the daemon's clock.
     ends_at: Ms,
+    /// End of the holds that were given before this table existed. Their spans are not known.
+    inherited_until: Ms,
+    /// Spans that the server has reported, or was offered, before `inherited_until`.
+    seen: Vec<KeyRange>,
     /// Spans whose handover tokens have not been passed on yet.
     freed: Vec<FreedSpan>,
 }
@@ -86,11 +91,16 @@
             offered.map(|h| &h.span).any(|s| s.overlaps(span))
                 || reported.iter().any(|r| r.span.overlaps(span))
         };
+        // A heartbeat may be older than a hold that was given before this table existed. Only one that follows a report of
+        // the span is known not to be.
+        let is_inherited =
+            |span: &KeyRange| now < self.inherited_until && !self.seen.iter().any(|seen| seen.covers(span));
         let released: Vec<Released> = wanted
             .iter()
-            .filter(|h| !may_be_held(&h.span))
+            .filter(|h| !may_be_held(&h.span) && !is_inherited(&h.span))
             .filter_map(|h| self.released(h))
             .collect();
+        self.record_seen(reported.iter().map(|r| &r.span), now);
         if hold == Ms::ZERO {
             return (None, released);
         }
@@ -109,10 +119,24 @@
             .retain(|f| !offered.iter().any(|h| h.span.overlaps(&f.span)));
         // The server may measure the hold with a slow clock.
         self.ends_at = self.ends_at.max(now + Ms(hold.0 * SLOW_CLOCK_PERCENT / 100));
+        self.record_seen(offered.iter().map(|h| &h.span), now);
         self.offered = Some(offered.clone());
         (Some(offered), released)
     }
 
+    /// Records that the server has reported `spans`, or is offered them, while holds from before this table may last.
+    fn record_seen<'a>(&mut self, spans: impl Iterator<Item = &'a KeyRange>, now: Ms) {
+        if now >= self.inherited_until {
+            self.seen.clear();
+            return;
+        }
+        for span in spans {
+            if !self.seen.contains(span) {
+                self.seen.push(span.clone());
+            }
+        }
+    }
+
     /// Returns the spans of the last answer that the server does not report.
     pub fn unreported(&self, reported: &[ReportedSpan]) -> Vec<Hold> {
         let offered = self.offered.iter().flatten();
@@ -140,6 +164,7 @@
     /// Records the end of a hold that was given by an earlier daemon process or to an earlier server process.
     pub fn record_hold_end(&mut self, ends_at: Ms) {
         self.ends_at = self.ends_at.max(ends_at);
+        self.inherited_until = self.inherited_until.max(ends_at);
     }
 
     /// Returns the number of spans in the answer to the last heartbeat, or zero if there is none.
--- a/src/key/key_range.rs
+++ b/src/key/key_range.rs
@@ -27,6 +27,16 @@
         starts_before(self, other) && starts_before(other, self)
     }
 
+    /// Returns whether the range contains all keys of `other`.
+    pub fn covers(&self, other: &Self) -> bool {
+        let ends_later = match (&self.end, &other.end) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(end), Some(other_end)) => other_end <= end,
+        };
+        self.start <= other.start && ends_later
+    }
+
     /// Returns whether the range contains no key.
     pub fn is_empty(&self) -> bool {
         self.end.as_ref().is_some_and(|end| *end <= self.start)
--- a/tests/fetched_holds.rs
+++ b/tests/fetched_holds.rs
@@ -121,6 +121,48 @@
     }
 }
 
+/// A heartbeat after the start of a new process: its time in ms, whether the server reports the span, and whether the
+/// release is complete then.
+type LaterHeartbeat = (u64, bool, bool);
+
+/// Until when the earlier process may have given holds.
+const EARLIER_HOLDS_END: Ms = Ms(3000);
+
+/// Sequences of heartbeats at a new process of the daemon, which is to have a span released.
+const AFTER_RESTART: &[(&str, &[LaterHeartbeat])] = &[
+    ("late ones only", &[(0, false, false), (900, false, false)]),
+    (
+        "late ones, then held",
+        &[(0, false, false), (100, true, false), (200, false, true)],
+    ),
+    ("held, then given up", &[(0, true, false), (100, false, true)]),
+    (
+        "never held",
+        &[(0, false, false), (2999, false, false), (3000, false, true)],
+    ),
+    (
+        "held beyond the end",
+        &[(0, true, false), (4000, true, false), (4100, false, true)],
+    ),
+];
+
+/// Guards against a release that is taken for complete because of a heartbeat which was sent before the server held the
+/// span, as far as a new process of the daemon can tell.
+#[test]
+fn release_after_restart() {
+    let keys = span(10, 20);
+    for (name, heartbeats) in AFTER_RESTART {
+        let mut table = HoldTable::default();
+        table.record_hold_end(EARLIER_HOLDS_END);
+        for (at, is_reported, is_released) in *heartbeats {
+            let reports = if *is_reported { reported(&keys) } else { Vec::new() };
+            let wanted = vec![hold(&keys, Some(9))];
+            let (_, released) = table.heartbeat(&reports, Vec::new(), wanted, HOLD, Ms(*at));
+            assert_eq!(!released.is_empty(), *is_released, "{name}: at {at} ms");
+        }
+    }
+}
+
 #[test]
 fn handover_token_passed() {
     let keys = span(10, 20);
--- a/tests/support/scripted_control.rs
+++ b/tests/support/scripted_control.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use {
-    crate::fake_control::serve_control,
+    super::fake_control::serve_control,
     clementinefold::{
         control::{Applied, State},
         schema::PackedText,
