Read the start of the process in a deregistration

Callers saw a server that was sent 50 to 72 requests later than 2 s after its deregistration was acknowledged.

Cause: the start of the process in the body of a deregistration was ignored. A daemon without a heartbeat of the process acknowledged the departure of an earlier process with the same name, and took the late first heartbeat for that of a server that stays. Evidence: CF4108 comes for the first process only. A late deregistration of the earlier process ended the use of the later one, too.

Change: the start decides which processes leave, and is committed also if no heartbeat has come. Without a start, the last known process leaves as before.

--- a/src/daemon/departure.rs
+++ b/src/daemon/departure.rs
@@ -17,44 +17,62 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(800);
 
 impl DaemonCx {
-    /// Processes the deregistration of a server that will end soon. It is still sent calls for as long as a server that
-    /// drains. Returns whether its departure is known to be committed: only then may it be acknowledged, because the next
-    /// process of this daemon must know of it.
-    pub async fn deregister(self: &Rc<Self>, instance: &str) -> bool {
+    /// Processes the deregistration of a server that will end soon, which was started at `started_ms`, in ms since the Unix
+    /// epoch. If it does not name its start, it is the process that this daemon has heard of last. It is still sent calls for
+    /// as long as a server that drains. Returns whether its departure is known to be committed: only then may it be
+    /// acknowledged, because the next process of this daemon must know of it.
+    pub async fn deregister(self: &Rc<Self>, instance: &str, started_ms: Option<u64>) -> bool {
         let servers = self.servers.borrow().clone();
-        let known: Vec<_> = servers
-            .iter()
-            .filter(|s| s.announced.instance() == instance)
-            .collect();
-        for server in &known {
+        let named = servers.iter().filter(|s| s.announced.instance() == instance);
+        // A process that was started later goes on.
+        let is_meant = |s: &&Rc<LocalServer>| started_ms.is_none_or(|at| s.announced.started_ms() <= at);
+        let leaving: Vec<_> = named.filter(is_meant).collect();
+        for server in &leaving {
             self.mark_leaving(server, "it deregistered");
         }
-        let started_ms = match known.iter().map(|s| s.announced.started_ms()).max() {
-            Some(started_ms) => started_ms,
-            None => self.record_left_server(instance),
+        let known_start = leaving.iter().map(|s| s.announced.started_ms()).max();
+        let started_ms = match (started_ms, known_start) {
+            (Some(named), Some(known)) if named == known => named,
+            (Some(named), _) => self.record_left_process(instance, named),
+            (None, Some(known)) => known,
+            (None, None) => self.record_left_server(instance),
         };
         self.commit_departure(instance, started_ms).await
     }
 
-    /// Records the deregistration of a server that is unknown or already lost. Returns its start, in ms since the Unix
-    /// epoch, or an upper bound of it.
+    /// Records the deregistration of a process from which no heartbeat has come. Returns its start.
+    fn record_left_process(&self, instance: &str, started_ms: u64) -> u64 {
+        if !self.left_servers.borrow().contains(instance, started_ms) {
+            self.record_left(instance, started_ms, "it deregistered before it was known");
+        }
+        started_ms
+    }
+
+    /// Records the deregistration of a server that is unknown or already lost, and does not name its start. Returns its
+    /// start, in ms since the Unix epoch, or an upper bound of it.
     fn record_left_server(&self, instance: &str) -> u64 {
-        let mut left = self.left_servers.borrow_mut();
-        if let Some(started_ms) = left.started_ms(instance) {
+        if let Some(started_ms) = self.left_servers.borrow().started_ms(instance) {
             return started_ms;
         }
         let lost = self.lost_servers.borrow();
         let found = lost.iter().find(|l| l.published.instance() == instance);
         // A server on this host has the same clock, so a process with a later start time is another one.
         let started_ms = found.map_or_else(|| self.clock.wall().0, |l| l.published.started_ms());
+        self.record_left(instance, started_ms, "it deregistered after it was lost");
+        started_ms
+    }
+
+    fn record_left(&self, instance: &str, started_ms: u64, reason: &str) {
+        let now = self.clock.now();
+        self.left_servers.borrow_mut().record(instance, started_ms, now);
+        let lost = self.lost_servers.borrow();
+        let found = lost.iter().find(|l| l.published.instance() == instance);
         let published = found.map_or_else(Server::default, |l| l.published.clone());
-        left.record(instance, started_ms, self.clock.now());
         log_event!(
             self.log, Event::ServerLeaving;
             "service" => &published.service, "server" => &published.address, "incarnation" => instance,
-            "reason" => "it deregistered after it was lost", "served_ms" => 0
+            "reason" => reason, "served_ms" => 0
         );
-        started_ms
     }
 
     /// Returns whether a server has told this process that it leaves, or an earlier process of this daemon.
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -94,10 +94,11 @@
         self.0.log_refused_announcement(from, reason);
     }
 
-    /// Processes the deregistration of a local server that will end soon. Returns whether its departure is known to be
-    /// committed, and may be acknowledged.
-    pub async fn deregister(&self, instance: &str) -> bool {
-        self.0.deregister(instance).await
+    /// Processes the deregistration of a local server that will end soon. `started_ms` is the start of its process in ms
+    /// since the Unix epoch, if it names it. Returns whether its departure is known to be committed, and may be
+    /// acknowledged.
+    pub async fn deregister(&self, instance: &str, started_ms: Option<u64>) -> bool {
+        self.0.deregister(instance, started_ms).await
     }
 
     /// Returns whether this daemon takes new calls: it has had the newest configuration and is not being stopped.
