Refuse heartbeats of a divided service without lists of spans

Callers saw keys of a live server given to others while it held them and worked on them.

Cause: a heartbeat of another writer with the address of the server and a later start counted as that of the next process there, although it lacks the lists of spans, which each server of a divided service sends. Evidence: CF4005 "it was restarted" and CF4004 with the other name, no CF4109 before the keys moved.

Change: such a heartbeat is refused if the schema divides its service, or an earlier one did whose owners are kept. Without a schema, right after the start of a daemon, it adds and replaces no server.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -62,6 +62,9 @@
     pub draining: bool,
     /// Time for which the server stays cold, or zero if it is warm.
     pub warmup_left: Ms,
+    /// Whether it lists the spans that the server holds and has given up, as each server of a service that is divided by
+    /// key does.
+    pub lists_spans: bool,
     /// Spans that it holds or still works on.
     pub holds: Vec<ReportedSpan>,
     /// Spans that it has given up since its last acknowledged heartbeat.
@@ -103,6 +106,10 @@
     ) -> Result<Option<HoldAnswer>, HeartbeatError> {
         check_server(&heartbeat.service, heartbeat.address, &self.settings)
             .map_err(HeartbeatError::Refused)?;
+        if !heartbeat.lists_spans && self.is_divided(&heartbeat.service) {
+            let reason = "its service is divided by key, and it does not list its spans";
+            return Err(HeartbeatError::Refused(reason.into()));
+        }
         let answer = self.apply_heartbeat(&heartbeat);
         let is_acknowledged = !heartbeat.draining
             || self
@@ -114,6 +121,14 @@
         }
     }
 
+    /// Returns whether a service is divided by key, or was in a schema whose grants its servers may still hold.
+    fn is_divided(&self, service: &str) -> bool {
+        let state = self.state();
+        let retired = state.retired_services().iter();
+        let mut retired = retired.filter(|r| r.divided_by_key && r.has_owner());
+        state.is_divided(service) || retired.any(|r| r.ranges.service == service)
+    }
+
     /// Updates the server that sent a heartbeat. Returns its grants, or `None` if it gets none now.
     fn apply_heartbeat(self: &Rc<Self>, heartbeat: &Heartbeat) -> Result<Option<HoldAnswer>, HeartbeatError> {
         let server = self.find_or_add_server(heartbeat).map_err(|reason| {
@@ -167,6 +182,12 @@
             .iter()
             .find(|s| s.announced.address == address)
             .cloned();
+        let is_known_process = known
+            .as_ref()
+            .is_some_and(|k| k.announced.incarnation == incarnation);
+        if !heartbeat.lists_spans && !self.state().has_schema() && !is_known_process {
+            return Err("it lists no spans, and whether its service is divided by key is not known");
+        }
         let Some(known) = known else {
             if self.has_left(&heartbeat.instance, heartbeat.started_ms) {
                 return Err("it has left");
