Take an offered span not for one that the server was seen to hold

The answer may have been for a late heartbeat, which the server no longer takes, so two more late heartbeats released a span that the server held by the answer of an earlier process.

Change: only a report counts.

Test: offered_to_late_heartbeat in fetched_holds failed before (released at the third heartbeat)."

--- a/src/grant/hold_table.rs
+++ b/src/grant/hold_table.rs
@@ -67,7 +67,7 @@
     ends_at: Ms,
     /// End of the holds that were given before this table existed. Their spans are not known.
     inherited_until: Ms,
-    /// Spans that the server has reported, or was offered, before `inherited_until`.
+    /// Spans that the server has reported before `inherited_until`.
     seen: Vec<KeyRange>,
     /// Spans whose handover tokens have not been passed on yet.
     freed: Vec<FreedSpan>,
@@ -92,7 +92,7 @@
                 || reported.iter().any(|r| r.span.overlaps(span))
         };
         // A heartbeat may be older than a hold that was given before this table existed. Only one that follows a report of
-        // the span is known not to be.
+        // the span is known not to be: an answer that offered it may have been for a late heartbeat, too.
         let is_inherited =
             |span: &KeyRange| now < self.inherited_until && !self.seen.iter().any(|seen| seen.covers(span));
         let released: Vec<Released> = wanted
@@ -100,7 +100,7 @@
             .filter(|h| !may_be_held(&h.span) && !is_inherited(&h.span))
             .filter_map(|h| self.released(h))
             .collect();
-        self.record_seen(reported.iter().map(|r| &r.span), now);
+        self.record_seen(reported, now);
         if hold == Ms::ZERO {
             return (None, released);
         }
@@ -119,18 +119,17 @@
             .retain(|f| !offered.iter().any(|h| h.span.overlaps(&f.span)));
         // The server may measure the hold with a slow clock.
         self.ends_at = self.ends_at.max(now + Ms(hold.0 * SLOW_CLOCK_PERCENT / 100));
-        self.record_seen(offered.iter().map(|h| &h.span), now);
         self.offered = Some(offered.clone());
         (Some(offered), released)
     }
 
-    /// Records that the server has reported `spans`, or is offered them, while holds from before this table may last.
-    fn record_seen<'a>(&mut self, spans: impl Iterator<Item = &'a KeyRange>, now: Ms) {
+    /// Records what the server has reported while holds from before this table may last.
+    fn record_seen(&mut self, reported: &[ReportedSpan], now: Ms) {
         if now >= self.inherited_until {
             self.seen.clear();
             return;
         }
-        for span in spans {
+        for span in reported.iter().map(|r| &r.span) {
             if !self.seen.contains(span) {
                 self.seen.push(span.clone());
             }
--- a/tests/fetched_holds.rs
+++ b/tests/fetched_holds.rs
@@ -163,6 +163,24 @@
     }
 }
 
+/// Guards against a span that counts as seen at the server because it was offered in the answer to a late heartbeat, which
+/// the server no longer takes.
+#[test]
+fn offered_to_late_heartbeat() {
+    let keys = span(10, 20);
+    let mut table = HoldTable::default();
+    table.record_hold_end(EARLIER_HOLDS_END);
+    let releases = [None, Some(9), Some(9), Some(9)];
+    for (at, release) in releases.into_iter().enumerate() {
+        let wanted = vec![hold(&keys, release)];
+        let (_, released) = table.heartbeat(&[], Vec::new(), wanted, HOLD, Ms(at as u64));
+        assert_eq!(released, [], "at {at} ms");
+    }
+    let wanted = vec![hold(&keys, Some(9))];
+    let (_, released) = table.heartbeat(&[], Vec::new(), wanted, HOLD, EARLIER_HOLDS_END);
+    assert_eq!(released.len(), 1);
+}
+
 #[test]
 fn handover_token_passed() {
     let keys = span(10, 20);
