--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -106,7 +106,7 @@
     ) -> Result<Option<HoldAnswer>, HeartbeatError> {
         check_server(&heartbeat.service, heartbeat.address, &self.settings)
             .map_err(HeartbeatError::Refused)?;
-        if !heartbeat.lists_spans && self.is_divided(&heartbeat.service) {
+        if !heartbeat.lists_spans && self.is_or_was_divided(&heartbeat.service) {
             let reason = "its service is divided by key, and it does not list its spans";
             return Err(HeartbeatError::Refused(reason.into()));
         }
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Returns whether a service is divided by key, or was in a schema whose grants its servers may still hold.
-    fn is_divided(&self, service: &str) -> bool {
+    /// Returns whether the schema divides a service by key, or an earlier one did and its servers may still hold keys.
+    fn is_or_was_divided(&self, service: &str) -> bool {
         let state = self.state();
         let retired = state.retired_services().iter();
         let mut retired = retired.filter(|r| r.divided_by_key && r.has_owner());
--- a/src/daemon/server_handler.rs
+++ b/src/daemon/server_handler.rs
@@ -260,7 +260,7 @@
             return false;
         }
         let (started_ms, sequence) = lost.last_heartbeat.get();
-        // Without its start, a process can't be told from the next one with its name, which begins to count again.
+        // Without its start, a process cannot be told from the next one with its name, which begins to count again.
         if started_ms != 0 {
             let mut removed = self.removed_heartbeats.borrow_mut();
             removed.record(&lost.announced.incarnation, sequence, self.clock.now());
--- a/src/daemon/session_task.rs
+++ b/src/daemon/session_task.rs
@@ -178,7 +178,7 @@
                     self.servers_changed.notified().await;
                     continue;
                 };
-                let number = self.number_list();
+                let number = self.take_list_number();
                 let set = SetServers {
                     session,
                     servers,
@@ -205,8 +205,8 @@
         }
     }
 
-    /// Returns the number of the next list of servers, which the servers that it is the first to name keep.
-    fn number_list(&self) -> u64 {
+    /// Takes the number of the next list of servers. The servers that this list is the first to name remember it.
+    fn take_list_number(&self) -> u64 {
         let number = self.last_list.get() + 1;
         self.last_list.set(number);
         for server in self.servers.borrow().iter().filter(|s| s.awaits_listing()) {
