--- a/tests/lease_world/daemon_actor.rs
+++ b/tests/lease_world/daemon_actor.rs
@@ -207,6 +207,11 @@
         self.grants.next_actions(is_busy)
     }
 
+    /// Returns whether the grants of the server may be extended.
+    pub fn may_extend(&self) -> bool {
+        !self.is_server_removed && self.grants.can_extend()
+    }
+
     /// Returns the epoch at which a call for `key` may be dispatched now, if it may.
     pub fn may_dispatch(&self, key: &Key, now: Ms) -> Option<u64> {
         let owner = self.state.table("ledger")?.range_of(key).owner.as_ref()?;
--- a/tests/lease_world/world.rs
+++ b/tests/lease_world/world.rs
@@ -343,7 +343,7 @@
         for action in actions {
             self.start(d, action, now);
         }
-        if now >= self.daemons[d].next_extension && self.daemons[d].grants.can_extend() {
+        if now >= self.daemons[d].next_extension && self.daemons[d].may_extend() {
             self.daemons[d].next_extension = now + Ms(150);
             let until = self.daemons[d].lease.ends_at();
             if until > now {
