--- a/tests/returned_server.rs
+++ b/tests/returned_server.rs
@@ -122,7 +122,7 @@
         server.has_order("/fold/grant")
     });
 
-    control.stop_sending();
+    control.send_committed();
     let other = Server {
         address: free_address().to_string(),
         ..server.listed(4)
--- a/tests/support/scripted_control.rs
+++ b/tests/support/scripted_control.rs
@@ -197,17 +197,12 @@
         }));
     }
 
-    /// From now on, daemons are sent no change after the ones that are committed now.
-    pub fn stop_sending(&self) {
+    /// Sends daemons the changes that are committed now, and none after them.
+    pub fn send_committed(&self) {
         let mut shared = self.lock();
         shared.sent_until = shared.state.applied();
     }
 
-    /// Sends daemons everything that is committed now, and nothing after it.
-    pub fn send_committed(&self) {
-        self.stop_sending();
-    }
-
     /// Sends daemons everything from now on.
     pub fn send_all(&self) {
         self.lock().sent_until = u64::MAX;
